--- /dev/null
+++ b/onyxpass/__init__.py
@@ -0,0 +1,5 @@
+"""onyxpass: scheduling decisions for prompts and answers over pools of reader and writer servers."""
+
+from onyxpass.choice import Router
+
+__all__ = ["Router"]
--- a/fennelbay/benchlink.py
+++ b/onyxpass/benchlink.py
@@ -9,8 +9,8 @@
 from collections.abc import Mapping
 from typing import Any, TextIO
 
-from fennelbay import interface as api
-from fennelbay.choice import Router
+from onyxpass import interface as api
+from onyxpass.choice import Router
 
 ROLES = {"read": api.Role.READER, "write": api.Role.WRITER, "both": api.Role.MIXED}
 REPEATS = {
@@ -271,7 +271,7 @@
         try:
             reply = link.batch(line)
         except WireError as problem:
-            print(f"fennelbay: {problem}", file=sys.stderr)
+            print(f"onyxpass: {problem}", file=sys.stderr)
             return 2
         sink.write(reply + "\n")
         sink.flush()
--- a/fennelbay/choice.py
+++ b/onyxpass/choice.py
@@ -1,4 +1,4 @@
-"""``fennelbay/interface.py`` holds the types, events and actions; every decision of fennelbay is here.
+"""``onyxpass/interface.py`` holds the types, events and actions; every decision of onyxpass is here.
 
 Arrival -> `_start` (wait or be refused) -> `_read` (deepest prefix, else a hash; escape) -> READ -> `_write`
 (lowest projected memory, near) -> stream. `Host`: one server as seen from here. `_pool`: who may be used now.
@@ -9,8 +9,8 @@
 from collections import Counter, OrderedDict, deque
 from statistics import median
 
-from fennelbay import interface as api
-from fennelbay.interface import ListForm, Repeat, Role, Scope, Status
+from onyxpass import interface as api
+from onyxpass.interface import ListForm, Repeat, Role, Scope, Status
 
 TABLE_CAP = 20_000  # keys; some minutes of sessions at hundreds of requests a second
 EXPIRY_US = 30_000_000  # the design's start value: a prefix unread for so long has likely been evicted
--- a/fennelbay/interface.py
+++ b/onyxpass/interface.py
@@ -1,7 +1,7 @@
-"""The contract of fennelbay: what a router is told and what it may ask for. Nothing is decided here.
+"""The contract of onyxpass: what a router is told and what it may ask for. Nothing is decided here.
 
 Times are whole microseconds (``_us``); ``now_us`` is the host's own clock. Feed a
-``fennelbay.choice.Router`` events in the order they happen and carry out the actions it returns, in order.
+``onyxpass.choice.Router`` events in the order they happen and carry out the actions it returns, in order.
 """
 
 from dataclasses import dataclass
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,8 +3,8 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from fennelbay import interface as api
-from fennelbay.choice import Router
+from onyxpass import interface as api
+from onyxpass.choice import Router
 
 MS = 1_000
 S = 1_000_000
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -32,7 +32,7 @@
 
 def run(lines: list[str], seed: str = "0") -> subprocess.CompletedProcess[str]:
     return subprocess.run(
-        [sys.executable, "-m", "fennelbay.benchlink"],
+        [sys.executable, "-m", "onyxpass.benchlink"],
         input="".join(line + "\n" for line in lines),
         capture_output=True,
         text=True,
@@ -110,12 +110,12 @@
 def test_a_line_that_is_no_batch_ends_it_with_a_message() -> None:
     for line in ("nonsense", "[]", '{"wallUs":1}', batch(1, 5, ["what", 1]), batch(1, 5, ["knock", 9, 1])):
         done = run([line])
-        assert done.returncode != 0 and done.stderr.startswith("fennelbay: ") and not done.stdout
+        assert done.returncode != 0 and done.stderr.startswith("onyxpass: ") and not done.stdout
 
 
 def test_a_fault_in_the_module_is_told_for_that_instance(monkeypatch: object) -> None:
     code = (
-        "import sys; from fennelbay import benchlink, choice\n"
+        "import sys; from onyxpass import benchlink, choice\n"
         "def fail(self, now, event): raise RuntimeError('broken')\n"
         "choice.Router.handle = fail\n"
         "sys.exit(benchlink.main(sys.stdin, sys.stdout))"
@@ -132,10 +132,10 @@
 
 
 def test_limits_of_the_decision_module() -> None:
-    text = (ROOT / "fennelbay" / "choice.py").read_text()
+    text = (ROOT / "onyxpass" / "choice.py").read_text()
     assert len([line for line in text.splitlines() if line.strip()]) <= 460
     assert max(map(len, text.splitlines())) <= 110
-    assert text.startswith('"""``fennelbay/interface.py``')
+    assert text.startswith('"""``onyxpass/interface.py``')
 
 
 def test_the_readme_example_runs() -> None:
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -2,9 +2,9 @@
 
 from helpers import MS, Drive, S, fleet
 
-from fennelbay import choice
-from fennelbay import interface as api
-from fennelbay.interface import Status
+from onyxpass import choice
+from onyxpass import interface as api
+from onyxpass.interface import Status
 
 
 def busy(drive: Drive, ill: set[str], slow: int = 1, status: Status = Status.READ, n: int = 120) -> list[str]:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,8 +2,8 @@
 
 from helpers import MS, Drive, S, fleet
 
-from fennelbay import choice
-from fennelbay import interface as api
+from onyxpass import choice
+from onyxpass import interface as api
 
 
 def test_hash_home_is_shared_by_all_routers_and_moves_only_its_own_keys() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fennelbay import interface as api
-from fennelbay.interface import Status
+from onyxpass import interface as api
+from onyxpass.interface import Status
 
 
 def test_every_request_is_answered_in_time_without_servers() -> None:
