--- a/onyxpass/__init__.py
+++ b/onyxpass/__init__.py
@@ -2,4 +2,5 @@
 
 from onyxpass.choice import Router
 
-__all__ = ["Router"]
+__all__ = ["Router", "__version__"]
+__version__ = "0.2.0"
--- /dev/null
+++ b/onyxpass/config.py
@@ -0,0 +1,93 @@
+"""What a dispatcher is told at its start: the platform's variables and the file that they name."""
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from onyxpass import interface as api
+from onyxpass.benchlink import read_settings
+
+PREFIX = "ROUTER_"
+
+
+class ConfigError(ValueError):
+    """The configuration does not hold what a dispatcher needs; the text says what."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        host, colon, port = text.rpartition(":")
+        if not colon or not host or not port.isdigit() or not 0 <= int(port) <= 65535:
+            raise ConfigError(f"not an address: {text!r}")
+        return cls(host.strip("[]"), int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: api.Settings
+    known: Mapping[str, Any]
+    sockets: int = 1024
+    connect_timeout_us: int = 250_000
+    conn_idle_us: int = 15_000_000
+
+
+def parse(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
+    """The platform's variables win over the file: they are what the process was started with."""
+
+    def told(key: str) -> str:
+        value = environ.get(PREFIX + key.upper()) or raw.get(key)
+        if not value:
+            raise ConfigError(f"{key} is not told, neither as {PREFIX}{key.upper()} nor in the file")
+        return str(value)
+
+    conf = raw.get("settings")
+    if not isinstance(conf, Mapping):
+        raise ConfigError("settings is absent")
+    try:
+        settings = read_settings(conf)
+        limits = conf.get("limits") or {}
+        return Config(
+            name=told("name"),
+            listen=Address.parse(told("listen")),
+            discovery=Address.parse(told("discovery")),
+            seed=int(str(raw.get("seed") or "0"), 16),
+            settings=settings,
+            known=raw.get("known") or {},
+            sockets=int((raw.get("limits") or {}).get("sockets") or 1024),
+            connect_timeout_us=int(limits.get("connectTimeoutUs") or 250_000),
+            conn_idle_us=int(limits.get("connIdleUs") or 15_000_000),
+        )
+    except ConfigError:
+        raise
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as problem:
+        raise ConfigError(f"the settings can't be read: {problem!r}") from problem
+
+
+def load(path: Path | None = None, environ: Mapping[str, str] = os.environ) -> Config:
+    """Read the file that is named, by the caller or by the platform."""
+    if path is None:
+        if not (named := environ.get(PREFIX + "CONFIG")):
+            raise ConfigError(f"no file is named: give one, or set {PREFIX}CONFIG")
+        path = Path(named)
+    try:
+        raw = json.loads(path.read_text())
+    except (OSError, ValueError) as problem:
+        raise ConfigError(f"{path}: {problem}") from problem
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{path}: not an object")
+    return parse(raw, environ)
--- /dev/null
+++ b/onyxpass/core/__init__.py
@@ -0,0 +1,1 @@
+"""The core: requests, attempts and outcomes. It knows no wire, and it decides nothing."""
--- /dev/null
+++ b/onyxpass/core/clock.py
@@ -0,0 +1,13 @@
+"""The one clock of a dispatcher: Unix time at its start plus the monotonic clock since."""
+
+import time
+
+
+class Clock:
+    """Microseconds of Unix time that never run backwards, whatever is done to the system's clock."""
+
+    def __init__(self) -> None:
+        self._start_us = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+
+    def now_us(self) -> int:
+        return self._start_us + time.monotonic_ns() // 1000
--- /dev/null
+++ b/onyxpass/core/dispatcher.py
@@ -0,0 +1,270 @@
+"""The module's actor and the owner of the invariants.
+
+One final answer a request; one attempt out at a time, ``max_attempts`` in all; the first event of an attempt
+commits the request to it, and nothing more goes out. What the module asks for against these is not done.
+"""
+
+import hashlib
+from collections.abc import Callable
+
+import structlog
+
+from onyxpass import interface as api
+from onyxpass.choice import Router
+from onyxpass.core.actor import Actor
+from onyxpass.core.clock import Clock
+from onyxpass.core.requests import Attempt, Client, Fleet, Request
+from onyxpass.core.wheel import Wheel
+from onyxpass.interface import Status
+
+ANSWER_ROOM_US = 20_000  # the module's deadline lies so far before the client's: an answer has to travel
+GUARD_US = 10_000  # past the module's deadline, what is unanswered is failed here, before the client leaves
+INTERRUPTED = (Status.TIMEOUT, Status.CANCELLED, Status.RESET)  # a read may have ended well all the same
+log = structlog.get_logger("core")
+
+
+class Core(Actor[api.Event]):
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, wheel: Wheel) -> None:
+        super().__init__("module")
+        self.settings, self.clock, self.wheel = settings, clock, wheel
+        self.router = Router(settings, seed)
+        self.roles = {kind.name: kind.role for kind in settings.kinds}
+        self.deadlines = {c.name: c.deadline_us for c in settings.classes}
+        self.fleet: Fleet | None = None
+        self.servers: dict[str, api.Server] = {}  # all that the list ever named, as last told
+        self.requests: dict[int, Request] = {}  # till they are over and no attempt is out
+        self.live_ids: dict[str, Request] = {}
+        self.on_idle: Callable[[], None] | None = None
+
+    # What fronts ask for
+
+    def number_for(self, request_id: str) -> int:
+        """A number below 2^52 for the module, spread evenly and not in use."""
+        number = int.from_bytes(hashlib.blake2b(request_id.encode(), digest_size=8).digest(), "big") >> 12
+        while number in self.requests:
+            number = (number + 1) % 2**52
+        return number
+
+    def submit(self, request_id: str, arrival: api.Arrival, client: Client, payload: object) -> Request:
+        """Take a request on; ``arrival.id`` comes from ``number_for``. The client gets one final answer."""
+        request = Request(request_id, arrival.id, arrival, client, payload)
+        self.requests[request.number] = self.live_ids[request_id] = request
+        left_us = arrival.deadline_us - self.clock.now_us() + GUARD_US
+        request.guard = self.wheel.after(left_us, lambda: self._overdue(request))
+        self.tell(arrival)
+        return request
+
+    def withdraw(self, request: Request) -> None:
+        """The client has gone: nothing more is owed, and what is out is given up."""
+        if request.over:
+            return
+        log.info("client gone", id=request.id, committed=request.committed is not None)
+        self._close(request)
+        self.tell(api.Withdrawn(request.number))  # before the end of what is out, or the module tries again
+        if request.out is not None:
+            self._stop(request.out, Status.CANCELLED)
+
+    # What the fleet tells
+
+    def started(self, attempt: Attempt) -> bool:
+        """The first event of an attempt has come. True: it is the client's, and only it, from now on."""
+        request = attempt.request
+        if attempt.ended or request.over or request.out is not attempt:
+            return False
+        if request.committed is None:
+            request.committed = attempt
+            request.may_hold = False  # the state moved with the answer; the rest goes by itself
+            for timer in (attempt.timer, request.guard):
+                if timer is not None:
+                    timer.drop()
+            elapsed_us = self.clock.now_us() - attempt.sent_us
+            self.tell(api.StreamStarted(request.number, attempt.number, attempt.server, elapsed_us))
+        return True
+
+    def ended(self, attempt: Attempt, status: Status, note: int = 0, reason: str = "") -> None:
+        """The attempt has ended. Only the first such word counts."""
+        if attempt.ended:
+            return
+        attempt.ended, request = True, attempt.request
+        if attempt.timer is not None:
+            attempt.timer.drop()
+        if request.out is attempt:
+            request.out = None
+        elapsed_us = self.clock.now_us() - attempt.sent_us
+        request.interrupted = status in INTERRUPTED and self.reads(attempt.server)
+        if status is Status.READ or request.interrupted:
+            request.may_hold, request.holder = True, attempt.server
+        if status is not Status.READ and status is not Status.SERVED:
+            log.info(
+                "attempt", id=request.id, server=attempt.server, end=status.value, us=elapsed_us, why=reason
+            )
+        if request.committed is attempt and not request.over:
+            self._close(request)
+            if status is Status.SERVED:
+                request.client.finish()
+            else:
+                request.client.cut(reason or status.value)
+        final = request.over
+        self.tell(
+            api.Outcome(request.number, attempt.number, attempt.server, status, elapsed_us, final, note)
+        )
+
+    def listed(self, update: api.ListUpdate) -> None:
+        """The list has changed; sends that still wait see it at once."""
+        if update.form in (api.ListForm.FULL, api.ListForm.SAVED):
+            named = {server.id for server in update.servers}
+            for gone in [s for s in self.servers.values() if s.id not in named]:
+                self.servers[gone.id] = api.Server(
+                    gone.id, gone.kind, gone.zone, gone.cell, gone.started_us, api.Condition.REMOVED
+                )
+        for server in update.servers:
+            self.servers[server.id] = server
+        self.tell(update)
+
+    def may_send(self, server: str) -> bool:
+        """Whether the list, as it is now, lets new work go to that server."""
+        known = self.servers.get(server)
+        return known is not None and known.condition is api.Condition.UP
+
+    def reads(self, server: str) -> bool:
+        known = self.servers.get(server)
+        return known is not None and self.roles.get(known.kind, api.Role.MIXED) is not api.Role.WRITER
+
+    # The module's actor
+
+    def receive(self, message: api.Event) -> None:
+        if isinstance(message, api.StreamStarted | api.Outcome | api.Arrival | api.Withdrawn):
+            request = self.requests.get(message.id)
+        else:
+            request = None
+        if isinstance(message, api.Arrival) and (request is None or request.over):
+            self._forget(request)  # the client left before the module heard of it
+            return
+        try:
+            for action in self.router.handle(self.clock.now_us(), message):
+                self._do(action)
+        finally:
+            if request is not None:
+                self._settle(request)
+
+    def broken(self, message: api.Event) -> None:
+        """Guards against a request left without an answer when the module fails on an event about it."""
+        if isinstance(message, api.TimerFired):
+            self.wheel.after(50_000, lambda: self.tell(message))
+        if not isinstance(message, api.Arrival | api.Outcome):
+            return
+        request = self.requests.get(message.id)
+        if request is not None and request.out is None:
+            self._fail(request, "the dispatcher's own fault")
+            self._settle(request)
+
+    def _do(self, action: api.Action) -> None:
+        match action:
+            case api.Send(number, server, timeout_us):
+                self._send(number, server, timeout_us)
+            case api.Refuse(number, retry_after_us):
+                if (request := self.requests.get(number)) is not None and not request.over:
+                    self._refuse(request, retry_after_us)
+            case api.Fail(number):
+                if (request := self.requests.get(number)) is not None:
+                    self._fail(request, "no answer could be had")
+            case api.Release(number):
+                request = self.requests.get(number)
+                if request is not None and request.may_hold and request.out is None:
+                    self._release(request)
+            case api.Cancel(number, attempt_number):
+                request = self.requests.get(number)
+                out = request.out if request is not None else None
+                if out is not None and out.number == attempt_number and not out.committed:
+                    self._stop(out, Status.CANCELLED)
+            case api.Probe(server):
+                if self.fleet is not None and self.settings.may_probe:
+                    self.fleet.probe(server)
+            case api.SetTimer(ref, delay_us):
+                self.wheel.after(delay_us, lambda: self.tell(api.TimerFired(ref)))
+            case api.Log(text):
+                log.info("module", text=text)
+            case api.FetchList() | api.Subscribe():
+                pass  # the watch on the list is always kept
+
+    def _send(self, number: int, server: str, timeout_us: int) -> None:
+        request = self.requests.get(number)
+        if request is None:
+            log.error("a send for a request that is not held", number=number)
+            return
+        now_us = self.clock.now_us()
+        left_us = request.arrival.deadline_us - now_us
+        attempt = Attempt(request, len(request.attempts), server, min(timeout_us, left_us), now_us)
+        request.attempts.append(attempt)
+        barred = request.over or request.committed or request.out or left_us <= 0 or self.fleet is None
+        if barred or attempt.number >= self.settings.max_attempts or not self.may_send(server):
+            self.ended(attempt, Status.NOT_SENT, reason="barred")
+            return
+        request.out = attempt
+        attempt.timer = self.wheel.after(attempt.timeout_us, lambda: self._stop(attempt, Status.TIMEOUT))
+        if self.fleet is not None:
+            self.fleet.start(attempt)
+
+    def _stop(self, attempt: Attempt, status: Status) -> None:
+        if not attempt.ended:
+            self.ended(attempt, status)
+            if self.fleet is not None:
+                self.fleet.stop(attempt)
+
+    def _refuse(self, request: Request, retry_after_us: int) -> None:
+        # Guards against telling a client that asking again is harmless while an attempt could still run.
+        unsafe = request.out is not None and not self.reads(request.out.server)
+        if unsafe and self._repeat(request) is not api.Repeat.SAFE:
+            self._fail(request, "it may have run")
+            return
+        self._close(request)
+        log.info("refused", id=request.id, attempts=len(request.attempts))
+        request.client.refuse(retry_after_us)
+
+    def _fail(self, request: Request, reason: str) -> None:
+        if not request.over:
+            self._close(request)
+            log.info("failed", id=request.id, attempts=len(request.attempts), why=reason)
+            request.client.fail(reason)
+
+    def _repeat(self, request: Request) -> api.Repeat:
+        for cls in self.settings.classes:
+            if cls.name == request.arrival.cls:
+                return cls.repeat
+        return api.Repeat.UNSAFE
+
+    def _overdue(self, request: Request) -> None:
+        """Guards against a request that nobody answers in its time, whatever has failed."""
+        if request.over or request.committed is not None:
+            return
+        log.warning("overdue", id=request.id)
+        self._fail(request, "no answer in time")
+        self.tell(api.Withdrawn(request.number))
+        if request.out is not None:
+            self._stop(request.out, Status.TIMEOUT)
+
+    def _close(self, request: Request) -> None:
+        request.over = True
+        if request.guard is not None:
+            request.guard.drop()
+        if self.live_ids.get(request.id) is request:
+            del self.live_ids[request.id]
+
+    def _settle(self, request: Request) -> None:
+        """Once a request is over and nothing is out, let go of what the module left held, and forget it."""
+        if request.over and request.out is None:
+            if request.may_hold:
+                self._release(request)
+            if request.number in self.requests and all(a.ended for a in request.attempts):
+                self._forget(request)
+
+    def _release(self, request: Request) -> None:
+        request.may_hold = False
+        if self.fleet is not None:
+            self.fleet.release(request, request.interrupted)
+
+    def _forget(self, request: Request | None) -> None:
+        if request is not None and self.requests.get(request.number) is request:
+            del self.requests[request.number]
+            if not self.requests and self.on_idle is not None:
+                self.on_idle()
--- /dev/null
+++ b/onyxpass/core/requests.py
@@ -0,0 +1,76 @@
+"""What the core deals in: requests, their attempts, and the ports to clients and to the fleet."""
+
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from onyxpass import interface as api
+from onyxpass.core.wheel import Timer
+
+
+class Client(Protocol):
+    """The side that waits for one final answer. After a final call nothing more is called."""
+
+    async def relay(self, event: bytes) -> None:
+        """Pass on the next part of the stream; returns once there is room for more."""
+
+    def finish(self) -> None:
+        """Final: the stream is whole."""
+
+    def cut(self, reason: str) -> None:
+        """Final: the stream broke after it had begun."""
+
+    def refuse(self, retry_after_us: int) -> None:
+        """Final: turned away, asking again does no harm."""
+
+    def fail(self, reason: str) -> None:
+        """Final: failed, with no promise about what ran."""
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    """One try at one server. ``timeout_us`` counts from ``sent_us`` and never passes the deadline."""
+
+    request: "Request"
+    number: int
+    server: str
+    timeout_us: int
+    sent_us: int
+    timer: Timer | None = None
+    ended: bool = False
+
+    @property
+    def committed(self) -> bool:
+        return self.request.committed is self
+
+
+@dataclass(eq=False, slots=True)
+class Request:
+    """A client's request from its arrival to its one final answer, and on till nothing is held for it."""
+
+    id: str  # as the client named it
+    number: int  # as the module knows it
+    arrival: api.Arrival
+    client: Client
+    payload: Any  # the front's own; the core passes it to the fleet unread
+    attempts: list[Attempt] = field(default_factory=list)
+    out: Attempt | None = None  # the one attempt that is out
+    committed: Attempt | None = None  # the attempt that the client owns since its first event
+    over: bool = False  # the final answer was given, or the client has gone
+    may_hold: bool = False  # a server may hold state for it
+    holder: str = ""  # the server that read it last
+    interrupted: bool = False  # its last attempt was a read that was broken off
+    guard: Timer | None = None
+
+
+class Fleet(Protocol):
+    """Carries out attempts. Each one that was started ends in exactly one ``Core.ended``."""
+
+    def start(self, attempt: Attempt) -> None: ...
+
+    def stop(self, attempt: Attempt) -> None:
+        """Give the attempt up; its end has been told already."""
+
+    def release(self, request: Request, settle: bool) -> None:
+        """Let go of all that is held; ``settle``: a read was just broken off and may be ending still."""
+
+    def probe(self, server: str) -> None: ...
--- /dev/null
+++ b/onyxpass/core/wheel.py
@@ -0,0 +1,99 @@
+"""Timers as coarse ticks on a wheel: setting and dropping one costs a set operation, no heap."""
+
+import asyncio
+from collections.abc import Callable
+from types import TracebackType
+
+import structlog
+
+from onyxpass.core.clock import Clock
+
+TICK_US = 5_000
+SLOTS = 512  # one turn is 2.56 s; what lies further ahead waits some turns in its slot
+log = structlog.get_logger("wheel")
+
+
+class Timer:
+    """One pending call. It never fires early, and at most a tick or so late."""
+
+    __slots__ = ("_call", "_slot", "due_tick")
+
+    def __init__(self, due_tick: int, call: Callable[[], None], slot: "set[Timer]") -> None:
+        self.due_tick, self._call, self._slot = due_tick, call, slot
+
+    def drop(self) -> None:
+        self._slot.discard(self)
+
+    def fire(self) -> None:
+        self._call()
+
+
+class Limit:
+    """``async with wheel.limit(us)``: the block is broken off with TimeoutError once the time has passed."""
+
+    def __init__(self, wheel: "Wheel", delay_us: int) -> None:
+        self._wheel, self._delay_us, self._fired = wheel, delay_us, False
+        self._timer: Timer | None = None
+        self._task: asyncio.Task[object] | None = None
+
+    async def __aenter__(self) -> "Limit":
+        self._task = asyncio.current_task()
+        self._timer = self._wheel.after(self._delay_us, self._expire)
+        return self
+
+    def _expire(self) -> None:
+        if self._task is not None:
+            self._fired = True
+            self._task.cancel()
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        if self._timer is not None:
+            self._timer.drop()
+        # Guards against swallowing a cancel from elsewhere that came together with the expiry.
+        ours = self._fired and self._task is not None and self._task.uncancel() <= 0
+        if ours and kind is asyncio.CancelledError:
+            raise TimeoutError from error
+
+
+class Wheel:
+    """Ticks while it runs. Timers that are due fire in the order of their ticks."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self._slots: list[set[Timer]] = [set() for _ in range(SLOTS)]
+        self._tick = clock.now_us() // TICK_US
+
+    def after(self, delay_us: int, call: Callable[[], None]) -> Timer:
+        due = max(self._tick + 1, -(-(self.clock.now_us() + max(0, delay_us)) // TICK_US))
+        slot = self._slots[due % SLOTS]
+        timer = Timer(due, call, slot)
+        slot.add(timer)
+        return timer
+
+    def limit(self, delay_us: int) -> Limit:
+        return Limit(self, delay_us)
+
+    def advance(self) -> None:
+        """Fire all that is due by now."""
+        now_tick = self.clock.now_us() // TICK_US
+        # Guards against missed timers after a stall longer than a turn: each slot is then looked at once.
+        first = max(self._tick + 1, now_tick - SLOTS + 1)
+        self._tick = max(self._tick, now_tick)
+        for tick in range(first, now_tick + 1):
+            slot = self._slots[tick % SLOTS]
+            if not slot:
+                continue
+            for timer in sorted((t for t in slot if t.due_tick <= now_tick), key=lambda t: t.due_tick):
+                if timer in slot:  # not dropped by one that fired before it
+                    slot.discard(timer)
+                    try:
+                        timer.fire()
+                    except Exception:
+                        log.exception("a timer's call failed")
+
+    async def run(self) -> None:
+        while True:
+            await asyncio.sleep((TICK_US - self.clock.now_us() % TICK_US) / 1e6)
+            self.advance()
--- /dev/null
+++ b/onyxpass/net/http.py
@@ -0,0 +1,116 @@
+"""HTTP/1.1 over asyncio streams with h11: heads parsed in place, written out with gathered writes."""
+
+import asyncio
+from typing import Any
+
+import h11
+
+HEAD_LIMIT = 32 * 1024
+BODY_LIMIT = 256 * 1024
+CHUNK = 64 * 1024
+HOP_BY_HOP = frozenset(
+    b"connection keep-alive proxy-connection te trailer transfer-encoding".split()
+    + b"upgrade expect content-length".split()
+)
+
+
+class Broken(Exception):
+    """The other side closed or sent what is not HTTP; ``status``: what a server may answer, 0 for nothing."""
+
+    def __init__(self, reason: str, status: int = 0) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class Wire:
+    """One connection: an h11 state machine on a pair of asyncio streams."""
+
+    def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER], reader: Any, writer: Any) -> None:
+        self.reader: asyncio.StreamReader = reader
+        self.writer: asyncio.StreamWriter = writer
+        self.h11 = h11.Connection(role, max_incomplete_event_size=HEAD_LIMIT)
+
+    async def event(self) -> h11.Event | type[h11.PAUSED]:
+        """The next event. Broken if the other side ends within a message or breaks the protocol."""
+        while True:
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as problem:
+                raise Broken(str(problem), problem.error_status_hint) from problem
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            try:
+                data = await self.reader.read(CHUNK)
+            except OSError as problem:
+                raise Broken(f"connection lost: {problem}") from problem
+            try:
+                self.h11.receive_data(data)
+            except (h11.RemoteProtocolError, RuntimeError) as problem:
+                raise Broken(str(problem)) from problem
+
+    def write(self, *events: h11.Event) -> None:
+        """All the events in one gathered write."""
+        parts: list[bytes] = []
+        for event in events:
+            parts += self.h11.send_with_data_passthrough(event) or ()
+        if parts and not self.writer.is_closing():
+            self.writer.writelines(parts)
+
+    @property
+    def written(self) -> bool:
+        """Whether the kernel has taken all that was written."""
+        transport = self.writer.transport
+        return transport.get_write_buffer_size() == 0 and not transport.is_closing()
+
+    async def flush(self) -> None:
+        """Wait till the kernel has taken all that was written; OSError if the connection breaks before."""
+        if self.written:
+            return
+        self.writer.transport.set_write_buffer_limits(high=0)
+        await self.writer.drain()
+        if not self.written:
+            raise ConnectionResetError("closed while writing")
+
+    @property
+    def stale(self) -> bool:
+        """An idle connection that the other side has closed, or on which it has spoken out of turn."""
+        if self.writer.is_closing() or self.reader.at_eof() or self.reader.exception() is not None:
+            return True
+        return bool(getattr(self.reader, "_buffer", b"")) or bool(self.h11.trailing_data[0])
+
+    def abort(self) -> None:
+        """Close at once; what is not yet written never is."""
+        self.writer.transport.abort()
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+async def body(wire: Wire, most: int = BODY_LIMIT) -> bytes:
+    """The rest of the message's body; Broken with 413 if it is larger than ``most``."""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        event = await wire.event()
+        if isinstance(event, h11.Data):
+            size += len(event.data)
+            if size > most:
+                raise Broken("body too large", 413)
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return b"".join(parts)
+        else:
+            raise Broken("ended within a body", 400)
+
+
+def header(message: h11.Request | h11.Response | h11.InformationalResponse, name: bytes) -> bytes | None:
+    for key, value in message.headers:
+        if key == name:
+            return bytes(value)
+    return None
+
+
+def framed(response: h11.Response) -> bool:
+    """Whether the end of the body can be told from a connection that broke."""
+    chunked = (header(response, b"transfer-encoding") or b"").lower().endswith(b"chunked")
+    return chunked or header(response, b"content-length") is not None
--- /dev/null
+++ b/onyxpass/net/replica.py
@@ -0,0 +1,358 @@
+"""Replicas: an actor for each, which owns its idle connections, and the exchanges that it starts."""
+
+import asyncio
+import json
+from collections.abc import Coroutine, Iterable
+from dataclasses import dataclass, field
+
+import h11
+import structlog
+
+from onyxpass.config import Address
+from onyxpass.core.actor import Actor
+from onyxpass.core.dispatcher import Core
+from onyxpass.core.requests import Attempt, Request
+from onyxpass.core.wheel import Wheel
+from onyxpass.interface import ProbeResult, Status
+from onyxpass.net.http import HOP_BY_HOP, Broken, Wire, body, framed, header
+
+IDLE_MARGIN_US = 1_500_000  # so long before the replica may close it, an idle connection is no longer used
+MOST_IDLE = 24  # idle connections kept to one replica
+PROBE_US = 250_000
+STALL_US = 30_000_000  # a begun stream that says nothing for so long is taken as broken
+SETTLE_US = 25_000  # till a read that was just broken off has ended for sure at the replica's side
+LEASE_TRY_US = 70_000  # one try at letting go; there are 300 ms in all
+LEASE_TRIES = 5
+log = structlog.get_logger("net")
+
+
+@dataclass(frozen=True, slots=True)
+class Payload:
+    """A client's request as it passes on to replicas."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Carry:
+    attempt: Attempt
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    attempt: Attempt
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Moved:
+    address: Address
+    left: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Sweep:
+    everything: bool = False
+
+
+Order = Carry | GiveUp | Ping | Moved | Sweep
+
+
+@dataclass(slots=True)
+class Idle:
+    wire: Wire
+    since_us: int
+
+
+@dataclass(slots=True)
+class Budget:
+    """Connections to all replicas together; the rest of the descriptors are for clients."""
+
+    most: int
+    open: int = 0
+    answered: dict[str, int] = field(default_factory=dict)  # when each replica last answered anything
+
+
+class Replica(Actor[Order]):
+    """One replica as its own actor; exchanges run beside it, one for each connection in use."""
+
+    def __init__(
+        self, name: str, address: Address, core: Core, budget: Budget, connect_us: int, idle_us: int
+    ) -> None:
+        super().__init__(name)
+        self.address, self.core, self.budget = address, core, budget
+        self.connect_us, self.keep_us = connect_us, max(0, idle_us - IDLE_MARGIN_US)
+        self.wheel: Wheel = core.wheel
+        self.idle: list[Idle] = []
+        self.tasks: dict[Attempt, asyncio.Task[None]] = {}
+        self.others: set[asyncio.Task[None]] = set()
+
+    def receive(self, message: Order) -> None:
+        match message:
+            case Carry(attempt):
+                if not attempt.ended:
+                    task = asyncio.create_task(self._carry(attempt))
+                    self.tasks[attempt] = task
+                    task.add_done_callback(lambda _: self.tasks.pop(attempt, None))
+            case GiveUp(attempt):
+                if (running := self.tasks.get(attempt)) is not None:
+                    running.cancel()
+            case Ping():
+                self.beside(self._probe())
+            case Moved(address, left):
+                if address != self.address or left:
+                    self.address = address
+                    self._drop_idle(True)
+            case Sweep(everything):
+                self._drop_idle(everything)
+
+    def broken(self, message: Order) -> None:
+        if isinstance(message, Carry):
+            self.core.ended(message.attempt, Status.NOT_SENT, reason="the dispatcher's own fault")
+
+    def beside(self, work: Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(work)
+        self.others.add(task)
+        task.add_done_callback(self.others.discard)
+
+    # Connections
+
+    def _drop_idle(self, everything: bool = False) -> None:
+        now_us, kept = self.core.clock.now_us(), []
+        for idle in self.idle:
+            if everything or idle.wire.stale or now_us - idle.since_us >= self.keep_us:
+                self._discard(idle.wire)
+            else:
+                kept.append(idle)
+        self.idle = kept
+
+    def _discard(self, wire: Wire) -> None:
+        wire.abort()
+        self.budget.open -= 1
+
+    def _reuse(self) -> Wire | None:
+        """The connection used last. One that may be closed by the other side soon is not used again."""
+        while self.idle:
+            idle = self.idle.pop()
+            if not idle.wire.stale and self.core.clock.now_us() - idle.since_us < self.keep_us:
+                return idle.wire
+            self._discard(idle.wire)
+        return None
+
+    async def _open(self) -> Wire:
+        if self.budget.open >= self.budget.most:
+            raise OSError("no descriptors left for replicas")
+        self.budget.open += 1
+        try:
+            async with self.wheel.limit(self.connect_us):
+                streams = await asyncio.open_connection(self.address.host, self.address.port)
+        except BaseException:
+            self.budget.open -= 1
+            raise
+        return Wire(h11.CLIENT, *streams)
+
+    def _give_back(self, wire: Wire) -> None:
+        """Keep the connection if both sides are ready for another request on it."""
+        if wire.h11.our_state is h11.DONE and wire.h11.their_state is h11.DONE and not wire.stale:
+            wire.h11.start_next_cycle()
+            if len(self.idle) < MOST_IDLE:
+                self.idle.append(Idle(wire, self.core.clock.now_us()))
+                return
+        self._discard(wire)
+
+    # Exchanges
+
+    async def _carry(self, attempt: Attempt) -> None:
+        """One attempt from connection to end; however it ends, the core is told."""
+        wire: Wire | None = None
+        status, note, reason, written = Status.UNREACHABLE, 0, "", False
+        try:
+            if (wire := self._reuse()) is None:
+                wire = await self._open()
+            if not self.core.may_send(self.name):  # guards against sends to a server that drains meanwhile
+                status, reason = Status.NOT_SENT, "the list says no more"
+            elif not attempt.ended:
+                self._write_head(wire, attempt)
+                await wire.flush()
+                written = True
+                status, note, reason = await self._answer(wire, attempt)
+        except (Broken, OSError, TimeoutError) as problem:
+            # Only what is proven never to have been sent whole may be called unreachable.
+            status, reason = Status.RESET if written else Status.UNREACHABLE, str(problem) or "no connection"
+        except asyncio.CancelledError:
+            status = Status.CANCELLED
+        except Exception:
+            log.exception("an exchange failed", server=self.name)
+            status = Status.RESET if wire is not None else Status.UNREACHABLE
+        finally:
+            if wire is not None:
+                self._give_back(wire)
+            self.core.ended(attempt, status, note, reason)
+
+    def _write_head(self, wire: Wire, attempt: Attempt) -> None:
+        payload: Payload = attempt.request.payload
+        wait_ms = max(1, attempt.timeout_us // 1000)
+        headers = [
+            *payload.headers,
+            (b"x-timeout-ms", b"%d" % wait_ms),
+            (b"content-length", b"%d" % len(payload.body)),
+        ]
+        head = h11.Request(method=payload.method, target=payload.target, headers=headers)
+        wire.write(head, h11.Data(data=payload.body), h11.EndOfMessage())
+
+    async def _answer(self, wire: Wire, attempt: Attempt) -> tuple[Status, int, str]:
+        head = await wire.event()
+        while isinstance(head, h11.InformationalResponse):
+            head = await wire.event()
+        if not isinstance(head, h11.Response):
+            raise Broken("closed without an answer")
+        self.budget.answered[self.name] = self.core.clock.now_us()
+        if head.status_code == 200:
+            return await self._stream(wire, attempt, head)
+        text = await body(wire)
+        not_run = header(head, b"x-not-processed") is not None
+        if head.status_code == 202:
+            return Status.READ, cached_tokens(text), ""
+        if head.status_code == 410:
+            return Status.FULL, 1, "no state"
+        if head.status_code in (503, 504) and not_run:
+            return Status.FULL, 0, f"status {head.status_code}"
+        return Status.ERROR, 0, f"status {head.status_code}"
+
+    async def _stream(self, wire: Wire, attempt: Attempt, head: h11.Response) -> tuple[Status, int, str]:
+        """Pass the events on as they come; served only if the stream is whole."""
+        client, whole = attempt.request.client, framed(head)
+        while True:
+            async with self.wheel.limit(STALL_US):
+                event = await wire.event()
+            if isinstance(event, h11.Data):
+                if not self.core.started(attempt):
+                    raise Broken("nobody waits for this stream")
+                async with self.wheel.limit(
+                    STALL_US
+                ):  # a client that takes nothing holds no replica for ever
+                    await client.relay(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                if attempt.committed and whole:
+                    return Status.SERVED, 0, ""
+                return (Status.RESET if attempt.committed else Status.ERROR), 0, "the stream was not whole"
+            else:
+                raise Broken("ended within the stream")
+
+    async def _probe(self) -> None:
+        began_us, ok, wire = self.core.clock.now_us(), False, None
+        try:
+            async with self.wheel.limit(PROBE_US):
+                wire = self._reuse() or await self._open()
+                wire.write(request(b"GET", b"/health/live"), h11.EndOfMessage())
+                head = await wire.event()
+                if isinstance(head, h11.Response):
+                    await body(wire)
+                    ok = head.status_code == 200
+                    self.budget.answered[self.name] = self.core.clock.now_us()
+        except (Broken, OSError, TimeoutError):
+            ok = False
+        finally:
+            if wire is not None:
+                self._give_back(wire)
+        self.core.tell(ProbeResult(self.name, ok, self.core.clock.now_us() - began_us))
+
+    async def let_go(self, request_id: str) -> bool:
+        """Ask this replica to release all that is held; True once it has answered."""
+        wire: Wire | None = None
+        try:
+            async with self.wheel.limit(LEASE_TRY_US):
+                wire = self._reuse() or await self._open()
+                target = b"/kv/leases/" + request_id.encode("ascii")
+                wire.write(request(b"DELETE", target), h11.EndOfMessage())
+                head = await wire.event()
+                if not isinstance(head, h11.Response):
+                    return False
+                await body(wire)
+                self.budget.answered[self.name] = self.core.clock.now_us()
+                return head.status_code == 204
+        except (Broken, OSError, TimeoutError):
+            return False
+        finally:
+            if wire is not None:
+                self._give_back(wire)
+
+
+def request(method: bytes, target: bytes) -> h11.Request:
+    return h11.Request(method=method, target=target, headers=[(b"host", b"backend.local")])
+
+
+def cached_tokens(text: bytes) -> int:
+    """What a reader tells of its kept text; what can't be read counts as nothing kept."""
+    try:
+        return max(0, int(json.loads(text)["cached_tokens"]))
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
+        return 0
+
+
+def passed_on(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
+    """The headers that go on to a replica: all but those of the one connection and the client's deadline."""
+    return [(bytes(k), bytes(v)) for k, v in headers if k not in HOP_BY_HOP and k != b"x-timeout-ms"]
+
+
+class Replicas:
+    """The fleet over HTTP: finds the actor for an order."""
+
+    def __init__(self, core: Core, most: int, connect_us: int, idle_us: int) -> None:
+        self.core, self.connect_us, self.idle_us = core, connect_us, idle_us
+        self.budget = Budget(most)
+        self.actors: dict[str, Replica] = {}
+        self.running: set[asyncio.Task[None]] = set()
+        self.releases: set[asyncio.Task[None]] = set()
+
+    def told(self, name: str, address: Address, left: bool) -> None:
+        """What the list says of where a replica listens."""
+        actor = self.actors.get(name)
+        if actor is None:
+            actor = Replica(name, address, self.core, self.budget, self.connect_us, self.idle_us)
+            self.actors[name] = actor
+            task = asyncio.create_task(actor.run())
+            self.running.add(task)
+        else:
+            actor.tell(Moved(address, left))
+
+    def start(self, attempt: Attempt) -> None:
+        if (actor := self.actors.get(attempt.server)) is None:
+            self.core.ended(attempt, Status.NOT_SENT, reason="no address")
+        else:
+            actor.tell(Carry(attempt))
+
+    def stop(self, attempt: Attempt) -> None:
+        if actor := self.actors.get(attempt.server):
+            actor.tell(GiveUp(attempt))
+
+    def probe(self, server: str) -> None:
+        if actor := self.actors.get(server):
+            actor.tell(Ping())
+
+    def release(self, request: Request, settle: bool) -> None:
+        task = asyncio.create_task(self._release(request.id, request.holder, settle))
+        self.releases.add(task)
+        task.add_done_callback(self.releases.discard)
+
+    async def _release(self, request_id: str, holder: str, settle: bool) -> None:
+        """Any replica will do; the holder is asked first, then those that answered last."""
+        if settle:  # guards against asking before a read that was just broken off has ended there
+            await asyncio.sleep(SETTLE_US / 1e6)
+        latest = sorted(self.budget.answered, key=lambda name: -self.budget.answered[name])
+        asked = list(dict.fromkeys([holder, *latest, *self.actors]))
+        for name in asked[:LEASE_TRIES]:
+            if (actor := self.actors.get(name)) is not None and await actor.let_go(request_id):
+                return
+        log.warning("nobody let go of what is held", id=request_id)
+
+    def sweep(self, everything: bool = False) -> None:
+        for actor in self.actors.values():
+            actor.tell(Sweep(everything))
--- /dev/null
+++ b/onyxpass/net/watch.py
@@ -0,0 +1,171 @@
+"""The list's actor: keeps a watch on discovery and tells the core and the replicas what it says."""
+
+import asyncio
+import json
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import h11
+import structlog
+
+from onyxpass import interface as api
+from onyxpass.config import Address, ConfigError
+from onyxpass.core.actor import Actor
+from onyxpass.core.dispatcher import Core
+from onyxpass.net.http import Broken, Wire
+from onyxpass.net.replica import Replicas
+
+LIST = b"/registry/instances"
+QUIET_US = 6_000_000  # a watch sends a line every 2 s at least
+CONNECT_US = 500_000
+LINE_LIMIT = 4 * 1024 * 1024
+BACKOFF_MS, BACKOFF_MOST_MS = 20, 500
+CONDITIONS = {
+    "active": api.Condition.UP,
+    "leaving": api.Condition.DRAINING,
+    "left": api.Condition.REMOVED,
+}
+log = structlog.get_logger("list")
+
+
+class ListError(ValueError):
+    """Discovery said something that is not a list."""
+
+
+def read_list(
+    message: Mapping[str, Any], form: api.ListForm | None = None
+) -> tuple[api.ListUpdate, dict[str, Address]]:
+    """One of discovery's objects in the module's words, and where each replica listens."""
+    try:
+        servers, addresses = [], {}
+        for entry in message.get("hosts") or ():
+            name, born_ms = str(entry["host"]), int(entry.get("born_ms") or 0)
+            servers.append(
+                api.Server(
+                    id=name,
+                    kind=str(entry["class"]),
+                    zone=str(entry.get("site") or ""),
+                    cell=int(entry.get("block") or 0),
+                    started_us=born_ms * 1000 if born_ms > 0 else None,
+                    condition=CONDITIONS[entry["health"]],
+                    weight=float(entry.get("share") or 1.0),
+                )
+            )
+            addresses[name] = Address.parse(str(entry["dial"]))
+        form = form or (api.ListForm.FULL if message.get("whole") else api.ListForm.DELTA)
+        return api.ListUpdate(form, tuple(servers), int(message["seq"])), addresses
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError, ConfigError) as problem:
+        raise ListError(f"not a list: {problem!r}") from problem
+
+
+class Lines:
+    """Cuts a stream of parts into lines; one that grows past the limit is an error."""
+
+    def __init__(self, most: int = LINE_LIMIT) -> None:
+        self._rest, self._most = b"", most
+
+    def feed(self, data: bytes) -> list[bytes]:
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        if len(self._rest) > self._most:
+            raise ListError("a line without an end")
+        return [line.strip() for line in lines if line.strip()]
+
+
+class ListActor(Actor[Mapping[str, Any]]):
+    """Its mailbox takes discovery's objects in order; ``follow`` fills it from the watch."""
+
+    def __init__(self, core: Core, replicas: Replicas, discovery: Address) -> None:
+        super().__init__("list")
+        self.core, self.replicas, self.discovery = core, replicas, discovery
+        self.seq: int | None = None
+        self.ready = False
+        self.on_ready: Callable[[], None] | None = None
+
+    def saved(self, known: Mapping[str, Any]) -> None:
+        """The list as this dispatcher last had it. It may be old, so it makes nothing ready."""
+        try:
+            update, addresses = read_list(known, api.ListForm.SAVED)
+        except ListError as problem:
+            log.warning("the known list is no use", why=str(problem))
+            update, addresses = api.ListUpdate(api.ListForm.SAVED), {}
+        self._apply(update, addresses)
+
+    def _apply(self, update: api.ListUpdate, addresses: Mapping[str, Address]) -> None:
+        for server in update.servers:
+            left = server.condition is api.Condition.REMOVED
+            self.replicas.told(server.id, addresses[server.id], left)
+        self.core.listed(update)
+
+    def receive(self, message: Mapping[str, Any]) -> None:
+        update, addresses = read_list(message)
+        if update.form is api.ListForm.DELTA and self.seq is not None and update.version <= self.seq:
+            return  # heard of already, on a watch that was lost
+        self._apply(update, addresses)
+        self.seq = update.version
+        log.info("list", seq=update.version, form=update.form.value, n=len(update.servers))
+        if not self.ready and update.form is api.ListForm.FULL:
+            self.ready = True
+            if self.on_ready:
+                self.on_ready()
+
+    async def follow(self) -> None:
+        """Never ends: the old list holds while the watch is lost, and it resumes from the last version."""
+        wait_ms = BACKOFF_MS
+        while True:
+            before = self.seq
+            try:
+                await self._once()
+            except (Broken, OSError, TimeoutError, ValueError, h11.LocalProtocolError) as problem:
+                log.warning("watch lost", why=str(problem) or type(problem).__name__, seq=self.seq)
+            except Exception:
+                log.exception("the watch failed")
+            wait_ms = BACKOFF_MS if self.seq != before else min(BACKOFF_MOST_MS, wait_ms * 2)
+            await asyncio.sleep(wait_ms / 1000)
+
+    async def _once(self) -> None:
+        wheel = self.core.wheel
+        async with wheel.limit(CONNECT_US):
+            streams = await asyncio.open_connection(self.discovery.host, self.discovery.port)
+        wire = Wire(h11.CLIENT, *streams)
+        try:
+            if self.seq is None:
+                await self._ask(wire, LIST, whole=True)
+                wire.h11.start_next_cycle()
+            await self._ask(wire, LIST + b"?watch=1&from=%d" % (self.seq or 0), whole=False)
+        finally:
+            wire.abort()
+
+    async def _ask(self, wire: Wire, target: bytes, whole: bool) -> None:
+        host = str(self.discovery).encode()
+        wire.write(h11.Request(method=b"GET", target=target, headers=[(b"host", host)]), h11.EndOfMessage())
+        lines, text = Lines(), b""
+        while True:
+            async with self.core.wheel.limit(QUIET_US):
+                event = await wire.event()
+            if isinstance(event, h11.Response) and event.status_code != 200:
+                raise Broken(f"discovery answers {event.status_code}")
+            if isinstance(event, h11.Data):
+                if whole:
+                    text += bytes(event.data)
+                    if len(text) > LINE_LIMIT:
+                        raise ListError("a list too long")
+                    continue
+                for line in lines.feed(bytes(event.data)):
+                    self._hear(line)
+            elif isinstance(event, h11.EndOfMessage):
+                if whole:
+                    self._hear(text)
+                    return
+                raise Broken("the watch has ended")
+            elif not isinstance(event, h11.Response | h11.InformationalResponse):
+                raise Broken("closed")
+
+    def _hear(self, text: bytes) -> None:
+        message = json.loads(text)
+        if not isinstance(message, dict):
+            raise ListError("not an object")
+        read_list(message)  # what is no list ends this watch rather than reach the mailbox
+        if self.seq is None:
+            self.receive(message)  # the first list settles from where to watch
+        else:
+            self.tell(message)
