--- /dev/null
+++ b/onyxpass/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: starts, watches, restarts and stops many instances on one machine."""
--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -3,10 +3,11 @@
 import asyncio
 import logging
 import sys
+from collections.abc import Awaitable, Callable
 from importlib.metadata import PackageNotFoundError
 from importlib.metadata import version as installed
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any, TypeVar
 
 import structlog
 import typer
@@ -16,6 +17,10 @@
 app = typer.Typer(
     no_args_is_help=True, add_completion=False, help="A dispatcher for reader and writer replicas."
 )
+agent_app = typer.Typer(no_args_is_help=True, help="Many instances on this machine.")
+app.add_typer(agent_app, name="agent")
+Answer = TypeVar("Answer")
+Found = TypeVar("Found")
 ConfigFile = Annotated[
     Path | None, typer.Option("--config", help="The platform's JSON; else $ROUTER_CONFIG.")
 ]
@@ -36,6 +41,14 @@
     )
 
 
+def read_toml(load: Callable[[Path], Found], path: Path) -> Found:
+    try:
+        return load(path)
+    except configuration.ConfigError as problem:
+        typer.echo(f"onyxpass: {problem}", err=True)
+        raise typer.Exit(2) from problem
+
+
 def read(path: Path | None) -> configuration.Config:
     try:
         return configuration.load(path)
@@ -76,3 +89,82 @@
 def version() -> None:
     """Print the version."""
     typer.echo(f"onyxpass {version_text()}")
+
+
+@app.command()
+def toolcalls(
+    config: Annotated[Path, typer.Option("--config", help="The operator's TOML file.")],
+    check: Annotated[bool, typer.Option("--check", help="Only read the file and say what it holds.")] = False,
+    log_level: str = "info",
+) -> None:
+    """Run the JSON-RPC front in the foreground till SIGTERM."""
+    from onyxpass.toolcalls import service
+
+    found = read_toml(service.load, config)
+    if check:
+        typer.echo(f"{found.name}: listens on {found.listen}, tool server at {found.tools}")
+        typer.echo(f"servers: {', '.join(server.id for server, _ in found.servers)}")
+        return
+    set_up_logging(log_level)
+    asyncio.run(service.serve(found))
+
+
+@agent_app.command("run")
+def agent_run(
+    config: Annotated[Path, typer.Option("--config", help="The operator's TOML file.")],
+    log_level: str = "info",
+) -> None:
+    """Start, watch and restart the instances of a file till SIGTERM; then stop them all."""
+    from onyxpass.agent import config as agent_config
+    from onyxpass.agent import supervisor
+
+    found = read_toml(agent_config.load, config)
+    set_up_logging(log_level)
+    asyncio.run(supervisor.run(found))
+
+
+StoreUrl = Annotated[str, typer.Option("--store", help="The Redis that the agents tell.")]
+LOCAL_STORE = "redis://127.0.0.1:6379/0"
+
+
+def ask_store(question: Callable[[Any], Awaitable[Answer]], url: str) -> Answer:
+    from onyxpass.store.redis import Store, StoreDown
+
+    async def ask() -> Answer:
+        store = Store(url, 2000)
+        try:
+            return await question(store)
+        finally:
+            await store.close()
+
+    try:
+        return asyncio.run(ask())
+    except (StoreDown, ValueError) as problem:
+        typer.echo(f"onyxpass: store: {problem}", err=True)
+        raise typer.Exit(1) from problem
+
+
+@agent_app.command("list")
+def agent_list(store: StoreUrl = LOCAL_STORE) -> None:
+    """List the instances of all agents that have been heard of lately."""
+    found: dict[str, dict[str, Any]] = ask_store(lambda s: s.instances(), store)
+    columns = ("instance", "agent", "state", "pid", "restarts", "last_exit")
+    rows = [
+        columns,
+        *((name, *(str(state.get(c, "-")) for c in columns[1:])) for name, state in found.items()),
+    ]
+    widths = [max(len(row[i]) for row in rows) for i in range(len(columns))]
+    for row in rows:
+        typer.echo("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
+
+
+@agent_app.command("stop")
+def agent_stop(name: str, store: StoreUrl = LOCAL_STORE) -> None:
+    """Ask for an instance to be stopped and kept so; its agent follows within its poll time."""
+    ask_store(lambda s: s.want(name, False), store)
+
+
+@agent_app.command("start")
+def agent_start(name: str, store: StoreUrl = LOCAL_STORE) -> None:
+    """Ask for a stopped instance to run again."""
+    ask_store(lambda s: s.want(name, True), store)
--- /dev/null
+++ b/onyxpass/toolcalls/front.py
@@ -0,0 +1,204 @@
+"""The JSON-RPC front: clients' connections, ``generate`` and ``cancel``. It decides nothing."""
+
+import asyncio
+import secrets
+from typing import Any
+
+import structlog
+
+from onyxpass import interface as api
+from onyxpass.config import Address
+from onyxpass.core.dispatcher import ANSWER_ROOM_US, Core
+from onyxpass.core.requests import Request
+from onyxpass.toolcalls import rpc
+from onyxpass.toolcalls.desk import Desk, State
+from onyxpass.toolcalls.peers import Payload
+from onyxpass.toolcalls.rpc import Call, RpcError
+
+TOKEN_CHARACTERS = 4
+ID_MOST = 128
+MOST_OPEN = 256  # requests that one connection may have open
+log = structlog.get_logger("rpc")
+
+
+class RpcClient:
+    """The core's client over one ``generate``: text as notifications, then exactly one response."""
+
+    def __init__(self, writer: asyncio.StreamWriter, id: rpc.Id, payload: Payload) -> None:
+        self.writer, self.id, self.payload = writer, id, payload
+        self.request: Request | None = None
+        self.answered = False
+
+    def _write(self, text: bytes) -> None:
+        if not self.writer.is_closing():
+            self.writer.write(text)
+
+    async def relay(self, event: bytes) -> None:
+        if self.answered:
+            return
+        text = event.decode("utf-8", "surrogatepass")
+        self._write(rpc.notice("text", {"id": self.id, "text": text}))
+        try:
+            await self.writer.drain()
+        except OSError:
+            log.debug("the client has gone")  # its reading side tells the core
+
+    def _answer(self, text: bytes) -> None:
+        if not self.answered:
+            self.answered = True
+            self._write(text)
+
+    def error(self, code: int, message: str, **data: object) -> None:
+        self._answer(rpc.error(self.id, RpcError(code, message, data=data or None)))
+
+    def calls(self, *states: State) -> list[dict[str, Any]]:
+        wanted = states or tuple(State)
+        told = [c for c in self.payload.calls.values() if c.state in wanted]
+        return [{"call": c.call, "name": c.name, "state": c.state.value} for c in told]
+
+    def finish(self) -> None:
+        result = {"request": self.request.id if self.request else None, "calls": self.calls()}
+        self._answer(rpc.result(self.id, {**self.payload.result, **result}))
+
+    def broken(self, code: int, message: str) -> None:
+        """A stream that ended too early: what may have happened without a word of it is named."""
+        if unknown := self.calls(State.SENT, State.UNKNOWN):
+            self.error(rpc.UNKNOWN, "outcome unknown", calls=unknown, why=message)
+        else:
+            self.error(code, message, **({"calls": told} if (told := self.calls()) else {}))
+
+    def cut(self, reason: str) -> None:
+        self.broken(rpc.FAILED, f"the stream broke: {reason}")
+
+    def refuse(self, retry_after_us: int) -> None:
+        self.error(rpc.REFUSED, "refused", retry_after_ms=-(-retry_after_us // 1000))
+
+    def fail(self, reason: str, late: bool) -> None:
+        self.broken(rpc.DEADLINE if late else rpc.FAILED, reason)
+
+
+class RpcFront:
+    def __init__(self, core: Core, desk: Desk, listen: Address, most: int) -> None:
+        self.core, self.desk, self.listen, self.most = core, desk, listen, most
+        self.server: asyncio.Server | None = None
+        self.open: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
+        self.closing = False
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(
+            self._accept, self.listen.host, self.listen.port, limit=rpc.LINE_LIMIT
+        )
+
+    @property
+    def port(self) -> int:
+        assert self.server is not None
+        return int(self.server.sockets[0].getsockname()[1])
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        mine: dict[rpc.Id, RpcClient] = {}
+        self.open[task] = writer
+        try:
+            if len(self.open) > self.most:
+                writer.write(rpc.error(None, RpcError(rpc.REFUSED, "too many connections")))
+                return
+            while (line := await rpc.read_line(reader)) is not None:
+                try:
+                    message = rpc.parse(line)
+                    if isinstance(message, Call):
+                        self._call(message, writer, mine)
+                    else:
+                        log.info("a client's response to nothing", id=str(message.id)[:80])
+                except RpcError as problem:
+                    writer.write(rpc.error(problem.id, problem))
+                await writer.drain()
+        except RpcError as problem:  # a line too long: where the next one starts can't be told
+            writer.write(rpc.error(None, problem))
+        except (OSError, asyncio.CancelledError):  # the latter at the program's end
+            log.debug("the client has gone")
+        except Exception:
+            log.exception("a client's connection failed")
+        finally:
+            for client in mine.values():
+                self._withdraw(client)
+            self.open.pop(task, None)
+            writer.close()
+
+    def _call(self, call: Call, writer: asyncio.StreamWriter, mine: dict[rpc.Id, RpcClient]) -> None:
+        for done in [id for id, client in mine.items() if client.answered]:
+            del mine[done]
+        match call.method:
+            case "generate" if call.id is not None:
+                if call.id in mine:  # a response with that id would be taken for the first one's
+                    raise RpcError(rpc.INVALID, "this id is open", data={"id": call.id})
+                if len(mine) >= MOST_OPEN or self.closing:
+                    raise RpcError(rpc.REFUSED, "no more requests here", call.id, {"retry_after_ms": 1000})
+                try:
+                    mine[call.id] = self._generate(call.id, call.params, writer)
+                except RpcError as problem:
+                    problem.id = call.id
+                    raise
+            case "cancel":
+                id = call.params.get("id")
+                if isinstance(id, str | int) and (client := mine.get(id)) is not None:
+                    self._withdraw(client)
+                    client.broken(rpc.CANCELLED, "cancelled")
+                if call.id is not None:
+                    writer.write(rpc.result(call.id, {}))
+            case "ping" if call.id is not None:
+                writer.write(rpc.result(call.id, {"ready": not self.closing}))
+            case _ if call.id is not None:
+                raise RpcError(rpc.NO_METHOD, f"no method {call.method[:80]!r}", call.id)
+
+    def _withdraw(self, client: RpcClient) -> None:
+        """The client has gone: the writer is called off, and the tool server told of what is out."""
+        request = client.request
+        if client.answered or request is None or request.over:
+            return
+        self.core.withdraw(request)
+        for call in client.payload.calls.values():
+            if not call.told.is_set():
+                self.desk.withdraw(call)
+
+    def _generate(self, id: rpc.Id, params: Any, writer: asyncio.StreamWriter) -> RpcClient:
+        request_id = rpc.text_of(params, "request", secrets.token_hex(8))
+        if not 0 < len(request_id) <= ID_MOST or not request_id.isascii() or not request_id.isprintable():
+            raise RpcError(rpc.BAD_PARAMS, f"request must be 1 to {ID_MOST} printable characters")
+        if request_id in self.core.live_ids:
+            raise RpcError(rpc.INVALID, "a request of this name is open", data={"request": request_id})
+        cls, prompt = rpc.text_of(params, "class"), rpc.text_of(params, "prompt")
+        if cls not in self.core.deadlines:
+            raise RpcError(
+                rpc.BAD_PARAMS, f"no class {cls[:80]!r}", data={"classes": list(self.core.deadlines)}
+            )
+        wait_ms = rpc.number_of(params, "timeout_ms", self.core.deadlines[cls] // 1000, least=1)
+        max_tokens = rpc.number_of(params, "max_tokens", 256, least=1)
+        prompt_tokens = rpc.number_of(params, "prompt_tokens", -(-len(prompt) // TOKEN_CHARACTERS))
+        arrival = api.Arrival(
+            id=self.core.number_for(request_id),
+            cls=cls,
+            session=rpc.text_of(params, "session", request_id),
+            deadline_us=self.core.clock.now_us() + wait_ms * 1000 - min(ANSWER_ROOM_US, wait_ms * 500),
+            prompt_tokens=prompt_tokens,
+            max_tokens=max_tokens,
+            prefix=rpc.text_of(params, "prefix", "") or None,
+            prefix_tokens=rpc.number_of(params, "prefix_tokens", 0),
+        )
+        payload = Payload(prompt, max_tokens, cls)
+        client = RpcClient(writer, id, payload)
+        client.request = self.core.submit(request_id, arrival, client, payload)
+        return client
+
+    async def stop(self) -> None:
+        """Take nothing new, let what was taken end, then close."""
+        self.closing = True
+        if self.server is not None:
+            self.server.close()
+        while self.core.requests:
+            await asyncio.sleep(0.02)
+        for writer in list(self.open.values()):
+            writer.close()
+        while self.open:
+            await asyncio.wait(list(self.open))
+        await self.desk.settle()
--- /dev/null
+++ b/onyxpass/toolcalls/peers.py
@@ -0,0 +1,286 @@
+"""Readers and writers that speak JSON-RPC: an actor for each, a connection for each attempt."""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import structlog
+
+from onyxpass.config import Address
+from onyxpass.core.actor import Actor
+from onyxpass.core.dispatcher import Core
+from onyxpass.core.requests import Attempt, Request
+from onyxpass.interface import ProbeResult, Role, Status
+from onyxpass.toolcalls import rpc
+from onyxpass.toolcalls.desk import Desk, State, ToolCall
+from onyxpass.toolcalls.rpc import Call, Reply, RpcError
+
+STALL_US = 30_000_000  # a stream that says nothing for so long is taken as broken; longer than any tool has
+MOST_CALLS = 8  # tool calls that one stream may have out
+RELEASE_US = 120_000
+log = structlog.get_logger("peers")
+
+
+@dataclass(slots=True)
+class Payload:
+    """What a client asked for, and what became of it beside its text."""
+
+    prompt: str
+    max_tokens: int
+    cls: str
+    result: dict[str, Any] = field(default_factory=dict)  # the writer's last word
+    calls: dict[rpc.Id, ToolCall] = field(default_factory=dict)  # by call id, in the order they came
+
+
+@dataclass(frozen=True, slots=True)
+class Carry:
+    attempt: Attempt
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    attempt: Attempt
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    pass
+
+
+Order = Carry | GiveUp | Ping
+
+
+class Peer(Actor[Order]):
+    def __init__(
+        self,
+        name: str,
+        role: Role,
+        address: Address,
+        core: Core,
+        desk: Desk,
+        connect_us: int,
+        limit: asyncio.Semaphore,
+    ) -> None:
+        super().__init__(name)
+        self.role, self.address, self.core, self.desk = role, address, core, desk
+        self.connect_us, self.limit, self.wheel = connect_us, limit, core.wheel
+        self.tasks: dict[Attempt, asyncio.Task[None]] = {}
+        self.others: set[asyncio.Task[None]] = set()
+
+    def receive(self, message: Order) -> None:
+        match message:
+            case Carry(attempt) if not attempt.ended:
+                task = self.tasks[attempt] = asyncio.create_task(self._carry(attempt))
+                task.add_done_callback(lambda _: self._done(attempt))
+            case GiveUp(attempt):
+                if (running := self.tasks.get(attempt)) is not None:
+                    running.cancel()
+                else:
+                    self.core.ended(attempt, Status.NOT_SENT, reason="called off before it began")
+            case Ping():
+                probe = asyncio.create_task(self._probe())
+                self.others.add(probe)
+                probe.add_done_callback(self.others.discard)
+
+    def _done(self, attempt: Attempt) -> None:
+        del self.tasks[attempt]
+        self.core.ended(attempt, Status.NOT_SENT)  # counts only if it was called off before its first step
+
+    def broken(self, message: Order) -> None:
+        if isinstance(message, Carry):
+            self.core.ended(message.attempt, Status.NOT_SENT, reason="the dispatcher's own fault")
+
+    async def _open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        async with self.wheel.limit(self.connect_us):
+            return await asyncio.open_connection(self.address.host, self.address.port, limit=rpc.LINE_LIMIT)
+
+    async def _carry(self, attempt: Attempt) -> None:
+        status, note, reason, written = Status.UNREACHABLE, 0, "", False
+        writer: asyncio.StreamWriter | None = None
+        try:
+            async with self.limit:
+                reader, writer = await self._open()
+                if not self.core.may_send(self.name):
+                    status, reason = Status.NOT_SENT, "the list says no more"
+                elif not attempt.ended:
+                    written = True  # guards against a second run: from here on it may have been taken
+                    self._ask(writer, attempt)
+                    status, note, reason = await self._answer(reader, writer, attempt)
+        except RpcError as problem:
+            status, reason = Status.RESET, f"garbage: {problem.message}"
+        except (OSError, TimeoutError) as problem:
+            status = Status.RESET if written else Status.UNREACHABLE
+            reason = str(problem) or "no connection"
+        except asyncio.CancelledError:
+            status = Status.CANCELLED if written else Status.NOT_SENT
+            if writer is not None and written and not writer.is_closing():
+                writer.write(rpc.notice("cancel", {"request": attempt.request.id}))
+        except Exception:
+            log.exception("an exchange failed", server=self.name)
+            status = Status.RESET if written else Status.UNREACHABLE
+        finally:
+            if writer is not None:
+                writer.close()
+            self.core.ended(attempt, status, note, reason)
+
+    def _ask(self, writer: asyncio.StreamWriter, attempt: Attempt) -> None:
+        payload: Payload = attempt.request.payload
+        params = {
+            "request": attempt.request.id,
+            "class": payload.cls,
+            "prompt": payload.prompt,
+            "max_tokens": payload.max_tokens,
+            "timeout_ms": max(1, attempt.timeout_us // 1000),
+        }
+        writer.write(rpc.request(attempt.number, "read" if self.role is Role.READER else "write", params))
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, attempt: Attempt
+    ) -> tuple[Status, int, str]:
+        """Follow one attempt to its response. Text and tool calls both are events of the stream."""
+        answering: set[asyncio.Task[None]] = set()
+        try:
+            while True:
+                async with self.wheel.limit(STALL_US):
+                    text = await rpc.read_line(reader)
+                if text is None:
+                    return Status.RESET, 0, "closed without a response"
+                match rpc.parse(text):
+                    case Reply(id, result, error) if id == attempt.number:
+                        return self._end(attempt, result, error)
+                    case Call(None, "text", params) if self.role is not Role.READER:
+                        part = rpc.text_of(params, "text").encode("utf-8", "surrogatepass")
+                        if not self.core.started(attempt):
+                            return Status.CANCELLED, 0, "nobody waits"
+                        async with self.wheel.limit(STALL_US):  # a client that takes nothing
+                            await attempt.request.client.relay(part)
+                    case Call(int() | str() as id, "tools/call", params) if self.role is not Role.READER:
+                        # Guards against a second run: the call commits the attempt before it goes anywhere.
+                        if not self.core.started(attempt):
+                            return Status.CANCELLED, 0, "nobody waits"
+                        call = self._tool_call(writer, attempt, id, params)
+                        if call is not None:
+                            task = asyncio.create_task(self._tell_result(writer, call))
+                            answering.add(task)
+                            task.add_done_callback(answering.discard)
+                    case Call(int() | str() as id, method, _):
+                        writer.write(rpc.error(id, RpcError(rpc.NO_METHOD, f"no method {method[:80]!r}")))
+                    case Reply(id):
+                        log.warning("a response to nothing", server=self.name, id=str(id)[:80])
+        finally:
+            for task in answering:
+                task.cancel()
+
+    def _tool_call(
+        self, writer: asyncio.StreamWriter, attempt: Attempt, id: rpc.Id, params: Mapping[str, Any]
+    ) -> ToolCall | None:
+        payload: Payload = attempt.request.payload
+        try:
+            name, arguments = rpc.text_of(params, "name"), params.get("arguments", {})
+            if not isinstance(arguments, dict) or not name:
+                raise RpcError(rpc.BAD_PARAMS, "a call needs a name, and arguments that are an object")
+            if id in payload.calls:  # the first one's response is still to come, or has come
+                writer.write(
+                    rpc.error(None, RpcError(rpc.INVALID, "a call id is used twice", data={"call": id}))
+                )
+                return None
+            if sum(not c.told.is_set() for c in payload.calls.values()) >= MOST_CALLS:
+                raise RpcError(rpc.NOT_MADE, f"more than {MOST_CALLS} calls out")
+        except RpcError as problem:
+            writer.write(rpc.error(id, problem))
+            return None
+        call = payload.calls[id] = ToolCall(
+            attempt.request.id, id, name, arguments, lambda: not attempt.ended
+        )
+        self.desk.make(call)
+        return call
+
+    async def _tell_result(self, writer: asyncio.StreamWriter, call: ToolCall) -> None:
+        await call.told.wait()
+        if call.problem is not None:
+            writer.write(rpc.error(call.call, call.problem))
+        else:
+            writer.write(rpc.result(call.call, call.result))
+
+    def _end(self, attempt: Attempt, result: Any, error: RpcError | None) -> tuple[Status, int, str]:
+        if error is not None:
+            if error.code in (rpc.FULL, rpc.NO_STATE) and not attempt.committed:
+                return Status.FULL, int(error.code == rpc.NO_STATE), error.message[:200]
+            return Status.ERROR, 0, error.message[:200]
+        if self.role is Role.READER:
+            cached = result.get("cached_tokens") if isinstance(result, dict) else 0
+            return Status.READ, cached if type(cached) is int and cached >= 0 else 0, ""
+        payload: Payload = attempt.request.payload
+        if any(c.state in (State.CLAIMING, State.SENT) for c in payload.calls.values()):
+            return Status.RESET, 0, "the writer ended its stream with a call out"
+        payload.result = result if isinstance(result, dict) else {}
+        return (Status.SERVED, 0, "") if self.core.started(attempt) else (Status.CANCELLED, 0, "nobody waits")
+
+    async def _probe(self) -> None:
+        began_us, ok = self.core.clock.now_us(), False
+        try:
+            ok = await self.ask("ping", {})
+        finally:
+            self.core.tell(ProbeResult(self.name, ok, self.core.clock.now_us() - began_us))
+
+    async def ask(self, method: str, params: Mapping[str, Any]) -> bool:
+        """A short question beside the attempts; True once it is answered without an error."""
+        writer: asyncio.StreamWriter | None = None
+        try:
+            async with self.wheel.limit(RELEASE_US):
+                reader, writer = await self._open()
+                writer.write(rpc.request(0, method, params))
+                text = await rpc.read_line(reader)
+                answer = rpc.parse(text) if text is not None else None
+                return isinstance(answer, Reply) and answer.id == 0 and answer.error is None
+        except (RpcError, OSError, TimeoutError):
+            return False
+        finally:
+            if writer is not None:
+                writer.close()
+
+
+class Peers:
+    """The fleet over JSON-RPC."""
+
+    def __init__(self, core: Core, desk: Desk, connect_us: int, most: int) -> None:
+        self.core, self.desk, self.connect_us = core, desk, connect_us
+        self.limit = asyncio.Semaphore(most)
+        self.actors: dict[str, Peer] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def add(self, name: str, role: Role, address: Address) -> None:
+        peer = self.actors[name] = Peer(
+            name, role, address, self.core, self.desk, self.connect_us, self.limit
+        )
+        self._keep(asyncio.create_task(peer.run()))
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def start(self, attempt: Attempt) -> None:
+        if (peer := self.actors.get(attempt.server)) is None:
+            self.core.ended(attempt, Status.NOT_SENT, reason="no address")
+        else:
+            peer.tell(Carry(attempt))
+
+    def stop(self, attempt: Attempt) -> None:
+        if peer := self.actors.get(attempt.server):
+            peer.tell(GiveUp(attempt))
+
+    def probe(self, server: str) -> None:
+        if peer := self.actors.get(server):
+            peer.tell(Ping())
+
+    def release(self, request: Request, settle: bool) -> None:
+        self._keep(asyncio.create_task(self._release(request)))
+
+    async def _release(self, request: Request) -> None:
+        """The holder is asked first; any other peer passes the word on."""
+        for name in list(dict.fromkeys([request.holder, *self.actors]))[:3]:
+            peer = self.actors.get(name)
+            if peer is not None and await peer.ask("release", {"request": request.id}):
+                return
+        log.warning("nobody let go of what is held", id=request.id)
--- /dev/null
+++ b/onyxpass/toolcalls/rpc.py
@@ -0,0 +1,130 @@
+"""JSON-RPC 2.0 messages, one object a line, and the codes that this front answers with."""
+
+import asyncio
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, NoReturn
+
+LINE_LIMIT = 256 * 1024
+Id = str | int
+
+PARSE, INVALID, NO_METHOD, BAD_PARAMS, INTERNAL = -32700, -32600, -32601, -32602, -32603
+REFUSED, FAILED, DEADLINE, UNKNOWN, CANCELLED = -32001, -32002, -32003, -32004, -32005
+STORE_DOWN, NOT_MADE, TOOL_UNKNOWN, CLAIMED = -32010, -32011, -32012, -32013
+FULL, NO_STATE = -32020, -32021
+
+
+class RpcError(Exception):
+    """An error object: ``id`` is that of the request it answers, None where it can't be told."""
+
+    def __init__(self, code: int, message: str, id: Id | None = None, data: object = None) -> None:
+        super().__init__(message)
+        self.code, self.message, self.id, self.data = code, message, id, data
+
+    def body(self) -> dict[str, Any]:
+        body: dict[str, Any] = {"code": self.code, "message": self.message}
+        return body if self.data is None else {**body, "data": self.data}
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request; ``id`` None makes it a notification, which is never answered."""
+
+    id: Id | None
+    method: str
+    params: Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    id: Id | None
+    result: Any = None
+    error: RpcError | None = None
+
+
+def _no_constant(name: str) -> NoReturn:
+    raise ValueError(f"{name} is not JSON")
+
+
+def parse(line: bytes) -> Call | Reply:
+    """One line; RpcError says what is wrong with it, with the id where it could be made out."""
+    try:
+        message = json.loads(line, parse_constant=_no_constant)
+    except (ValueError, RecursionError) as problem:
+        raise RpcError(PARSE, f"not JSON: {str(problem)[:100]}") from problem
+    if not isinstance(message, dict):
+        raise RpcError(INVALID, "not an object; batches are not taken")
+    id, has_id = message.get("id"), "id" in message
+    if isinstance(id, bool) or not isinstance(id, str | int | None) or len(str(id)[:300]) > 256:
+        raise RpcError(INVALID, "an id is a string of up to 256 characters or a whole number")
+    if message.get("jsonrpc") != "2.0":
+        raise RpcError(INVALID, 'jsonrpc must be "2.0"', id)
+    if "method" in message:
+        method, params = message["method"], message.get("params", {})
+        if not isinstance(method, str):
+            raise RpcError(INVALID, "method must be a string", id)
+        if has_id and id is None:
+            raise RpcError(INVALID, "the id of a request is not null")
+        if not isinstance(params, dict):
+            raise RpcError(BAD_PARAMS if has_id else INVALID, "params must be an object", id)
+        return Call(id, method, params)
+    if ("result" in message) == ("error" in message) or not has_id:
+        raise RpcError(INVALID, "neither a request nor a response", id)
+    if "result" in message:
+        return Reply(id, message["result"])
+    error = message["error"]
+    if not isinstance(error, dict) or type(error.get("code")) is not int:
+        raise RpcError(INVALID, "an error needs a whole code", id)
+    told = RpcError(error["code"], str(error.get("message") or ""), id, error.get("data"))
+    return Reply(id, error=told)
+
+
+def line(message: Mapping[str, Any]) -> bytes:
+    return json.dumps({"jsonrpc": "2.0", **message}, separators=(",", ":")).encode() + b"\n"
+
+
+def request(id: Id, method: str, params: Mapping[str, Any]) -> bytes:
+    return line({"id": id, "method": method, "params": params})
+
+
+def notice(method: str, params: Mapping[str, Any]) -> bytes:
+    return line({"method": method, "params": params})
+
+
+def result(id: Id | None, value: object) -> bytes:
+    return line({"id": id, "result": value})
+
+
+def error(id: Id | None, problem: RpcError) -> bytes:
+    return line({"id": id, "error": problem.body()})
+
+
+async def read_line(reader: asyncio.StreamReader) -> bytes | None:
+    """The next line that is not empty; None at the end. A line cut off by the end does not count.
+
+    The reader must have been made with ``limit=LINE_LIMIT``; RpcError if a line is longer.
+    """
+    while True:
+        try:
+            text = await reader.readuntil(b"\n")
+        except asyncio.IncompleteReadError:
+            return None
+        except asyncio.LimitOverrunError as problem:
+            raise RpcError(INVALID, f"a line of more than {LINE_LIMIT} bytes") from problem
+        if text.strip():
+            return text
+
+
+def text_of(params: Mapping[str, Any], name: str, fallback: str | None = None) -> str:
+    value = params.get(name, fallback)
+    if not isinstance(value, str) or len(value) > LINE_LIMIT:
+        raise RpcError(BAD_PARAMS, f"{name} must be a string")
+    return value
+
+
+def number_of(params: Mapping[str, Any], name: str, fallback: int, least: int = 0) -> int:
+    value = params.get(name, fallback)
+    if type(value) is not int or not least <= value <= 2**40:
+        raise RpcError(BAD_PARAMS, f"{name} must be a whole number of at least {least}")
+    return value
--- /dev/null
+++ b/onyxpass/toolcalls/service.py
@@ -0,0 +1,154 @@
+"""The JSON-RPC front as a program: its operator's file, and all parts put together."""
+
+import asyncio
+import ipaddress
+import signal
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import structlog
+
+from onyxpass import interface as api
+from onyxpass.benchlink import read_settings
+from onyxpass.config import Address, ConfigError
+from onyxpass.core.clock import Clock
+from onyxpass.core.dispatcher import Core
+from onyxpass.core.wheel import Wheel
+from onyxpass.store.redis import Store
+from onyxpass.toolcalls.desk import Desk, ToolServer
+from onyxpass.toolcalls.front import RpcFront
+from onyxpass.toolcalls.peers import STALL_US, Peers
+
+log = structlog.get_logger("rpc")
+
+
+@dataclass(frozen=True, slots=True)
+class ToolcallsConfig:
+    name: str
+    listen: Address
+    settings: api.Settings
+    servers: tuple[tuple[api.Server, Address], ...]
+    tools: Address
+    store_url: str
+    seed: int = 0
+    connect_us: int = 250_000
+    tool_timeout_us: int = 10_000_000
+    store_timeout_ms: int = 300
+    claim_ttl_s: int = 86_400
+    connections: int = 256
+
+
+def loopback(text: str) -> Address:
+    """An address on this machine: this front has no transport security, so it serves nothing beyond."""
+    address = Address.parse(text)
+    try:
+        inside = ipaddress.ip_address(address.host).is_loopback
+    except ValueError:
+        inside = False
+    if not inside:
+        raise ConfigError(f"not a loopback address: {text!r}")
+    return address
+
+
+def parse(raw: Mapping[str, Any]) -> ToolcallsConfig:
+    try:
+        settings = read_settings(raw["settings"])
+        kinds = {kind.name for kind in settings.kinds}
+        servers = []
+        for entry in raw["servers"]:
+            if entry["kind"] not in kinds:
+                raise ConfigError(f"server {entry['id']!r} is of no kind that the settings name")
+            zone, cell = str(entry.get("zone", "")), int(entry.get("cell", 0))
+            server = api.Server(str(entry["id"]), str(entry["kind"]), zone, cell)
+            servers.append((server, loopback(str(entry["address"]))))
+        tools, store = raw["tools"], raw["store"]
+        config = ToolcallsConfig(
+            name=str(raw["name"]),
+            listen=loopback(raw["listen"]),
+            settings=settings,
+            servers=tuple(servers),
+            tools=loopback(tools["address"]),
+            store_url=str(store["url"]),
+            tool_timeout_us=int(tools.get("timeout_ms", 10_000)) * 1000,
+            store_timeout_ms=int(store.get("timeout_ms", 300)),
+            claim_ttl_s=int(store.get("claim_ttl_s", 86_400)),
+            connections=int(raw.get("connections", 256)),
+        )
+    except ConfigError:
+        raise
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as problem:
+        raise ConfigError(f"the file can't be read: {problem!r}") from problem
+    if not 0 < config.tool_timeout_us < STALL_US:
+        raise ConfigError(f"tools.timeout_ms must lie between 0 and {STALL_US // 1000}")
+    if len({server.id for server, _ in servers}) < len(servers):
+        raise ConfigError("two servers have the same id")
+    return config
+
+
+def load(path: Path) -> ToolcallsConfig:
+    try:
+        return parse(tomllib.loads(path.read_text()))
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise ConfigError(f"{path}: {problem}") from problem
+
+
+class ToolcallService:
+    def __init__(self, config: ToolcallsConfig) -> None:
+        self.config = config
+        self.clock = Clock()
+        self.wheel = Wheel(self.clock)
+        self.core = Core(config.settings, config.seed, self.clock, self.wheel)
+        self.store = Store(config.store_url, config.store_timeout_ms)
+        self.desk = Desk(self.store, config.claim_ttl_s)
+        self.tools = ToolServer(
+            config.tools, self.wheel, self.desk.ended, config.tool_timeout_us, config.connect_us
+        )
+        self.desk.server = self.tools
+        self.peers = Peers(self.core, self.desk, config.connect_us, config.connections)
+        self.core.fleet = self.peers
+        self.front = RpcFront(self.core, self.desk, config.listen, config.connections)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        for work in (self.core.run(), self.wheel.run(), self.tools.run()):
+            self.tasks.append(asyncio.create_task(work))
+        roles = {kind.name: kind.role for kind in self.config.settings.kinds}
+        for server, address in self.config.servers:
+            self.peers.add(server.id, roles[server.kind], address)
+        self.core.listed(api.ListUpdate(api.ListForm.FULL, tuple(s for s, _ in self.config.servers)))
+        await self.front.start()
+        log.info("listening", name=self.config.name, listen=f"{self.config.listen.host}:{self.front.port}")
+
+    async def stop(self) -> None:
+        await self.front.stop()
+        await self.close()
+        log.info("stopped", name=self.config.name)
+
+    async def close(self) -> None:
+        """End all tasks without waiting for anything that is out."""
+        mine = [*self.tasks, *self.peers.tasks, *self.desk.tasks]
+        mine += [task for peer in self.peers.actors.values() for task in (*peer.tasks.values(), *peer.others)]
+        mine += [self.tools.task] if self.tools.task else []
+        for task in mine:
+            task.cancel()
+        await asyncio.gather(*mine, return_exceptions=True)
+        await self.store.close()
+
+
+async def serve(config: ToolcallsConfig) -> None:
+    """Run till SIGTERM or SIGINT, then finish what was taken."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    service = ToolcallService(config)
+    await service.start()
+    ended = asyncio.create_task(stopping.wait())
+    await asyncio.wait([ended, *service.tasks], return_when=asyncio.FIRST_COMPLETED)
+    for task in service.tasks:
+        if task.done():
+            task.result()
+    await service.stop()
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,177 @@
+"""Parsers against random cuts of valid messages and random garbage: the same result, or their own error."""
+
+import asyncio
+import json
+from itertools import pairwise
+from types import SimpleNamespace
+from typing import Any
+
+import h11
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from onyxpass import interface as api
+from onyxpass.config import Address, ConfigError
+from onyxpass.core.clock import Clock
+from onyxpass.core.dispatcher import Core
+from onyxpass.core.wheel import Wheel
+from onyxpass.net.front import BadRequest, read_arrival
+from onyxpass.net.http import Broken, Wire, body
+from onyxpass.net.replica import cached_tokens
+from onyxpass.net.watch import Lines, ListError, read_list
+from onyxpass.toolcalls import rpc
+
+FIXED = settings(derandomize=True, max_examples=150, deadline=None)
+BODY = b'{"stream":true}'
+ASK = (
+    b"POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: 9b1f03aa\r\n"
+    b"X-Timeout-Ms: 4800\r\nContent-Length: %d\r\n\r\n%b" % (len(BODY), BODY)
+)
+STREAM = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"
+VERSIONS = b'{"seq":1,"whole":true,"hosts":[]}\n\n{"seq":2,"whole":false,"hosts":[]}\n'
+
+
+def cut(text: bytes, places: list[int]) -> list[bytes]:
+    marks = sorted({0, len(text), *(p % len(text) for p in places)})
+    return [text[a:b] for a, b in pairwise(marks)]
+
+
+async def hear(role: Any, parts: list[bytes]) -> tuple[Any, bytes]:
+    """The head and body that a wire makes of the parts, each read by itself."""
+    reader = SimpleNamespace(read=None)
+    rest = iter([*parts, b""])
+
+    async def read(_: int) -> bytes:
+        return next(rest, b"")
+
+    reader.read = read
+    wire = Wire(role, reader, None)
+    if role is h11.CLIENT:
+        wire.h11.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+        wire.h11.send(h11.EndOfMessage())
+    head = await wire.event()
+    return head, await body(wire)
+
+
+PLACES = st.lists(st.integers(0, 400), max_size=30)
+
+
+@FIXED
+@given(PLACES)
+def test_cuts_of_http_messages_change_nothing(places: list[int]) -> None:
+    head, text = asyncio.run(hear(h11.SERVER, cut(ASK, places)))
+    assert head.target == b"/v1/chat/completions" and text == BODY
+    head, text = asyncio.run(hear(h11.CLIENT, cut(STREAM, places)))
+    assert head.status_code == 200 and text == b"hello world"
+
+
+@FIXED
+@given(PLACES, st.integers(0, len(STREAM) - 1))
+def test_a_stream_that_ends_early_is_never_whole(places: list[int], end: int) -> None:
+    try:
+        asyncio.run(hear(h11.CLIENT, cut(STREAM[:end] or b"\0", places)))
+    except Broken:
+        return
+    raise AssertionError("taken as whole")
+
+
+@FIXED
+@given(st.binary(max_size=300), st.integers(0, len(ASK)), st.booleans())
+def test_garbage_on_http_is_broken_and_nothing_else(junk: bytes, at: int, server: bool) -> None:
+    role, good = (h11.SERVER, ASK) if server else (h11.CLIENT, STREAM)
+    text = good[:at] + junk + good[at:]
+    try:
+        head, _ = asyncio.run(hear(role, [text]))
+    except Broken as problem:
+        assert problem.status == 0 or 400 <= problem.status < 600
+    else:
+        assert isinstance(head, h11.Request | h11.Response | h11.InformationalResponse) or not server
+
+
+@FIXED
+@given(PLACES)
+def test_cuts_of_the_watch_change_nothing(places: list[int]) -> None:
+    lines = Lines()
+    found = [json.loads(line)["seq"] for part in cut(VERSIONS, places) for line in lines.feed(part)]
+    assert found == [1, 2]
+
+
+JSON: Any = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=6), inner, max_size=4),
+    max_leaves=12,
+)
+NAMES = st.sampled_from(["host", "dial", "site", "class", "block", "health", "share", "born_ms"])
+ENTRY = st.dictionaries(NAMES, JSON | st.sampled_from(["active", "127.0.0.1:80"]))
+
+
+@FIXED
+@given(st.fixed_dictionaries({"seq": JSON, "hosts": JSON | st.lists(ENTRY, max_size=3)}))
+def test_a_list_is_read_or_refused(message: dict[str, Any]) -> None:
+    try:
+        update, addresses = read_list(message)
+    except ListError:
+        return
+    assert len(update.servers) >= len(addresses)
+
+
+RPC = st.fixed_dictionaries(
+    {}, optional={"jsonrpc": st.just("2.0"), "id": JSON, "method": JSON, "params": JSON, "error": JSON}
+)
+
+
+@FIXED
+@given(st.binary(max_size=60) | RPC.map(lambda m: json.dumps(m).encode()))
+def test_a_line_of_json_rpc_is_read_or_has_a_code(line: bytes) -> None:
+    try:
+        message = rpc.parse(line)
+    except rpc.RpcError as problem:
+        assert problem.code in (rpc.PARSE, rpc.INVALID, rpc.BAD_PARAMS)
+        assert rpc.parse(rpc.error(problem.id, problem)).id == problem.id  # type: ignore[union-attr]
+    else:
+        assert isinstance(message, rpc.Call | rpc.Reply)
+
+
+@FIXED
+@given(st.text(max_size=50), PLACES)
+def test_cuts_of_json_rpc_lines_change_nothing(text: str, places: list[int]) -> None:
+    async def go() -> list[bytes]:
+        reader = asyncio.StreamReader(limit=rpc.LINE_LIMIT)
+        for part in cut(rpc.notice("text", {"text": text}) * 2 + b'{"cut off', places):
+            reader.feed_data(part)
+        reader.feed_eof()
+        lines = []
+        while (line := await rpc.read_line(reader)) is not None:
+            lines.append(line)
+        return lines
+
+    first, second = asyncio.run(go())
+    assert first == second and rpc.parse(first).params["text"] == text  # type: ignore[union-attr]
+
+
+@FIXED
+@given(
+    st.dictionaries(
+        st.sampled_from(["id", "ms", "attrs", "cost"]), st.text("0123456789=,.-ap \xe9", max_size=20)
+    )
+)
+def test_headers_are_read_or_refused(values: dict[str, str]) -> None:
+    names = {"id": b"X-Request-ID", "ms": b"X-Timeout-Ms", "attrs": b"X-Attrs", "cost": b"X-Cost"}
+    headers = [(b"Host", b"x"), *((names[k], v.strip().encode("latin-1")) for k, v in values.items())]
+    clock = Clock()
+    core = Core(api.Settings((), ()), 1, clock, Wheel(clock))
+    try:
+        _, arrival = read_arrival(h11.Request(method="POST", target="/v1/x", headers=headers), core, 0)
+    except BadRequest:
+        return
+    assert arrival.prompt_tokens >= 0 and 0 <= arrival.id < 2**52
+
+
+@FIXED
+@given(st.binary(max_size=40) | JSON.map(lambda m: json.dumps({"cached_tokens": m}).encode()))
+def test_small_bodies_and_addresses_are_read_or_refused(text: bytes) -> None:
+    assert cached_tokens(text) >= 0
+    try:
+        assert 0 <= Address.parse(text.decode("latin-1")).port <= 65535
+    except ConfigError:
+        return
