--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# What a developer needs, by name. The platform uses deploy/balancer.toml.
+.PHONY: build dev test lint run toolcalls agent ci clean
+
+build:
+	test -d .venv || python3 -m venv .venv
+	cmp -s requirements.txt .venv/installed || \
+	  (.venv/bin/pip -q install -r requirements.txt && cp requirements.txt .venv/installed)
+
+dev:
+	test -d .venv-dev || python3 -m venv .venv-dev
+	cmp -s pyproject.toml .venv-dev/installed || \
+	  (.venv-dev/bin/pip -q install -e '.[dev]' && cp pyproject.toml .venv-dev/installed)
+
+test: dev
+	.venv-dev/bin/python -m pytest
+
+lint: dev
+	.venv-dev/bin/ruff check .
+	.venv-dev/bin/ruff format --check .
+	.venv-dev/bin/mypy
+
+run: build
+	.venv/bin/python -m onyxpass serve
+
+toolcalls: build
+	.venv/bin/python -m onyxpass toolcalls --config deploy/toolcalls.toml
+
+agent: build
+	.venv/bin/python -m onyxpass agent run --config deploy/agent.toml
+
+ci:
+	bash .ci/run
+
+clean:
+	rm -rf .venv .venv-dev .mypy_cache .ruff_cache .pytest_cache
--- a/onyxpass/agent/config.py
+++ b/onyxpass/agent/config.py
@@ -29,6 +29,7 @@
     most_s: float = 15.0
     steady_s: float = 30.0  # an instance that ran for so long starts over with the first pause
     grace_s: float = 20.0  # from SIGTERM to SIGKILL
+    start_s: float = 5.0  # a check may fail for so long after a start
     poll_s: float = 1.0  # how often the store is told and asked, and the check made
 
 
@@ -48,7 +49,7 @@
         if len({spec.name for spec in specs}) < len(specs):
             raise ConfigError("two instances have the same name")
         pauses = raw.get("restart") or {}
-        known = ("first_s", "most_s", "steady_s", "grace_s", "poll_s")
+        known = ("first_s", "most_s", "steady_s", "grace_s", "start_s", "poll_s")
         if unknown := set(pauses) - set(known):
             raise ConfigError(f"restart: unknown {', '.join(sorted(unknown))}")
         timing = {key: float(pauses[key]) for key in known if key in pauses}
--- a/onyxpass/agent/supervisor.py
+++ b/onyxpass/agent/supervisor.py
@@ -145,7 +145,7 @@
             writer.close()
             ok = True
         except (OSError, TimeoutError):
-            ok = time.time() - self.since < self.config.first_s + 5.0  # it may still be starting
+            ok = time.time() - self.since < self.config.start_s  # it may still be starting
         self.tell(Checked(pid, ok))
 
     def told(self) -> dict[str, Any]:
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -79,8 +79,9 @@
             for timer in (attempt.timer, request.guard):
                 if timer is not None:
                     timer.drop()
-            elapsed_us = self.clock.now_us() - attempt.sent_us
-            self.tell(api.StreamStarted(request.number, attempt.number, attempt.server, elapsed_us))
+            attempt.first_us = self.clock.now_us() - attempt.sent_us
+            self.tell(api.StreamStarted(request.number, attempt.number, attempt.server, attempt.first_us))
+        attempt.parts += 1
         return True
 
     def ended(self, attempt: Attempt, status: Status, note: int = 0, reason: str = "") -> None:
@@ -99,10 +100,11 @@
         request.interrupted = status in INTERRUPTED and self.reads(attempt.server)
         if status is Status.READ or request.interrupted:
             request.may_hold, request.holder = True, attempt.server
-        if status is not Status.READ and status is not Status.SERVED:
-            log.info(
-                "attempt", id=request.id, server=attempt.server, end=status.value, us=elapsed_us, why=reason
-            )
+        told = {"id": request.id, "cls": request.arrival.cls, "n": attempt.number, "server": attempt.server}
+        if status is Status.SERVED:
+            log.info("served", **told, first_us=attempt.first_us, us=elapsed_us, parts=attempt.parts)
+        elif status is not Status.READ:
+            log.info("attempt", **told, end=status.value, us=elapsed_us, why=reason)
         if request.committed is attempt and not request.over:
             self._close(request)
             if status is Status.SERVED:
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -40,6 +40,8 @@
     verdict: Status | None = None  # what it was called off for; its end is told once it is closed
     ended: bool = False
     status: Status | None = None  # how it ended
+    first_us: int = 0  # from the send to the first event
+    parts: int = 0  # of its stream, so far
 
     @property
     def committed(self) -> bool:
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -141,6 +141,12 @@
             self._accept, self.listen.host, self.listen.port, backlog=512
         )
 
+    @property
+    def bound(self) -> str:
+        """Where it really listens, should the port have been left to the system."""
+        assert self.server is not None
+        return "{}:{}".format(*self.server.sockets[0].getsockname()[:2])
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -38,7 +38,7 @@
         self.list.saved(self.config.known)
         await self.front.start()
         self._sweep()
-        log.info("listening", name=self.config.name, listen=str(self.config.listen))
+        log.info("listening", name=self.config.name, listen=self.front.bound)
 
     def _sweep(self) -> None:
         self.replicas.sweep()
--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,163 @@
+"""The agent with real processes and a stand-in for the store."""
+
+import asyncio
+import os
+import sys
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from standins import RespStore, until
+from typer.testing import CliRunner
+
+from onyxpass.agent import config as agent_config
+from onyxpass.agent.config import AgentConfig, InstanceSpec
+from onyxpass.agent.supervisor import Agent, Instance
+from onyxpass.cli import app
+from onyxpass.config import Address, ConfigError
+from onyxpass.store.redis import Store
+
+ROOT = Path(__file__).parent.parent
+SLEEPER = (sys.executable, "-c", "import time; time.sleep(600)")
+STUBBORN = (
+    sys.executable,
+    "-c",
+    "import signal, sys, time; signal.signal(signal.SIGTERM, signal.SIG_IGN); "
+    "print(flush=True); open(sys.argv[1], 'w').close(); time.sleep(600)",
+)
+PAUSES = {"first_s": 0.01, "most_s": 0.04, "steady_s": 60.0, "grace_s": 30.0, "start_s": 0.01, "poll_s": 0.02}
+
+
+def alive(pid: int) -> bool:
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+@asynccontextmanager
+async def agent(*specs: InstanceSpec, **pauses: float) -> AsyncIterator[tuple[RespStore, Agent, str]]:
+    store = RespStore()
+    await store.start()
+    url = f"redis://{store.address}/0"
+    made = Agent(AgentConfig("test", url, specs, **{**PAUSES, **pauses}), Store(url))
+    await made.start()
+    pids = []
+    try:
+        yield store, made, url
+        pids = [i.process.pid for i in made.instances if i.process]
+    finally:
+        await made.stop()
+        await store.stop()
+    assert not any(alive(pid) for pid in pids)
+
+
+def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    asyncio.run(asyncio.wait_for(test(), 60))
+
+
+def up(instance: Instance) -> bool:
+    return instance.state == "running"
+
+
+def test_what_dies_is_started_again_after_a_growing_pause_and_the_cli_lists_it() -> None:
+    async def go() -> None:
+        dies = InstanceSpec("dies", (sys.executable, "-c", "raise SystemExit(3)"))
+        async with agent(dies, InstanceSpec("lives", SLEEPER)) as (store, made, url):
+            first, second = made.instances
+            await until(lambda: first.restarts >= 3 and up(second), 30)
+            assert first.last_exit == 3 and first.failures >= 3 and second.restarts == 0
+            await until(lambda: '"restarts": 3' in store.data.get("onyxpass:instance:dies", ""), 30)
+            told = await asyncio.to_thread(CliRunner().invoke, app, ["agent", "list", "--store", url])
+            assert told.exit_code == 0
+            rows = {line.split()[0]: line.split() for line in told.output.splitlines()}
+            assert rows["lives"][1:3] == ["test", "running"] and rows["dies"][-1] == "3"
+        assert not [k for k in store.data if "instance" in k], "an agent that stopped leaves no word"
+
+    run(go)
+
+
+def test_the_pause_doubles_up_to_the_most_and_starts_over_after_a_steady_run() -> None:
+    async def go() -> None:
+        instance = Instance(InstanceSpec("x", ()), AgentConfig("a", "", (), first_s=1, most_s=5, steady_s=30))
+        pauses: list[float] = []
+        loop = asyncio.get_running_loop()
+        loop.call_later = lambda pause, *_: pauses.append(pause)  # type: ignore[method-assign,assignment]
+        for _ in range(4):
+            instance._exited(1)
+        instance.since -= 31
+        instance._exited(1)
+        assert pauses == [1, 2, 4, 5, 1]
+
+    run(go)
+
+
+def test_an_operator_stops_and_starts_an_instance() -> None:
+    async def go() -> None:
+        async with agent(InstanceSpec("one", SLEEPER)) as (_, made, url):
+            (one,) = made.instances
+            await until(lambda: up(one), 30)
+            assert one.process is not None
+            pid = one.process.pid
+            await asyncio.to_thread(CliRunner().invoke, app, ["agent", "stop", "one", "--store", url])
+            await until(lambda: one.state == "stopped", 30)
+            assert not alive(pid) and one.restarts == 0
+            await asyncio.to_thread(CliRunner().invoke, app, ["agent", "start", "one", "--store", url])
+            await until(lambda: up(one), 30)
+
+    run(go)
+
+
+def test_what_ignores_sigterm_is_killed(tmp_path: Path) -> None:
+    async def go() -> None:
+        mark = tmp_path / "up"
+        spec = InstanceSpec("stubborn", (*STUBBORN, str(mark)))
+        async with agent(spec, grace_s=0.05) as (_, made, _url):
+            await until(lambda: up(made.instances[0]) and mark.exists(), 30)
+
+    run(go)
+
+
+def test_an_instance_that_takes_no_connections_is_restarted() -> None:
+    async def go() -> None:
+        closed = RespStore()  # a port that nothing listens on any more
+        await closed.start()
+        await closed.stop()
+        spec = InstanceSpec("hung", SLEEPER, check=Address("127.0.0.1", closed.port))
+        async with agent(spec) as (_, made, _url):
+            await until(lambda: made.instances[0].restarts >= 1, 30)
+            assert made.instances[0].last_exit == -15
+
+    run(go)
+
+
+def test_instances_run_on_while_the_store_is_down() -> None:
+    async def go() -> None:
+        async with agent(InstanceSpec("one", SLEEPER)) as (store, made, url):
+            await until(lambda: up(made.instances[0]), 30)
+            await store.stop()
+            await until(lambda: made._store_down, 30)
+            assert up(made.instances[0])
+            told = await asyncio.to_thread(CliRunner().invoke, app, ["agent", "list", "--store", url])
+            assert told.exit_code == 1 and "Traceback" not in told.output
+
+    run(go)
+
+
+def test_the_shipped_file_is_read_and_faults_in_one_are_named() -> None:
+    shipped = agent_config.load(ROOT / "deploy" / "agent.toml")
+    assert shipped.instances[0].command[-1] == str(ROOT / "deploy" / "toolcalls.toml")
+    good = {"name": "a", "store": {"url": "x"}, "instances": [{"name": "i", "kind": "serve", "config": "c"}]}
+    for change in (
+        {"instances": None},
+        {"instances": [{"name": "i", "kind": "sh", "config": "c"}]},
+        {"instances": good["instances"] * 2},  # type: ignore[operator]
+        {"restart": {"first_s": 0}},
+        {"restart": {"firsts": 1}},
+        {"store": {}},
+    ):
+        with pytest.raises(ConfigError):
+            agent_config.parse({**good, **change}, ROOT)
