Find a restarted tool server again; test it, and a writer that ends with a call out

A call that came while the old connection was ending was answered 'not made' though a new connection would have taken it; it is now tried on one (never a second time on the wire: only calls that were not yet written are).

--- a/onyxpass/toolcalls/desk.py
+++ b/onyxpass/toolcalls/desk.py
@@ -171,12 +171,15 @@
             self._end(call, State.DONE, None)
 
     def _lost(self, reason: str) -> None:
-        self.task = None
+        self.task, was_up = None, self.writer is not None
         if self.writer is not None:
             self.writer.close()
         self.writer, out, queued = None, list(self.out.values()), self.queued
         self.out, self.queued = {}, []
         for call in queued:
+            if was_up:  # it came while the old connection was ending, so a new one is worth a try
+                self._make(call)
+                continue
             self._end(
                 call, State.NOT_MADE, RpcError(rpc.NOT_MADE, f"the tool server can't be reached: {reason}")
             )
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -251,6 +251,40 @@
     run(go)
 
 
+def test_a_tool_server_that_was_restarted_is_found_again() -> None:
+    async def go() -> None:
+        async with world(st.call("c1")) as w:
+            client = await w.client()
+            for id in ("a", "b", "c"):
+                client.generate(id, request=id)
+                assert (await client.response(id))["result"]["calls"][0]["state"] == "done"
+                await w.ledger.stop()
+                await w.ledger.start()
+            assert w.ledger.connections == 3
+            w.no_call_twice(3)
+
+    run(go)
+
+
+def test_a_writer_that_ends_with_a_call_out_leaves_its_outcome_unknown() -> None:
+    async def go() -> None:
+        async with world(st.call("c1", wait=False)) as w:
+            w.ledger.release.clear()
+            client = await w.client()
+            client.generate(1, request="r1")
+            error = (await client.response(1))["error"]
+            if error["code"] == rpc.UNKNOWN:
+                await st.until(lambda: w.ledger.ledger)
+                w.no_call_twice(1)
+            else:  # it ended before the claim: then the call is not made at all
+                assert error["code"] == rpc.FAILED
+                await st.until(lambda: w.store.calls().get("r1:c1", {}).get("state") == "not made")
+                w.no_call_twice(0)
+            assert w.writes == 1
+
+    run(go)
+
+
 def test_tool_errors_and_call_ids_used_twice_reach_the_writer() -> None:
     async def go() -> None:
         async with world(st.call("c1"), st.call("c1"), st.call("c2", "no_such")) as w:
