Keep actors alive when tidying up fails; the module hears of ends whose answer failed

Both are caught and logged now, each with a test that fails without the change. The agent is tested with a real instance of the second front.

--- a/onyxpass/core/actor.py
+++ b/onyxpass/core/actor.py
@@ -32,4 +32,9 @@
                 self.receive(message)
             except Exception:
                 log.exception("an actor could not handle a message", actor=self.name)
-                self.broken(message)
+                try:
+                    self.broken(message)
+                except (
+                    Exception
+                ):  # guards against an actor that dies of tidying up, and all its messages with it
+                    log.exception("nor tidy up after it", actor=self.name)
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -106,11 +106,10 @@
         elif status is not Status.READ:
             log.info("attempt", **told, end=status.value, us=elapsed_us, why=reason)
         if request.committed is attempt and not request.over:
-            self._close(request)
             if status is Status.SERVED:
-                request.client.finish()
+                self._answer(request, request.client.finish)
             else:
-                request.client.cut(reason or status.value)
+                self._answer(request, lambda: request.client.cut(reason or status.value))
         final = request.over
         self.tell(
             api.Outcome(request.number, attempt.number, attempt.server, status, elapsed_us, final, note)
@@ -229,17 +228,23 @@
         if unsafe and self._repeat(request) is not api.Repeat.SAFE:
             self._fail(request, "it may have run")
             return
-        self._close(request)
         log.info("refused", id=request.id, attempts=len(request.attempts))
-        request.client.refuse(retry_after_us)
+        self._answer(request, lambda: request.client.refuse(retry_after_us))
 
     def _fail(self, request: Request, reason: str) -> None:
         if not request.over:
-            self._close(request)
             log.info("failed", id=request.id, attempts=len(request.attempts), why=reason)
             last = request.attempts[-1].status if request.attempts else None
             past = self.clock.now_us() >= request.arrival.deadline_us - LATE_US
-            request.client.fail(reason, past or last is Status.TIMEOUT)
+            self._answer(request, lambda: request.client.fail(reason, past or last is Status.TIMEOUT))
+
+    def _answer(self, request: Request, final: Callable[[], None]) -> None:
+        """Guards against a front whose answer fails: the module still hears how the request ended."""
+        self._close(request)
+        try:
+            final()
+        except Exception:
+            log.exception("a final answer could not be given", id=request.id)
 
     def _repeat(self, request: Request) -> api.Repeat:
         for cls in self.settings.classes:
--- a/onyxpass/net/watch.py
+++ b/onyxpass/net/watch.py
@@ -115,7 +115,7 @@
             before = self.seq
             try:
                 await self._once()
-            except (Broken, OSError, TimeoutError, ValueError, h11.LocalProtocolError) as problem:
+            except (Broken, OSError, TimeoutError, ValueError, RecursionError) as problem:
                 log.warning("watch lost", why=str(problem) or type(problem).__name__, seq=self.seq)
             except Exception:
                 log.exception("the watch failed")
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -134,6 +134,32 @@
     run(go)
 
 
+def test_a_real_instance_of_the_second_front_is_served_and_stopped(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with asyncio.timeout(50):
+            spare = await RespStore().start()  # a port that is free once this has stopped
+            await spare.stop()
+            text = (ROOT / "deploy" / "toolcalls.toml").read_text()
+            (tmp_path / "t.toml").write_text(text.replace("127.0.0.1:7410", spare.address))
+            entry = {"name": "t", "kind": "toolcalls", "config": "t.toml", "check": spare.address}
+            raw = {"name": "a", "store": {"url": "x"}, "instances": [entry]}
+            (spec,) = agent_config.parse(raw, tmp_path).instances
+            async with agent(spec, start_s=40.0) as (_, made, _url):
+                while True:
+                    try:
+                        reader, writer = await asyncio.open_connection("127.0.0.1", spare.port)
+                        break
+                    except ConnectionRefusedError:
+                        await asyncio.sleep(0.05)
+                writer.write(b'{"jsonrpc":"2.0","id":1,"method":"ping"}\n')
+                assert b'"ready":true' in await reader.readline()
+                writer.close()
+                (one,) = made.instances
+            assert one.last_exit == 0 and one.restarts == 0, "SIGTERM ends it in good order"
+
+    run(go)
+
+
 def test_instances_run_on_while_the_store_is_down() -> None:
     async def go() -> None:
         async with agent(InstanceSpec("one", SLEEPER)) as (store, made, url):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -200,6 +200,20 @@
     assert bed.client.finals == ["fail"] and not bed.core.requests
 
 
+def test_a_front_that_fails_to_answer_hides_no_end_from_the_module() -> None:
+    bed = Bed()
+
+    def broken() -> None:
+        raise RuntimeError("broken")
+
+    bed.client.finish = broken  # type: ignore[method-assign]
+    bed.ask(api.Send(7, "w0", 500_000))
+    bed.core.started(bed.fleet.started[0])
+    bed.core.ended(bed.fleet.started[0], Status.SERVED)
+    bed.step()
+    assert bed.script.heard[-1].final and not bed.core.requests  # type: ignore[union-attr]
+
+
 def test_a_request_that_nobody_answers_is_failed_before_its_client_leaves() -> None:
     bed = Bed()
     bed.ask(wait_us=200_000)
@@ -275,6 +289,7 @@
 
         def broken(self, message: int) -> None:
             self.seen.append(-1)
+            raise RuntimeError("broken too")
 
     async def go() -> None:
         actor = Picky()
