--- a/onyxpass/core/fleet.py
+++ b/onyxpass/core/fleet.py
@@ -78,12 +78,17 @@
     def __init__(self, core: Core) -> None:
         self.core = core
         self.actors: dict[str, Server] = {}
-        self.running: set[asyncio.Task[None]] = set()
+        self.running: dict[str, asyncio.Task[None]] = {}
         self.releases: set[asyncio.Task[None]] = set()
 
     def join(self, actor: Server) -> None:
         self.actors[actor.name] = actor
-        self.running.add(asyncio.create_task(actor.run()))
+        self.running[actor.name] = asyncio.create_task(actor.run())
+
+    def part(self, actor: Server) -> None:
+        """Take out an actor that has nothing left to do."""
+        del self.actors[actor.name]
+        self.running.pop(actor.name).cancel()
 
     def start(self, attempt: Attempt) -> None:
         if (actor := self.actors.get(attempt.server)) is None:
--- a/onyxpass/core/wheel.py
+++ b/onyxpass/core/wheel.py
@@ -75,6 +75,14 @@
     def limit(self, delay_us: int) -> Limit:
         return Limit(self, delay_us)
 
+    async def sleep(self, delay_us: int) -> None:
+        due = asyncio.Event()
+        timer = self.after(delay_us, due.set)
+        try:
+            await due.wait()
+        finally:
+            timer.drop()
+
     def advance(self) -> None:
         """Fire all that is due by now."""
         now_tick = self.clock.now_us() // TICK_US
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -280,7 +280,7 @@
     async def stop(self) -> None:
         """A planned end: keep accepting a moment, finish all that was taken, then return."""
         self.closing = True
-        await asyncio.sleep(LINGER_US / 1e6)
+        await self.core.wheel.sleep(LINGER_US)
         if self.server is not None:
             self.server.close()
         for wire in list(self.idle.values()):
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 import h11
@@ -71,10 +71,17 @@
         self.address, self.budget = address, budget
         self.connect_us, self.keep_us = connect_us, max(0, idle_us - IDLE_MARGIN_US)
         self.idle: list[Idle] = []
+        self.left = False
+
+    @property
+    def finished(self) -> bool:
+        """Whether it has left the list and nothing of it is under way."""
+        return self.left and not (self.tasks or self.others or self.idle or self.mailbox.qsize())
 
     def receive(self, message: object) -> None:
         match message:
             case Moved(address, left):
+                self.left = left
                 if address != self.address or left:
                     self.address = address
                     self._drop_idle(True)
@@ -278,13 +285,19 @@
         else:
             actor.tell(Moved(address, left))
 
+    def only(self, names: Container[str]) -> None:
+        """A whole list has come: what it does not name has left."""
+        for name, actor in self.actors.items():
+            if name not in names:
+                actor.tell(Moved(actor.address, True))
+
     def release(self, request: Request, settle: bool) -> None:
         self.releasing(self._release(request, settle))
 
     async def _release(self, request: Request, settle: bool) -> None:
         """Any replica will do; the holder is asked first, then those that answered last."""
         if settle:  # guards against asking before a read that was just broken off has ended there
-            await asyncio.sleep(SETTLE_US / 1e6)
+            await self.core.wheel.sleep(SETTLE_US)
         latest = sorted(self.budget.answered, key=lambda name: -self.budget.answered[name])
         asked = list(dict.fromkeys([request.holder, *latest, *self.actors]))
         for name in asked[:LEASE_TRIES]:
@@ -296,5 +309,8 @@
         log.warning("nobody let go of what is held", id=request.id)
 
     def sweep(self, everything: bool = False) -> None:
-        for actor in self.actors.values():
-            actor.tell(Sweep(everything))
+        for actor in list(self.actors.values()):
+            if actor.finished:
+                self.part(actor)
+            else:
+                actor.tell(Sweep(everything))
--- a/onyxpass/net/watch.py
+++ b/onyxpass/net/watch.py
@@ -86,7 +86,8 @@
         try:
             update, addresses = read_list(known, api.ListForm.SAVED)
         except ListError as problem:
-            log.warning("the known list is no use", why=str(problem))
+            if known:
+                log.warning("the known list is no use", why=str(problem))
             update, addresses = api.ListUpdate(api.ListForm.SAVED), {}
         self._apply(update, addresses)
 
@@ -94,6 +95,8 @@
         for server in update.servers:
             left = server.condition is api.Condition.REMOVED
             self.replicas.told(server.id, addresses[server.id], left)
+        if update.form is not api.ListForm.DELTA:
+            self.replicas.only(addresses)
         self.core.listed(update)
 
     def receive(self, message: Mapping[str, Any]) -> None:
@@ -120,7 +123,7 @@
             except Exception:
                 log.exception("the watch failed")
             wait_ms = BACKOFF_MS if self.seq != before else min(BACKOFF_MOST_MS, wait_ms * 2)
-            await asyncio.sleep(wait_ms / 1000)
+            await self.core.wheel.sleep(wait_ms * 1000)
 
     async def _once(self) -> None:
         wheel = self.core.wheel
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -47,7 +47,7 @@
     async def stop(self) -> None:
         await self.front.stop()
         while self.core.requests:  # what was taken and left by its client is still being tidied up
-            await asyncio.sleep(0.01)
+            await self.wheel.sleep(10_000)
         await asyncio.gather(*self.replicas.releases, return_exceptions=True)
         for task in self.tasks:
             task.cancel()
--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -196,7 +196,7 @@
         if self.server is not None:
             self.server.close()
         while self.core.requests:
-            await asyncio.sleep(0.02)
+            await self.core.wheel.sleep(20_000)
         for writer in list(self.open.values()):
             writer.close()
         while self.open:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -312,6 +312,24 @@
     run(go)
 
 
+def test_a_replica_that_left_is_forgotten_once_nothing_of_it_is_under_way() -> None:
+    async def go() -> None:
+        async with world([Replica(READ), Replica(READ)], [Replica(STREAM)]) as w:
+            for i in range(8):
+                assert b"200" in await w.ask(f"a{i}")
+            d, home = w.discovery, 0 if w.readers[0].connections else 1
+            name, replica = f"r{home}", w.readers[home]
+            d.change(d.entry(name, "r", replica.address, "left"))
+            await until(lambda: replica.eof == replica.connections, 20)
+            await until(lambda: name not in w.dispatcher.replicas.actors, 20)
+            d.change(d.entry(name, "r", replica.address))
+            await until(lambda: w.dispatcher.core.may_send(name))
+            for i in range(8):
+                assert b"200" in await w.ask(f"b{i}")
+
+    run(go)
+
+
 BAD = [
     (b"nonsense\r\n\r\n", 400),
     (b"POST /v1/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 400),
