Turn away names that can't be hashed: half a surrogate pair failed in the module

Found by a test of random parameters: choice.stable() encodes the session, and '\ud800' from a JSON-RPC client made Router.handle raise, so that client got a failure and the log a traceback. rpc.text_of refuses it now (-32602), read_list refuses such a replica name. A part of a stream may still be cut within a pair and passes unchanged; a test shows both.

--- a/onyxpass/net/watch.py
+++ b/onyxpass/net/watch.py
@@ -51,6 +51,7 @@
                     weight=float(entry.get("share") or 1.0),
                 )
             )
+            name.encode()  # guards against a name that can't be hashed: every choice would fail on it
             addresses[name] = Address.parse(str(entry["dial"]))
         form = form or (api.ListForm.FULL if message.get("whole") else api.ListForm.DELTA)
         return api.ListUpdate(form, tuple(servers), int(message["seq"])), addresses
--- a/onyxpass/toolcalls/peers.py
+++ b/onyxpass/toolcalls/peers.py
@@ -107,7 +107,7 @@
                     case Reply(id, result, error) if id == attempt.number:
                         return self._end(attempt, result, error)
                     case Call(None, "text", params) if self.role is not Role.READER:
-                        part = rpc.text_of(params, "text").encode("utf-8", "surrogatepass")
+                        part = rpc.text_of(params, "text", whole=False).encode("utf-8", "surrogatepass")
                         if not self.core.started(attempt):
                             return Status.CANCELLED, 0, "nobody waits"
                         async with self.wheel.limit(STALL_US):  # a client that takes nothing
--- a/onyxpass/toolcalls/rpc.py
+++ b/onyxpass/toolcalls/rpc.py
@@ -116,9 +116,13 @@
             return text
 
 
-def text_of(params: Mapping[str, Any], name: str, fallback: str | None = None) -> str:
+def text_of(params: Mapping[str, Any], name: str, fallback: str | None = None, whole: bool = True) -> str:
+    """A string; ``whole``: without halves of surrogate pairs, which no key can be made of.
+
+    A part of a stream may be cut between such halves, and is passed on as it is.
+    """
     value = params.get(name, fallback)
-    if not isinstance(value, str) or len(value) > LINE_LIMIT:
+    if not isinstance(value, str) or (whole and any("\ud800" <= c <= "\udfff" for c in value)):
         raise RpcError(BAD_PARAMS, f"{name} must be a string")
     return value
 
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -149,6 +149,17 @@
     run(go)
 
 
+def test_a_text_may_be_cut_anywhere_even_within_a_surrogate_pair() -> None:
+    async def go() -> None:
+        parts = ["\ud83d", "\ude00", "\u0000\n\u2028"]
+        async with world(*map(st.say, parts)) as w:
+            client = await w.client()
+            client.generate(1)
+            assert "result" in await client.response(1) and client.texts == parts
+
+    run(go)
+
+
 def test_a_client_that_asks_again_under_the_same_name_gets_the_recorded_result() -> None:
     async def go() -> None:
         async with world(st.call("c1"), st.say("ok")) as w:
