--- a/onyxpass/agent/supervisor.py
+++ b/onyxpass/agent/supervisor.py
@@ -164,7 +164,7 @@
         self.config, self.store = config, store
         self.instances = [Instance(spec, config) for spec in config.instances]
         self.tasks: list[asyncio.Task[None]] = []
-        self._store_down = False
+        self._store_down = self._stopping = False
 
     async def start(self) -> None:
         for instance in self.instances:
@@ -175,7 +175,7 @@
         self.tasks.append(asyncio.create_task(self._poll()))
 
     async def _poll(self) -> None:
-        while True:
+        while not self._stopping:
             await asyncio.sleep(self.config.poll_s)
             await self._ask_store(look=True)
             await asyncio.gather(*(instance.check() for instance in self.instances))
@@ -185,8 +185,9 @@
         ttl_s = max(2, round(self.config.poll_s * 5))
         try:
             for instance in self.instances:
-                if look:
-                    instance.tell(Want(await self.store.wanted(instance.name)))
+                wanted = look and await self.store.wanted(instance.name)
+                if look and not self._stopping:
+                    instance.tell(Want(wanted))
                 await self.store.tell_instance(instance.name, instance.told(), ttl_s)
             self._store_down = False
         except StoreDown as problem:
@@ -196,7 +197,11 @@
 
     async def stop(self) -> None:
         """Stop all instances in order, and leave no word of them behind."""
-        self.tasks.pop().cancel()
+        # Guards against a word from the store that starts an instance again while the agent stops: the poll
+        # has ended before any stop is told, also if its cancel is lost within the store's client.
+        self._stopping, poll = True, self.tasks.pop()
+        poll.cancel()
+        await asyncio.wait([poll])
         for instance in self.instances:
             instance.tell(Want(False))
         await asyncio.sleep(0)
