Read the configuration again on SIGHUP and follow discovery to its new address

Checked: serve.py set handlers for SIGTERM and SIGINT only, so SIGHUP had its default. Lines at fault: serve.serve (no handler); config.parse (a variable always won over the file, so a reload would have kept the old address); ListActor.receive (a change with an older seq was dropped, also one from another address). Now: Dispatcher.reload reads the file with its discovery first and ListActor.move leaves the old watch at once, asks the new address for the whole list and counts versions by address. A bad file is logged and changes nothing. The JSON-RPC front takes over its file's servers; the agent, which SIGHUP would have ended without its instances, lives on.

--- a/onyxpass/agent/supervisor.py
+++ b/onyxpass/agent/supervisor.py
@@ -225,6 +225,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    # Guards against SIGHUP's default, which ends the agent alone and leaves its instances without one.
+    loop.add_signal_handler(signal.SIGHUP, log.warning, "the agent reads its file at its start only")
     agent = Agent(config, Store(config.store_url))
     await agent.start()
     await stopping.wait()
--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -59,11 +59,11 @@
 
 @app.command()
 def serve(config: ConfigFile = None, log_level: str = "info") -> None:
-    """Run one dispatcher in the foreground till SIGTERM."""
+    """Run one dispatcher in the foreground till SIGTERM; SIGHUP reads the configuration again."""
     from onyxpass.serve import serve as run
 
     set_up_logging(log_level)
-    asyncio.run(run(read(config)))
+    asyncio.run(run(read(config), lambda: configuration.load(config, again=True)))
 
 
 @app.command("check-config")
@@ -74,6 +74,7 @@
     classes = ", ".join(c.name for c in found.settings.classes)
     typer.echo(f"{found.name}: listens on {found.listen}, discovery at {found.discovery}")
     typer.echo(f"classes: {classes}; servers known: {known}; descriptors: {found.sockets}")
+    typer.echo(f"on SIGHUP: discovery at {configuration.load(config, again=True).discovery}")
 
 
 def version_text() -> str:
@@ -97,7 +98,7 @@
     check: Annotated[bool, typer.Option("--check", help="Only read the file and say what it holds.")] = False,
     log_level: str = "info",
 ) -> None:
-    """Run the JSON-RPC front in the foreground till SIGTERM."""
+    """Run the JSON-RPC front in the foreground till SIGTERM; SIGHUP reads its servers again."""
     from onyxpass.toolcalls import service
 
     found = read_toml(service.load, config)
@@ -106,7 +107,7 @@
         typer.echo(f"servers: {', '.join(server.id for server, _ in found.servers)}")
         return
     set_up_logging(log_level)
-    asyncio.run(service.serve(found))
+    asyncio.run(service.serve(found, lambda: service.load(config)))
 
 
 @agent_app.command("run")
--- a/onyxpass/config.py
+++ b/onyxpass/config.py
@@ -46,11 +46,16 @@
     conn_idle_us: int = 15_000_000
 
 
-def parse(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
-    """The platform's variables win over the file: they are what the process was started with."""
+def parse(raw: Mapping[str, Any], environ: Mapping[str, str], again: bool = False) -> Config:
+    """The platform's variables win over the file: they are what the process was started with.
+
+    ``again``: the file was replaced while the program runs. A variable still holds discovery's address of the
+    start then, so here the file's wins.
+    """
 
     def told(key: str) -> str:
-        value = environ.get(PREFIX + key.upper()) or raw.get(key)
+        variable = environ.get(PREFIX + key.upper())
+        value = (again and key == "discovery" and raw.get(key)) or variable or raw.get(key)
         if not value:
             raise ConfigError(f"{key} is not told, neither as {PREFIX}{key.upper()} nor in the file")
         return str(value)
@@ -78,16 +83,16 @@
         raise ConfigError(f"the settings can't be read: {problem!r}") from problem
 
 
-def load(path: Path | None = None, environ: Mapping[str, str] = os.environ) -> Config:
-    """Read the file that is named, by the caller or by the platform."""
+def load(path: Path | None = None, environ: Mapping[str, str] = os.environ, again: bool = False) -> Config:
+    """Read the file that is named, by the caller or by the platform; ``again`` as in ``parse``."""
     if path is None:
         if not (named := environ.get(PREFIX + "CONFIG")):
             raise ConfigError(f"no file is named: give one, or set {PREFIX}CONFIG")
         path = Path(named)
     try:
         raw = json.loads(path.read_text())
-    except (OSError, ValueError) as problem:
+    except (OSError, ValueError, RecursionError) as problem:
         raise ConfigError(f"{path}: {problem}") from problem
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not an object")
-    return parse(raw, environ)
+    return parse(raw, environ, again)
--- a/onyxpass/net/watch.py
+++ b/onyxpass/net/watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Any
 
 import h11
@@ -18,6 +19,7 @@
 LIST = b"/registry/instances"
 QUIET_US = 6_000_000  # a watch sends a line every 2 s at least
 CONNECT_US = 500_000
+WHOLE_US = 1_000_000  # for the whole list, which is there at once wherever discovery answers
 LINE_LIMIT = 4 * 1024 * 1024
 BACKOFF_MS, BACKOFF_MOST_MS = 20, 500
 CONDITIONS = {
@@ -25,6 +27,7 @@
     "leaving": api.Condition.DRAINING,
     "left": api.Condition.REMOVED,
 }
+EXPECTED = (Broken, OSError, TimeoutError, ValueError, RecursionError)  # of a watch that is lost
 log = structlog.get_logger("list")
 
 
@@ -72,14 +75,24 @@
         return [line.strip() for line in lines if line.strip()]
 
 
-class ListActor(Actor[Mapping[str, Any]]):
+@dataclass(frozen=True, slots=True)
+class News:
+    """One of discovery's objects, and the how-manieth address it was heard at."""
+
+    message: Mapping[str, Any]
+    era: int
+
+
+class ListActor(Actor[News]):
     """Its mailbox takes discovery's objects in order; ``follow`` fills it from the watch."""
 
     def __init__(self, core: Core, replicas: Replicas, discovery: Address) -> None:
         super().__init__("list")
         self.core, self.replicas, self.discovery = core, replicas, discovery
         self.seq: int | None = None
+        self.era = 0  # how often discovery has moved
         self.ready = False
+        self._watch: asyncio.Task[None] | None = None
         self.on_ready: Callable[[], None] | None = None
 
     def saved(self, known: Mapping[str, Any]) -> None:
@@ -100,31 +113,52 @@
             self.replicas.only(addresses)
         self.core.listed(update)
 
-    def receive(self, message: Mapping[str, Any]) -> None:
-        update, addresses = read_list(message)
-        if update.form is api.ListForm.DELTA and self.seq is not None and update.version <= self.seq:
+    def receive(self, message: News) -> None:
+        update, addresses = read_list(message.message)
+        # Guards against versions of two addresses being compared: each counts for itself.
+        known = self.seq if message.era == self.era else None
+        if update.form is api.ListForm.DELTA and known is not None and update.version <= known:
             return  # heard of already, on a watch that was lost
         self._apply(update, addresses)
-        self.seq = update.version
+        if message.era == self.era:
+            self.seq = update.version
         log.info("list", seq=update.version, form=update.form.value, n=len(update.servers))
         if not self.ready and update.form is api.ListForm.FULL:
             self.ready = True
             if self.on_ready:
                 self.on_ready()
 
+    def move(self, discovery: Address) -> None:
+        """Discovery is somewhere else from now on: leave the old watch, ask there for the whole list.
+
+        Readiness and the list stay; what the old address told and the mailbox still holds is taken over.
+        """
+        if discovery == self.discovery:
+            return
+        self.discovery, self.seq, self.era = discovery, None, self.era + 1
+        if self._watch is not None:
+            self._watch.cancel()
+
     async def follow(self) -> None:
         """Never ends: the old list holds while the watch is lost, and it resumes from the last version."""
         wait_ms = BACKOFF_MS
         while True:
-            before = self.seq
+            before, era = self.seq, self.era
+            watch = self._watch = asyncio.create_task(self._once())
             try:
-                await self._once()
-            except (Broken, OSError, TimeoutError, ValueError, RecursionError) as problem:
+                await asyncio.wait([watch])
+            finally:
+                watch.cancel()
+            problem = None if watch.cancelled() else watch.exception()
+            if isinstance(problem, EXPECTED):
                 log.warning("watch lost", why=str(problem) or type(problem).__name__, seq=self.seq)
-            except Exception:
-                log.exception("the watch failed")
+            elif problem is not None:
+                log.error("the watch failed", exc_info=problem)
             wait_ms = BACKOFF_MS if self.seq != before else min(BACKOFF_MOST_MS, wait_ms * 2)
-            await self.core.wheel.sleep(wait_ms * 1000)
+            waited_ms = 0
+            while era == self.era and waited_ms < wait_ms:  # not at all where discovery has moved
+                await self.core.wheel.sleep(BACKOFF_MS * 1000)
+                waited_ms += BACKOFF_MS
 
     async def _once(self) -> None:
         wheel = self.core.wheel
@@ -133,7 +167,9 @@
         wire = Wire(h11.CLIENT, *streams)
         try:
             if self.seq is None:
-                await self._ask(wire, LIST, whole=True)
+                # Guards against an address that takes the question and says nothing: it is asked again soon.
+                async with wheel.limit(WHOLE_US):
+                    await self._ask(wire, LIST, whole=True)
                 wire.h11.start_next_cycle()
             await self._ask(wire, LIST + b"?watch=1&from=%d" % (self.seq or 0), whole=False)
         finally:
@@ -169,7 +205,8 @@
         if not isinstance(message, dict):
             raise ListError("not an object")
         read_list(message)  # what is no list ends this watch rather than reach the mailbox
+        news = News(message, self.era)
         if self.seq is None:
-            self.receive(message)  # the first list settles from where to watch
+            self.receive(news)  # the first list settles from where to watch
         else:
-            self.tell(message)
+            self.tell(news)
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -3,10 +3,11 @@
 import asyncio
 import gc
 import signal
+from collections.abc import Callable
 
 import structlog
 
-from onyxpass.config import Config
+from onyxpass.config import Config, ConfigError
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.wheel import Wheel
@@ -16,6 +17,7 @@
 
 SPARE = 64  # descriptors for discovery, the log, the loop itself and what is just being closed
 SWEEP_US = 1_000_000
+KEPT = ("name", "listen", "settings", "sockets", "connect_timeout_us", "conn_idle_us")  # till a restart
 log = structlog.get_logger("serve")
 
 
@@ -44,6 +46,20 @@
         self.replicas.sweep()
         self.wheel.after(SWEEP_US, self._sweep)
 
+    def reload(self, read: Callable[[], Config]) -> None:
+        """Take over what the replaced file says of discovery. All else stays as it was at the start."""
+        try:
+            fresh = read()
+        except ConfigError as problem:  # guards against a file half written: the old settings hold
+            log.error("the new configuration is no use", why=str(problem))
+            return
+        except Exception:  # guards against a crash on a file that nobody foresaw
+            log.exception("the new configuration could not be read")
+            return
+        kept = [key for key in KEPT if getattr(fresh, key) != getattr(self.config, key)]
+        log.info("reloaded", discovery=str(fresh.discovery), needs_a_restart=kept)
+        self.list.move(fresh.discovery)
+
     async def stop(self) -> None:
         await self.front.stop()
         while self.core.requests:  # what was taken and left by its client is still being tidied up
@@ -54,13 +70,15 @@
         log.info("stopped", name=self.config.name)
 
 
-async def serve(config: Config) -> None:
-    """Run till SIGTERM or SIGINT, then finish what was taken."""
+async def serve(config: Config, reread: Callable[[], Config]) -> None:
+    """Run till SIGTERM or SIGINT, then finish what was taken. SIGHUP reads the file again."""
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     dispatcher = Dispatcher(config)
+    # Guards against SIGHUP's default, which ends the program with all that it has taken.
+    loop.add_signal_handler(signal.SIGHUP, dispatcher.reload, reread)
     await dispatcher.start()
     gc.collect()
     gc.freeze()  # what lives as long as the process is not looked at again by the collector
--- a/onyxpass/toolcalls/peers.py
+++ b/onyxpass/toolcalls/peers.py
@@ -207,7 +207,11 @@
         self.limit = asyncio.Semaphore(most)
 
     def add(self, name: str, role: Role, address: Address) -> None:
-        self.join(Peer(name, role, address, self.core, self.desk, self.connect_us, self.limit))
+        """A server of the operator's file, or what a newer file says of it."""
+        if (known := self.actors.get(name)) is not None:
+            known.role, known.address = role, address
+        else:
+            self.join(Peer(name, role, address, self.core, self.desk, self.connect_us, self.limit))
 
     def release(self, request: Request, settle: bool) -> None:
         self.releasing(self._release(request))
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -4,7 +4,7 @@
 import ipaddress
 import signal
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -115,13 +115,30 @@
     async def start(self) -> None:
         for work in (self.core.run(), self.wheel.run(), self.tools.run()):
             self.tasks.append(asyncio.create_task(work))
-        roles = {kind.name: kind.role for kind in self.config.settings.kinds}
-        for server, address in self.config.servers:
-            self.peers.add(server.id, roles[server.kind], address)
-        self.core.listed(api.ListUpdate(api.ListForm.FULL, tuple(s for s, _ in self.config.servers)))
+        self._serve_with(self.config)
         await self.front.start()
         log.info("listening", name=self.config.name, listen=f"{self.config.listen.host}:{self.front.port}")
 
+    def _serve_with(self, config: ToolcallsConfig) -> None:
+        for server, address in config.servers:
+            self.peers.add(server.id, self.core.roles[server.kind], address)
+        self.core.listed(api.ListUpdate(api.ListForm.FULL, tuple(s for s, _ in config.servers)))
+
+    def reload(self, read: Callable[[], ToolcallsConfig]) -> None:
+        """Take over the servers of the file as it is now; all else needs a restart."""
+        try:
+            fresh = read()
+            if unknown := {server.kind for server, _ in fresh.servers} - set(self.core.roles):
+                raise ConfigError(f"kinds that need a restart: {', '.join(sorted(unknown))}")
+        except ConfigError as problem:  # guards against a file half written: the old servers stay
+            log.error("the new configuration is no use", why=str(problem))
+            return
+        except Exception:  # guards against a crash on a file that nobody foresaw
+            log.exception("the new configuration could not be read")
+            return
+        self._serve_with(fresh)
+        log.info("reloaded", servers=len(fresh.servers))
+
     async def stop(self) -> None:
         await self.front.stop()
         await self.close()
@@ -138,14 +155,15 @@
         await self.store.close()
 
 
-async def serve(config: ToolcallsConfig) -> None:
-    """Run till SIGTERM or SIGINT, then finish what was taken."""
+async def serve(config: ToolcallsConfig, reread: Callable[[], ToolcallsConfig]) -> None:
+    """Run till SIGTERM or SIGINT, then finish what was taken. SIGHUP reads the file's servers again."""
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     service = ToolcallService(config)
     await service.start()
+    loop.add_signal_handler(signal.SIGHUP, service.reload, reread)
     ended = asyncio.create_task(stopping.wait())
     await asyncio.wait([ended, *service.tasks], return_when=asyncio.FIRST_COMPLETED)
     for task in service.tasks:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
@@ -14,6 +15,7 @@
 from typer.testing import CliRunner
 
 from onyxpass.agent import config as agent_config
+from onyxpass.agent import supervisor
 from onyxpass.agent.config import AgentConfig, InstanceSpec
 from onyxpass.agent.supervisor import Agent, Instance
 from onyxpass.cli import app
@@ -200,6 +202,29 @@
     run(go)
 
 
+def test_sighup_leaves_the_agent_and_its_instances_running() -> None:
+    async def go() -> None:
+        ended: list[int] = []
+        signal.signal(signal.SIGHUP, lambda number, _: ended.append(number))  # in place of the default
+        store = RespStore()
+        await store.start()
+        config = AgentConfig("test", f"redis://{store.address}/0", (InstanceSpec("a", SLEEPER),), **PAUSES)
+        running = asyncio.create_task(supervisor.run(config))
+        await until(lambda: any(json.loads(v).get("pid") for k, v in store.data.items() if k.endswith(":a")))
+        os.kill(os.getpid(), signal.SIGHUP)
+        await asyncio.sleep(0.05)
+        assert not ended and not running.done()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await running
+        await store.stop()
+
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        run(go)
+    finally:
+        signal.signal(signal.SIGHUP, before)
+
+
 def test_the_shipped_file_is_read_and_faults_in_one_are_named() -> None:
     shipped = agent_config.load(ROOT / "deploy" / "agent.toml")
     assert shipped.instances[0].command[-1] == str(ROOT / "deploy" / "toolcalls.toml")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -11,6 +11,7 @@
 from standins import Server, until
 
 from onyxpass.config import Address, Config
+from onyxpass.net.watch import News
 from onyxpass.serve import Dispatcher
 
 Answer = Callable[["Replica", asyncio.StreamReader, asyncio.StreamWriter, bytes], Awaitable[None]]
@@ -116,9 +117,16 @@
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text))
                 continue
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
-            while True:
-                line = await self.changes.get()
-                writer.write(b"%x\r\n%b\r\n" % (len(line), line))
+            gone = asyncio.create_task(reader.read(1))
+            while not gone.done():
+                change = asyncio.create_task(self.changes.get())
+                await asyncio.wait([gone, change], return_when=asyncio.FIRST_COMPLETED)
+                if change.done():
+                    line = change.result()
+                    writer.write(b"%x\r\n%b\r\n" % (len(line), line))
+                else:
+                    change.cancel()
+            return
 
     def change(self, *hosts: dict[str, Any]) -> None:
         self.seq += 1
@@ -312,6 +320,39 @@
     run(go)
 
 
+def test_discovery_moves_under_a_request_and_its_older_versions_count() -> None:
+    async def go() -> None:
+        hold = asyncio.Event()
+
+        async def later(
+            self: Replica, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+        ) -> None:
+            writer.write(HEAD + CHUNKS)
+            await hold.wait()
+            writer.write(b"0\r\n\r\n")
+
+        async with world([Replica(READ)], [Replica(later)]) as w:
+            old, new, d = w.discovery, Discovery(), w.dispatcher
+            await new.start()
+            new.hosts, new.seq = old.hosts, 7
+            reader, writer = await w.send(ask("a1", close=True))
+            await reader.readuntil(b"[DONE]")
+            await until(lambda: old.writers)
+            d.list.move(Address("127.0.0.1", new.port))
+            await until(lambda: not old.writers and d.list.seq == 7)
+            assert d.list.ready and new.asked[0] == "/registry/instances"
+            d.list.receive(News({"seq": 90, "whole": False, "hosts": []}, d.list.era - 1))
+            assert d.list.seq == 7, "what the old address still had to say counts, its version does not"
+            new.change(new.entry("r0", "r", w.readers[0].address, "leaving"))
+            await until(lambda: not d.core.may_send("r0"))
+            hold.set()
+            assert (await reader.read()).endswith(b"0\r\n\r\n")
+            writer.close()
+            await new.stop()
+
+    run(go)
+
+
 def test_a_replica_that_left_is_forgotten_once_nothing_of_it_is_under_way() -> None:
     async def go() -> None:
         async with world([Replica(READ), Replica(READ)], [Replica(STREAM)]) as w:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -43,6 +43,13 @@
             parse({**RAW, **wrong}, {})
 
 
+def test_on_a_reload_the_files_discovery_wins() -> None:
+    started = {"ROUTER_DISCOVERY": "127.0.0.9:9"}
+    assert str(parse(RAW, started).discovery) == "127.0.0.9:9"
+    assert str(parse(RAW, started, again=True).discovery) == RAW["discovery"]
+    assert str(parse({**RAW, "discovery": ""}, started, again=True).discovery) == "127.0.0.9:9"
+
+
 def test_the_second_front_serves_the_loopback_only() -> None:
     found = service.load(ROOT / "deploy" / "toolcalls.toml")
     assert [s.id for s, _ in found.servers] == ["reader-1", "writer-1"]
@@ -70,10 +77,23 @@
         source, sink = await asyncio.open_connection("127.0.0.1", port)
         sink.write(ask("a1", "a"))
         assert (await source.readuntil(b"0\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        path.write_text('{"name":')  # half written: the old settings hold
+        process.send_signal(signal.SIGHUP)
+        while json.loads(await process.stdout.readline())["event"] != "the new configuration is no use":
+            pass
+        moved = Discovery()
+        await moved.start()
+        moved.hosts, moved.seq = discovery.hosts, 7
+        path.write_text(json.dumps({**RAW, "discovery": moved.address, "listen": "127.0.0.1:0"}))
+        process.send_signal(signal.SIGHUP)
+        while json.loads(await process.stdout.readline()).get("seq") != 7:
+            pass
+        sink.write(ask("a2", "a"))
+        assert (await source.readuntil(b"0\r\n\r\n")).startswith(b"HTTP/1.1 200")
         process.send_signal(signal.SIGTERM)
         assert await source.read() == b"", "the idle connection is closed"
         assert await process.wait() == 0
-        for part in (discovery, reader, writer):
+        for part in (discovery, moved, reader, writer):
             await part.stop()
 
     asyncio.run(asyncio.wait_for(go(), 60))
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -377,6 +377,25 @@
     run(go)
 
 
+def test_a_reload_takes_over_the_servers_and_a_bad_file_changes_nothing() -> None:
+    async def go() -> None:
+        async with world(st.say("a")) as w:
+            late = await st.Writer(st.say("b")).start()
+            raw = w.config()
+            w.service.reload(lambda: parse({**raw, "servers": "nonsense"}))  # type: ignore[attr-defined]
+            client = await w.client()
+            client.generate(1)
+            assert "result" in await client.response(1) and client.texts == ["a"]
+            raw["servers"] = [s for s in raw["servers"] if s["kind"] == "reader"]
+            raw["servers"].append({"id": "writer-9", "kind": "writer", "address": late.address})
+            w.service.reload(lambda: parse(raw))  # type: ignore[attr-defined]
+            client.generate(2)
+            assert "result" in await client.response(2) and client.texts == ["a", "b"]
+            await late.stop()
+
+    run(go)
+
+
 def test_an_orderly_stop_finishes_what_was_taken() -> None:
     async def go() -> None:
         async with world(st.say("a"), st.call("c1"), st.say("b")) as w:
