--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -32,9 +32,9 @@
         self.roles = {kind.name: kind.role for kind in settings.kinds}
         self.deadlines = {c.name: c.deadline_us for c in settings.classes}
         self.fleet: Fleet | None = None
-        self.servers: dict[str, api.Server] = {}  # all that the list ever named, as last told
+        self.servers: dict[str, api.Server] = {}  # those on the list, as last told
         self.requests: dict[int, Request] = {}  # till they are over and no attempt is out
-        self.live_ids: dict[str, Request] = {}
+        self.live_ids: dict[str, Request] = {}  # the same: an id in use again would be a second copy
         self.to_release: list[Request] = []  # asked for by the event at hand
         self.on_idle: Callable[[], None] | None = None
 
@@ -81,7 +81,10 @@
                     timer.drop()
             attempt.first_us = self.clock.now_us() - attempt.sent_us
             self.tell(api.StreamStarted(request.number, attempt.number, attempt.server, attempt.first_us))
-        attempt.parts += 1
+        now_us = self.clock.now_us()
+        if attempt.parts:
+            attempt.gap_us = max(attempt.gap_us, now_us - attempt.part_us)
+        attempt.parts, attempt.part_us = attempt.parts + 1, now_us
         return True
 
     def ended(self, attempt: Attempt, status: Status, note: int = 0, reason: str = "") -> None:
@@ -97,12 +100,13 @@
         if request.out is attempt:
             request.out = None
         elapsed_us = self.clock.now_us() - attempt.sent_us
-        request.interrupted = status in INTERRUPTED and self.reads(attempt.server)
+        request.interrupted = status in INTERRUPTED and attempt.reads
         if status is Status.READ or request.interrupted:
             request.may_hold, request.holder = True, attempt.server
         told = {"id": request.id, "cls": request.arrival.cls, "n": attempt.number, "server": attempt.server}
         if status is Status.SERVED:
-            log.info("served", **told, first_us=attempt.first_us, us=elapsed_us, parts=attempt.parts)
+            times = {"first_us": attempt.first_us, "gap_us": attempt.gap_us, "us": elapsed_us}
+            log.info("served", **told, **times, parts=attempt.parts)
         elif status is not Status.READ:
             log.info("attempt", **told, end=status.value, us=elapsed_us, why=reason)
         if request.committed is attempt and not request.over:
@@ -118,13 +122,12 @@
     def listed(self, update: api.ListUpdate) -> None:
         """The list has changed; sends that still wait see it at once."""
         if update.form in (api.ListForm.FULL, api.ListForm.SAVED):
-            named = {server.id for server in update.servers}
-            for gone in [s for s in self.servers.values() if s.id not in named]:
-                self.servers[gone.id] = api.Server(
-                    gone.id, gone.kind, gone.zone, gone.cell, gone.started_us, api.Condition.REMOVED
-                )
+            self.servers = {}
         for server in update.servers:
-            self.servers[server.id] = server
+            if server.condition is api.Condition.REMOVED:  # guards against a table of all ids ever named
+                self.servers.pop(server.id, None)
+            else:
+                self.servers[server.id] = server
         self.tell(update)
 
     def may_send(self, server: str) -> bool:
@@ -206,6 +209,7 @@
         now_us = self.clock.now_us()
         left_us = request.arrival.deadline_us - now_us
         attempt = Attempt(request, len(request.attempts), server, min(timeout_us, left_us), now_us)
+        attempt.reads = self.reads(server)
         request.attempts.append(attempt)
         barred = request.over or request.committed or request.out or left_us <= 0 or self.fleet is None
         if barred or attempt.number >= self.settings.max_attempts or not self.may_send(server):
@@ -224,7 +228,7 @@
 
     def _refuse(self, request: Request, retry_after_us: int) -> None:
         # Guards against telling a client that asking again is harmless while an attempt could still run.
-        unsafe = request.out is not None and not self.reads(request.out.server)
+        unsafe = request.out is not None and not request.out.reads
         if unsafe and self._repeat(request) is not api.Repeat.SAFE:
             self._fail(request, "it may have run")
             return
@@ -266,8 +270,6 @@
         request.over = True
         if request.guard is not None:
             request.guard.drop()
-        if self.live_ids.get(request.id) is request:
-            del self.live_ids[request.id]
 
     def _settle(self, request: Request) -> None:
         """Once a request is over and nothing is out, let go of what the module left held, and forget it."""
@@ -285,5 +287,7 @@
     def _forget(self, request: Request | None) -> None:
         if request is not None and self.requests.get(request.number) is request:
             del self.requests[request.number]
+            if self.live_ids.get(request.id) is request:
+                del self.live_ids[request.id]
             if not self.requests and self.on_idle is not None:
                 self.on_idle()
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -40,8 +40,11 @@
     verdict: Status | None = None  # what it was called off for; its end is told once it is closed
     ended: bool = False
     status: Status | None = None  # how it ended
+    reads: bool = False  # whether its server reads prompts, by the list at the send
     first_us: int = 0  # from the send to the first event
     parts: int = 0  # of its stream, so far
+    part_us: int = 0  # when the last one came
+    gap_us: int = 0  # the longest time between two of them
 
     @property
     def committed(self) -> bool:
--- a/onyxpass/interface.py
+++ b/onyxpass/interface.py
@@ -203,7 +203,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """The end of one attempt. ``note``: tokens found kept, or with FULL 1: there was no state to fetch."""
+    """The end of one attempt. ``note``: tokens found kept, or 1 with FULL or RESET: no state left."""
 
     id: int
     attempt: int
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 over asyncio streams with h11: heads parsed in place, written out with gathered writes."""
 
 import asyncio
+import select
 from typing import Any
 
 import h11
@@ -32,21 +33,33 @@
 
     async def event(self) -> h11.Event | type[h11.PAUSED]:
         """The next event. Broken if the other side ends within a message or breaks the protocol."""
-        while True:
-            try:
-                event = self.h11.next_event()
-            except h11.RemoteProtocolError as problem:
-                raise Broken(str(problem), problem.error_status_hint) from problem
-            if event is not h11.NEED_DATA:
-                return event  # type: ignore[return-value]
-            try:
-                data = await self.reader.read(CHUNK)
-            except OSError as problem:
-                raise Broken(f"connection lost: {problem}") from problem
-            try:
-                self.h11.receive_data(data)
-            except (h11.RemoteProtocolError, RuntimeError) as problem:
-                raise Broken(str(problem)) from problem
+        while (event := self.poll()) is None:
+            await self.fill()
+        return event
+
+    def poll(self) -> h11.Event | type[h11.PAUSED] | None:
+        """The next event of what has come already; None if more is needed for one."""
+        try:
+            event = self.h11.next_event()
+        except h11.RemoteProtocolError as problem:
+            raise Broken(str(problem), problem.error_status_hint) from problem
+        return None if event is h11.NEED_DATA else event  # type: ignore[return-value]
+
+    async def fill(self) -> None:
+        """Take in what comes next, be it the end."""
+        try:
+            data = await self.reader.read(CHUNK)
+        except OSError as problem:
+            raise Broken(f"connection lost: {problem}") from problem
+        try:
+            self.h11.receive_data(data)
+        except (h11.RemoteProtocolError, RuntimeError) as problem:
+            raise Broken(str(problem)) from problem
+
+    @property
+    def pending(self) -> bool:
+        """Whether bytes have come that are no whole event yet, or belong to none."""
+        return bool(self.h11.trailing_data[0])
 
     def write(self, *events: h11.Event) -> None:
         """All the events in one gathered write."""
@@ -76,7 +89,12 @@
         """An idle connection that the other side has closed, or on which it has spoken out of turn."""
         if self.writer.is_closing() or self.reader.at_eof() or self.reader.exception() is not None:
             return True
-        return bool(getattr(self.reader, "_buffer", b"")) or bool(self.h11.trailing_data[0])
+        if getattr(self.reader, "_buffer", b"") or self.pending:
+            return True
+        # Guards against a close or a second answer that the loop has not read yet: the kernel knows of it.
+        waiting = select.poll()
+        waiting.register(self.writer.get_extra_info("socket"), select.POLLIN)
+        return bool(waiting.poll(0))
 
     def abort(self) -> None:
         """Close at once; what is not yet written never is."""
@@ -108,9 +126,3 @@
         if key == name:
             return bytes(value)
     return None
-
-
-def framed(response: h11.Response) -> bool:
-    """Whether the end of the body can be told from a connection that broke."""
-    chunked = (header(response, b"transfer-encoding") or b"").lower().endswith(b"chunked")
-    return chunked or header(response, b"content-length") is not None
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -1,9 +1,10 @@
 """Replicas: an actor for each, which owns its idle connections, and the exchanges that it starts."""
 
 import asyncio
+import errno
 import json
-from collections.abc import Container, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Container, Iterable
+from dataclasses import dataclass
 
 import h11
 import structlog
@@ -13,15 +14,18 @@
 from onyxpass.core.fleet import ActorFleet, ServerActor
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.interface import ProbeResult, Status
-from onyxpass.net.http import HOP_BY_HOP, Broken, Wire, body, framed, header
+from onyxpass.net.answers import Events, Incoming, Spoilt, framed
+from onyxpass.net.http import BODY_LIMIT, HOP_BY_HOP, Broken, Wire, body, header
 
 IDLE_MARGIN_US = 1_500_000  # so long before the replica may close it, an idle connection is no longer used
 MOST_IDLE = 24  # idle connections kept to one replica
 PROBE_US = 250_000
 STALL_US = 30_000_000  # a begun stream that says nothing for so long is taken as broken
+TAKE_US = 30_000_000  # so long a client may take nothing of what is passed on to it
 SETTLE_US = 25_000  # till a read that was just broken off has ended for sure at the replica's side
 LEASE_TRY_US = 70_000  # one try at letting go; there are 300 ms in all
 LEASE_TRIES = 5
+SHORT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 log = structlog.get_logger("net")
 
 
@@ -52,13 +56,17 @@
     since_us: int
 
 
+class Shortage(Exception):
+    """This dispatcher lacks what a connection needs. It says nothing of the replica."""
+
+
 @dataclass(slots=True)
 class Budget:
     """Connections to all replicas together; the rest of the descriptors are for clients."""
 
     most: int
     open: int = 0
-    answered: dict[str, int] = field(default_factory=dict)  # when each replica last answered anything
+    make_room: Callable[[], bool] = lambda: False  # close the connection that is idle for longest
 
 
 class Replica(ServerActor):
@@ -72,6 +80,7 @@
         self.connect_us, self.keep_us = connect_us, max(0, idle_us - IDLE_MARGIN_US)
         self.idle: list[Idle] = []
         self.left = False
+        self.answered_us = 0  # when it last answered anything
 
     @property
     def finished(self) -> bool:
@@ -114,15 +123,21 @@
             self._discard(idle.wire)
         return None
 
+    def give_up_idle(self) -> None:
+        """Close the connection that is idle for longest, in favour of another replica."""
+        self._discard(self.idle.pop(0).wire)
+
     async def _open(self) -> Wire:
-        if self.budget.open >= self.budget.most:
-            raise OSError("no descriptors left for replicas")
+        if self.budget.open >= self.budget.most and not self.budget.make_room():
+            raise Shortage("no descriptors left for replicas")
         self.budget.open += 1
         try:
             async with self.wheel.limit(self.connect_us):
                 streams = await asyncio.open_connection(self.address.host, self.address.port)
-        except BaseException:
+        except BaseException as problem:
             self.budget.open -= 1
+            if isinstance(problem, OSError) and problem.errno in SHORT:
+                raise Shortage(str(problem)) from problem
             raise
         return Wire(h11.CLIENT, *streams)
 
@@ -151,6 +166,10 @@
                 await wire.flush()
                 written = True
                 status, note, reason = await self._answer(wire, attempt)
+        except Shortage as problem:  # guards against a replica blamed for what is lacking here
+            status, reason = Status.NOT_SENT, str(problem)
+        except Spoilt as problem:
+            status, note, reason = Status.RESET, 1, f"spoilt: {problem}"
         except (Broken, OSError, TimeoutError) as problem:
             # Only what is proven never to have been sent whole may be called unreachable.
             status, reason = Status.RESET if written else Status.UNREACHABLE, str(problem) or "no connection"
@@ -176,15 +195,31 @@
         wire.write(head, h11.Data(data=payload.body), h11.EndOfMessage())
 
     async def _answer(self, wire: Wire, attempt: Attempt) -> tuple[Status, int, str]:
-        head = await wire.event()
+        incoming = Incoming(wire, self.wheel)
+        try:
+            return await self._read_answer(incoming, attempt)
+        except Broken as problem:
+            # Noise, or a break within the answer, proves that the request has run; silence proves nothing.
+            if incoming.begun:
+                raise Spoilt(str(problem)) from problem
+            raise
+
+    async def _read_answer(self, incoming: Incoming, attempt: Attempt) -> tuple[Status, int, str]:
+        head = await incoming.next()
         while isinstance(head, h11.InformationalResponse):
-            head = await wire.event()
+            head = await incoming.next()
         if not isinstance(head, h11.Response):
             raise Broken("closed without an answer")
-        self.budget.answered[self.name] = self.core.clock.now_us()
+        self.answered_us = self.core.clock.now_us()
         if head.status_code == 200:
-            return await self._stream(wire, attempt, head)
-        text = await body(wire)
+            return await self._stream(incoming, attempt, head)
+        text = b""
+        while isinstance(part := await incoming.next(), bytes):
+            text += part
+            if len(text) > BODY_LIMIT:
+                raise Broken("body too large")
+        if not isinstance(part, h11.EndOfMessage):
+            raise Broken("ended within a body")
         not_run = header(head, b"x-not-processed") is not None
         if head.status_code == 202:
             return Status.READ, cached_tokens(text), ""
@@ -194,23 +229,27 @@
             return Status.FULL, 0, f"status {head.status_code}"
         return Status.ERROR, 0, f"status {head.status_code}"
 
-    async def _stream(self, wire: Wire, attempt: Attempt, head: h11.Response) -> tuple[Status, int, str]:
-        """Pass the events on as they come; served only if the stream is whole."""
-        client, whole = attempt.request.client, framed(head)
+    async def _stream(
+        self, incoming: Incoming, attempt: Attempt, head: h11.Response
+    ) -> tuple[Status, int, str]:
+        """Pass whole events on as they come; served only if the stream is whole."""
+        if not (header(head, b"content-type") or b"").lower().startswith(b"text/event-stream"):
+            raise Broken("not a stream of events")
+        client, events = attempt.request.client, Events()
         while True:
-            async with self.wheel.limit(STALL_US):
-                event = await wire.event()
-            if isinstance(event, h11.Data):
+            part = await incoming.next(STALL_US)
+            if isinstance(part, bytes):
+                # Guards against noise that commits the request: only whole events reach the client.
+                if not (whole := events.feed(part)):
+                    continue
                 if not self.core.started(attempt):
                     raise Broken("nobody waits for this stream")
-                async with self.wheel.limit(
-                    STALL_US
-                ):  # a client that takes nothing holds no replica for ever
-                    await client.relay(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                if attempt.committed and whole:
+                async with self.wheel.limit(TAKE_US):  # a client that takes nothing holds no replica for ever
+                    await client.relay(whole)
+            elif isinstance(part, h11.EndOfMessage):
+                if attempt.committed and framed(head) and not events.rest:
                     return Status.SERVED, 0, ""
-                return (Status.RESET if attempt.committed else Status.ERROR), 0, "the stream was not whole"
+                raise Broken("the stream was not whole")
             else:
                 raise Broken("ended within the stream")
 
@@ -224,7 +263,9 @@
                 if isinstance(head, h11.Response):
                     await body(wire)
                     ok = head.status_code == 200
-                    self.budget.answered[self.name] = self.core.clock.now_us()
+                    self.answered_us = self.core.clock.now_us()
+        except Shortage:  # nothing was asked, so nothing can be told
+            return
         except (Broken, OSError, TimeoutError):
             ok = False
         finally:
@@ -244,9 +285,9 @@
                 if not isinstance(head, h11.Response):
                     return False
                 await body(wire)
-                self.budget.answered[self.name] = self.core.clock.now_us()
+                self.answered_us = self.core.clock.now_us()
                 return head.status_code == 204
-        except (Broken, OSError, TimeoutError):
+        except (Shortage, Broken, OSError, TimeoutError):
             return False
         finally:
             if wire is not None:
@@ -276,7 +317,7 @@
     def __init__(self, core: Core, most: int, connect_us: int, idle_us: int) -> None:
         super().__init__(core)
         self.connect_us, self.idle_us = connect_us, idle_us
-        self.budget = Budget(most)
+        self.budget = Budget(most, make_room=self._make_room)
 
     def told(self, name: str, address: Address, left: bool) -> None:
         """What the list says of where a replica listens."""
@@ -285,6 +326,13 @@
         else:
             actor.tell(Moved(address, left))
 
+    def _make_room(self) -> bool:
+        """Guards against connections that idle while a request can't go out for want of one."""
+        idle = [actor for actor in self.actors.values() if actor.idle]
+        if idle:
+            min(idle, key=lambda actor: actor.idle[0].since_us).give_up_idle()
+        return bool(idle)
+
     def only(self, names: Container[str]) -> None:
         """A whole list has come: what it does not name has left."""
         for name, actor in self.actors.items():
@@ -298,8 +346,8 @@
         """Any replica will do; the holder is asked first, then those that answered last."""
         if settle:  # guards against asking before a read that was just broken off has ended there
             await self.core.wheel.sleep(SETTLE_US)
-        latest = sorted(self.budget.answered, key=lambda name: -self.budget.answered[name])
-        asked = list(dict.fromkeys([request.holder, *latest, *self.actors]))
+        latest = sorted(self.actors, key=lambda name: -self.actors[name].answered_us)
+        asked = list(dict.fromkeys([request.holder, *latest]))
         for name in asked[:LEASE_TRIES]:
             if request.out is not None:  # guards against taking the state of a newer attempt away
                 request.may_hold = True
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -40,7 +40,7 @@
         self.list.saved(self.config.known)
         await self.front.start()
         self._sweep()
-        log.info("listening", name=self.config.name, listen=self.front.bound)
+        log.info("listening", name=self.config.name, listen=f"{self.config.listen.host}:{self.front.port}")
 
     def _sweep(self) -> None:
         self.replicas.sweep()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -302,3 +302,19 @@
         assert actor.seen == [100, -1, 2]
 
     asyncio.run(go())
+
+
+def test_ids_that_left_the_list_are_forgotten_and_their_reads_still_let_go() -> None:
+    """Found by reading: every id ever named stayed, on days that replace servers all the time."""
+    bed = Bed()
+    bed.ask(api.Send(7, "r0", 500_000))
+    for n in range(50):
+        gone = api.Server(f"x{n}", "r", condition=api.Condition.REMOVED)
+        bed.core.listed(api.ListUpdate(api.ListForm.DELTA, (api.Server(f"x{n}", "r"),)))
+        bed.core.listed(api.ListUpdate(api.ListForm.DELTA, (gone,)))
+    bed.core.listed(api.ListUpdate(api.ListForm.FULL, fleet(readers=0)))
+    assert len(bed.core.servers) == 4 and not bed.core.may_send("r0")
+    bed.step()
+    bed.core.ended(bed.fleet.started[0], Status.RESET)
+    bed.step([api.Release(7)])
+    assert bed.fleet.did == [("release", True)], "what a server read that has left may still be held"
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -381,3 +381,14 @@
     for name in ("w0", "w1", "w2", "w3"):
         hosts[name].streams = {900 + i: (drive.now, 3_000) for i in range(20)}
     assert drive.ask(2, "t", prefix) == "m0", "all as full: the home stays"
+
+
+def test_a_spoilt_answer_proves_that_its_state_is_gone() -> None:
+    """Guards against a writer asked for a state that was fetched already: a whole attempt for a `full`."""
+    drive = Drive()
+    drive.ask(1)
+    drive.end(1, Status.READ)
+    drive.end(1, Status.RESET, note=1)
+    assert drive.sent[1][2].startswith("r"), "it is read anew"
+    drive.end(1, Status.READ)
+    assert drive.sent[1][3].startswith("w")
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -16,6 +16,7 @@
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.wheel import Wheel
+from onyxpass.net.answers import Events, Incoming
 from onyxpass.net.front import BadRequest, read_arrival
 from onyxpass.net.http import Broken, Wire, body
 from onyxpass.net.replica import cached_tokens
@@ -98,6 +99,48 @@
     assert found == [1, 2]
 
 
+async def stream(parts: list[bytes]) -> bytes:
+    """What a client would see of an answer that comes in these parts, and then no more."""
+    rest = iter([*parts, b""])
+
+    async def read(_: int) -> bytes:
+        return next(rest, b"")
+
+    wire = Wire(h11.CLIENT, SimpleNamespace(read=read), None)
+    wire.h11.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+    wire.h11.send(h11.EndOfMessage())
+    incoming, events, seen = Incoming(wire, Wheel(Clock())), Events(), b""
+    assert isinstance(await incoming.next(), h11.Response)
+    while isinstance(part := await incoming.next(), bytes):
+        seen += events.feed(part)
+    if not isinstance(part, h11.EndOfMessage) or events.rest:
+        raise Broken("not whole")
+    return seen
+
+
+@FIXED
+@given(PLACES, st.sampled_from([b"\n", b"\r\n"]), st.lists(st.integers(1, 60), max_size=9))
+def test_cuts_of_events_change_no_byte(places: list[int], end: bytes, sizes: list[int]) -> None:
+    event = b'event: x%bdata: {"a":1}%b%b' % (end, end, end)
+    text = b": hello" + end * 2 + event * 3 + b"data: [DONE]" + end * 2
+    chunks = [text[a:b] for a, b in pairwise(sorted({0, len(text), *(sum(sizes[:i]) for i in range(9))}))]
+    body = b"".join(b"%x\r\n%b\r\n" % (len(c), c) for c in chunks if c) + b"0\r\n\r\n"
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    assert asyncio.run(stream(cut(head + body, places))) == text
+
+
+@FIXED
+@given(st.binary(min_size=1, max_size=80), PLACES)
+def test_noise_in_place_of_the_opening_is_never_passed_on(junk: bytes, places: list[int]) -> None:
+    noise = b"\xff" + junk
+    body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(noise), noise)
+    try:
+        parts = cut(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body, places)
+        assert asyncio.run(stream(parts)) == b""
+    except Broken:
+        return
+
+
 JSON: Any = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
     lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=6), inner, max_size=4),
