Say in check-config how descriptors and times are shared; pace the log when accepts fail

Seen by reading: check-config told the descriptors only, and a lack of them could write 50 log lines a second. Config.share owns the split that serve and check-config both use.

--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -69,11 +69,17 @@
 @app.command("check-config")
 def check_config(config: ConfigFile = None) -> None:
     """Read the configuration and say what it holds; exit code 2 if it is no use."""
+    from onyxpass.net import front, replica
+
     found = read(config)
     known = len(found.known.get("hosts") or ())
     classes = ", ".join(c.name for c in found.settings.classes)
     typer.echo(f"{found.name}: listens on {found.listen}, discovery at {found.discovery}")
-    typer.echo(f"classes: {classes}; servers known: {known}; descriptors: {found.sockets}")
+    typer.echo(f"classes: {classes}; servers known: {known}")
+    typer.echo(f"descriptors: {found.sockets}, of them {found.share} for clients, as many for replicas")
+    typer.echo(f"clients: {front.FIRST_US / 1e6:g} s for a request, {front.IDLE_US / 1e6:g} s between two")
+    opening, silence = replica.OPENING_US / 1e6, replica.STALL_US / 1e6
+    typer.echo(f"streams: {opening:g} s to open, cut off after {silence:g} s of silence")
     typer.echo(f"on SIGHUP: discovery at {configuration.load(config, again=True).discovery}")
 
 
--- a/onyxpass/config.py
+++ b/onyxpass/config.py
@@ -11,6 +11,7 @@
 from onyxpass.benchlink import read_settings
 
 PREFIX = "ROUTER_"
+SPARE = 64  # descriptors for discovery, the log, the loop itself and what is just being closed
 
 
 class ConfigError(ValueError):
@@ -45,6 +46,11 @@
     connect_timeout_us: int = 250_000
     conn_idle_us: int = 15_000_000
 
+    @property
+    def share(self) -> int:
+        """Connections that clients may hold, and as many that replicas may: half each of the rest."""
+        return max(64, self.sockets - SPARE) // 2
+
 
 def parse(raw: Mapping[str, Any], environ: Mapping[str, str], again: bool = False) -> Config:
     """The platform's variables win over the file: they are what the process was started with.
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -35,7 +35,7 @@
 LEAVE_US = 2_000_000  # for a client to take the rest of its answer
 DRAIN_US, DRAIN_PARTS = 300_000, 16  # what is still read of a bad request, so that its answer arrives
 BACKLOG = 512  # connections that may wait in the kernel while there is no room
-ROOM_US = 20_000
+ROOM_US, SHORT_US = 20_000, 200_000  # between looks whether there is room, or descriptors again
 FRESH_US = 150_000  # so long after connecting a first request may still be on its way
 SPARED = (  # connections that may be closed for others, those missed least first, and from which age on
     (Stage.LEAVING, 0),
@@ -270,7 +270,7 @@
                 sock, _ = await loop.sock_accept(listener)
             except OSError as problem:  # guards against a front that ends when descriptors run out
                 log.warning("can't accept", why=str(problem))
-                await self.wheel.sleep(ROOM_US)
+                await self.wheel.sleep(SHORT_US)
                 continue
             now_us = self.clock.now_us()
             peer = Peer(now_us, now_us + FIRST_US)
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -15,7 +15,6 @@
 from onyxpass.net.replica import Replicas
 from onyxpass.net.watch import ListActor
 
-SPARE = 64  # descriptors for discovery, the log, the loop itself and what is just being closed
 SWEEP_US = 1_000_000
 STATE_US = 10_000_000
 KEPT = ("name", "listen", "settings", "sockets", "connect_timeout_us", "conn_idle_us")  # till a restart
@@ -28,11 +27,10 @@
         self.clock = Clock()
         self.wheel = Wheel(self.clock)
         self.core = Core(config.settings, config.seed, self.clock, self.wheel)
-        room = max(64, config.sockets - SPARE)
-        self.replicas = Replicas(self.core, room // 2, config.connect_timeout_us, config.conn_idle_us)
+        self.replicas = Replicas(self.core, config.share, config.connect_timeout_us, config.conn_idle_us)
         self.core.fleet = self.replicas
         self.list = ListActor(self.core, self.replicas, config.discovery)
-        self.front = Front(self.core, config.listen, lambda: self.list.ready, room // 2)
+        self.front = Front(self.core, config.listen, lambda: self.list.ready, config.share)
         self.tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -27,6 +27,12 @@
     path.write_text(json.dumps(RAW))
     good = run.invoke(app, ["check-config", "--config", str(path)])
     assert good.exit_code == 0 and "n3: listens on 127.0.0.1:0" in good.output
+    for told in (
+        "1024, of them 480 for clients",
+        "2.5 s for a request",
+        "on SIGHUP: discovery at 127.0.0.1:1",
+    ):
+        assert told in good.output
     path.write_text("{")
     bad = run.invoke(app, ["check-config", "--config", str(path)])
     assert bad.exit_code == 2 and "Traceback" not in bad.output
