Call off what three later sends to the same server have overtaken

Checked: the module's counts and the open exchanges agree, so it was one connection and not the server. Ruled out: the rule for silence (it asks that the server answered nobody since) and the share of calls. Lines at fault: Router._tick (silence was only ever a server's), Router._ended (such a call was held against the server). Now: Job.passed counts later sends of the same kind to the same server that were answered first; from three on, and past five times what the server's pace says, a read is called off, a safe write within the share of calls. No blame for it.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -27,6 +27,7 @@
 FULL_US = 8_000_000  # so long a server that turned a class away is passed over by that class alone
 PATIENCE, PATIENCE_AIM = 5.0, 0.40  # usual times, or share of the aim if more, till it counts as silent
 CALL_SHARE = 0.03  # calls off a request: more speak of a jam, which reading anew elsewhere makes worse
+OVERTAKEN = 3  # later sends answered first that tell of a lost connection rather than of a queue
 TIMEOUT_SHARE = 0.8  # of the time left may go into an attempt at a server that answers others meanwhile
 MEMORY_TOKENS = 150_000  # of a server whose memory is not told
 BLEND, USUAL_BLEND = 0.3, 0.05  # weight of the newest sample: a server's mean, the pool's usual times
@@ -183,6 +184,7 @@
         self.tokens = ask.prompt_tokens + max(1, answer)  # what its stream will hold of a writer's memory
         self.out: Host | None = None  # where an attempt is out, and what is known of it
         self.sent_us = self.quiet_us = self.work = self.attempts = self.spent_us = 0
+        self.passed = 0  # sends of the same kind to the same server that were later and have been answered
         self.holder: Host | None = None  # the reader that holds its state
         self.tried: set[str] = set()
         self.keys = {f"s|{ask.session}": ask.prompt_tokens}  # deepest first
@@ -420,7 +422,7 @@
         left = job.ask.deadline_us - self.now_us - 2 * self.settings.tick_us
         job.quiet_us = self.now_us + round(max(PATIENCE * self.usual[host.role], PATIENCE_AIM * job.aim_us))
         patience = left if job.attempts + 2 >= self.settings.max_attempts else round(TIMEOUT_SHARE * left)
-        job.out, job.sent_us, job.attempts = host, self.now_us, job.attempts + 1
+        job.out, job.sent_us, job.attempts, job.passed = host, self.now_us, job.attempts + 1, 0
         job.work = BASE_TOKENS + tokens + sum(host.flight.values())
         host.flight[job.ask.id] = tokens
         host.credit -= 1
@@ -435,6 +437,9 @@
         if (host := job.out) is None:
             return
         host.flight.pop(job.ask.id, None)
+        for other in filter(None, map(self.jobs.get, host.flight)):
+            same = other.out is host and bool(other.holder) == bool(job.holder)
+            other.passed += same and other.sent_us < job.sent_us
         job.spent_us += elapsed_us
         host.good(self.now_us, elapsed_us / max(BASE_TOKENS, job.work - kept))
         peers = [h.pace for h in self.hosts.values() if h.role is host.role and h.samples >= SAMPLES]
@@ -466,7 +471,8 @@
             self._good(job, event.elapsed_us, event.note)
         elif host and event.status not in (Status.FULL, Status.NOT_SENT, Status.UNFIT):
             broke = event.status is Status.RESET
-            if not broke or event.note != api.KEPT_BROKE:
+            lost = event.status is Status.CANCELLED and job.passed >= OVERTAKEN  # a connection, not the server
+            if not lost and not (broke and event.note == api.KEPT_BROKE):
                 host.bad(self.now_us, job.sent_us, not broke and event.status is not Status.ERROR, broke)
         if host and event.status is Status.FULL and event.note != 1:
             host.full_us[job.cls.name] = self.now_us
@@ -546,9 +552,15 @@
                 self.acts.append(api.Probe(host.id))
         for job in self.jobs.values() if self.settings.may_cancel else ():
             harmless = job.cls.repeat is Repeat.SAFE or (job.out and job.out.role is Role.READER)
-            quiet = job.out and self.now_us >= job.quiet_us and job.out.answered_us < job.sent_us
-            if quiet and harmless and self.call_credit >= 1:  # silent since it was sent: call it off, once
-                self.call_credit, job.quiet_us = self.call_credit - 1, job.ask.deadline_us
+            quiet = job.out and harmless and self.now_us >= job.quiet_us
+            # Guards against waiting on a connection that fell silent while its server answers others: servers
+            # take what comes first, so reads that come later are no sooner done. Writers wait for memory too.
+            due_us = job.sent_us + PATIENCE * (job.out.pace * job.work if job.out else 0.0)
+            lost = job.passed >= OVERTAKEN and self.now_us >= due_us
+            silent = lost or (job.out and job.out.answered_us < job.sent_us)
+            free = lost and not job.holder
+            if quiet and silent and (free or self.call_credit >= 1):  # call it off, once
+                self.call_credit, job.quiet_us = self.call_credit - (not free), job.ask.deadline_us
                 self.acts.append(api.Cancel(job.ask.id, job.attempts - 1))
         for job in sorted(self.waiting, key=lambda j: (-j.worth, j.arrived_us)):
             self._try(job)
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -440,3 +440,21 @@
             drive.give(api.StreamStarted(i, 1, drive.sent[i][-1], 30 * MS), 30 * MS)
             drive.end(i, Status.SERVED, final=True)
     assert aside(drive) == {ill}
+
+
+def test_a_read_overtaken_by_later_ones_is_called_off_and_one_in_a_queue_is_not() -> None:
+    """Seen on an incident: reads waited 4.9 s on silent connections while their reader answered others."""
+    for later in (0, choice.OVERTAKEN - 1, choice.OVERTAKEN):
+        drive = Drive(fleet(readers=1))
+        for i in range(50):
+            drive.serve(i, f"w{i}")
+        drive.ask(100, "s")
+        for i in range(later):
+            drive.now += MS
+            drive.serve(101 + i, f"t{i}")
+        called = []
+        for _ in range(60):
+            drive.tick()
+            called += [a.id for a in drive.last if isinstance(a, api.Cancel)]
+        # While nothing was answered since, the old rule for silence holds instead.
+        assert called == ([100] if later in (0, choice.OVERTAKEN) else [])
