--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -471,7 +471,7 @@
             self._good(job, event.elapsed_us, event.note)
         elif host and event.status not in (Status.FULL, Status.NOT_SENT, Status.UNFIT):
             broke = event.status is Status.RESET
-            lost = event.status is Status.CANCELLED and job.passed >= OVERTAKEN  # a connection, not the server
+            lost = event.status is Status.CANCELLED and job.passed >= OVERTAKEN  # no fault of the server
             if not lost and not (broke and event.note == api.KEPT_BROKE):
                 host.bad(self.now_us, job.sent_us, not broke and event.status is not Status.ERROR, broke)
         if host and event.status is Status.FULL and event.note != 1:
