--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -73,6 +73,19 @@
     return answer
 
 
+def ends_with(hold: asyncio.Event) -> Answer:
+    """A stream whose last chunk waits for the test."""
+
+    async def answer(
+        self: Replica, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _: bytes
+    ) -> None:
+        writer.write(HEAD + CHUNKS)
+        await hold.wait()
+        writer.write(b"0\r\n\r\n")
+
+    return answer
+
+
 def breaks(text: bytes = b"") -> Answer:
     async def answer(
         self: Replica, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _: bytes
@@ -398,15 +411,7 @@
 def test_discovery_moves_under_a_request_and_its_older_versions_count() -> None:
     async def go() -> None:
         hold = asyncio.Event()
-
-        async def later(
-            self: Replica, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
-        ) -> None:
-            writer.write(HEAD + CHUNKS)
-            await hold.wait()
-            writer.write(b"0\r\n\r\n")
-
-        async with world([Replica(READ)], [Replica(later)]) as w:
+        async with world([Replica(READ)], [Replica(ends_with(hold))]) as w:
             old, new, d = w.discovery, Discovery(), w.dispatcher
             await new.start()
             new.hosts, new.seq = old.hosts, 7
@@ -716,15 +721,7 @@
 def test_sigterm_finishes_what_was_taken_and_closes_idle_clients() -> None:
     async def go() -> None:
         hold = asyncio.Event()
-
-        async def later(
-            self: Replica, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
-        ) -> None:
-            writer.write(HEAD + CHUNKS)
-            await hold.wait()
-            writer.write(b"0\r\n\r\n")
-
-        async with world([Replica(READ)], [Replica(later)]) as w:
+        async with world([Replica(READ)], [Replica(ends_with(hold))]) as w:
             reader, writer = await w.send(ask("a1"))  # the writers are kept: dropped ones close
             await reader.readuntil(b"[DONE]")
             idle, other = await w.send(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
