Add the operators' address: readiness, figures and replicas taken out by hand

Checked: no call of that address had been answered; the clients' address has none of these paths. Counting is in Core._answer, Core.withdraw and Core.written only; the ban is the module's event Exclusion, guarded by Core.may_send as a drain is, and kept in $TMPDIR by handover.py.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -126,6 +126,8 @@
         self.fail = self.pace = 0.0
         self.samples = self.strikes = 0  # two more strikes at each fall, one less at each good outcome
         self.silent = self.proved = False
+        self.back_us = -1  # when operators took it in again
+        self.due = False  # and whether it is still to get its first work since
 
     def in_flight(self) -> float:
         return len(self.flight) if self.reported is None else self.reported
@@ -170,9 +172,9 @@
 
     def warmth(self, now_us: int) -> float:
         """The share of its capacity that a server which started lately has at least."""
-        if self.spec.started_us is None:
+        if (since_us := max(self.spec.started_us or -1, self.back_us)) < 0:
             return 1.0
-        age = (now_us - self.spec.started_us) / max(1, self.settings.cold_us)
+        age = (now_us - since_us) / max(1, self.settings.cold_us)
         return self.settings.cold_from + (1 - self.settings.cold_from) * min(1.0, max(0.0, age))
 
 
@@ -203,6 +205,7 @@
         self.top_value = max((c.value for c in settings.classes), default=0) or 1.0
         self.fates = {c.name: Fate() for c in (*settings.classes, UNKNOWN)}
         self.hosts: dict[str, Host] = {}
+        self.banned: set[str] = set()  # taken out by operators, on the list or not
         self.jobs: dict[int, Job] = {}
         self.waiting: list[Job] = []
         self.heard = deque[str](maxlen=HEARD)  # beginnings asked for last
@@ -236,6 +239,8 @@
                 self._probed(event)
             case api.ListUpdate():
                 self._listed(event)
+            case api.Exclusion():
+                self._excluded(event)
         return self.acts
 
     def _listed(self, event: api.ListUpdate) -> None:
@@ -253,12 +258,36 @@
             elif known and known.spec.started_us == spec.started_us:
                 known.spec = spec
             else:
-                fresh = self.hosts[spec.id] = Host(spec, self.kinds.get(spec.kind), self.settings)
-                if known:  # restarted: what it kept and held is gone, but what is out will still end
-                    fresh.flight, fresh.streams = known.flight, known.streams
+                self._renew(spec, known)
+        self._line_up()
+
+    def _renew(self, spec: api.Server, known: Host | None) -> Host:
+        """A record without beliefs: what a server kept is gone, but what is out will still end."""
+        fresh = self.hosts[spec.id] = Host(spec, self.kinds.get(spec.kind), self.settings)
+        if known:
+            fresh.flight, fresh.streams = known.flight, known.streams
+            fresh.back_us, fresh.due = known.back_us, known.due
+        return fresh
+
+    def _excluded(self, event: api.Exclusion) -> None:
+        """Guards against old beliefs and a rush: what comes back is cold, told by the list or not."""
+        (self.banned.add if event.out else self.banned.discard)(event.server)
+        if not event.out and (known := self.hosts.get(event.server)):
+            fresh = self._renew(known.spec, known)
+            fresh.back_us, fresh.due = self.now_us, True
+        self._line_up()
+
+    def avoided(self, now_us: int) -> set[str]:
+        """The servers that get nothing now, by the operators' word or by choice."""
+        self.now_us = now_us
+        pools = (self._well(Role.READER, Role.MIXED), self._well(Role.WRITER, Role.MIXED))
+        used = {h.id for pool in pools for h in pool}
+        return self.banned | {h.id for hosts in self.up.values() for h in hosts if h.id not in used}
+
+    def _line_up(self) -> None:
         self.up = {role: [] for role in Role}
         for _, host in sorted(self.hosts.items()):
-            if host.spec.condition is api.Condition.UP:
+            if host.spec.condition is api.Condition.UP and host.id not in self.banned:
                 self.up[host.role].append(host)
         self.lean = leaning(self.up[Role.READER], self.up[Role.WRITER])
         # Guards against mixed servers that answer more than writers do: all that they read they also answer,
@@ -269,17 +298,20 @@
 
     def _pool(self, *roles: Role) -> list[Host]:
         """Servers that may be used now: up, well and within their cold budget, sorted by id in each role."""
+        return [h for h in self._well(*roles) if h.credit >= 1 or h.warmth(self.now_us) >= 1]
+
+    def _well(self, *roles: Role) -> list[Host]:
         up = [h for role in roles for h in self.up[role]]
         well = [h for h in up if h.well(self.now_us)]
         if 2 * len(well) < len(up):  # most look ill: the cause is likely shared, so use all that answer
             well = [h for h in up if not h.silent or h.well(self.now_us)] or up
-        return [h for h in well if h.credit >= 1 or h.warmth(self.now_us) >= 1]
+        return well
 
     def _earn(self) -> None:
         """Slow start: a request earns each cold server its part of an even share, however many routers."""
         for hosts in self.up.values():
             for h in hosts:
-                if h.spec.started_us is not None and (warmth := h.warmth(self.now_us)) < 1:
+                if (warmth := h.warmth(self.now_us)) < 1:
                     part = warmth * min(1.0, self.settings.fall_multiple / 2)
                     h.credit = min(1.0, h.credit + part / len(hosts))
 
@@ -367,7 +399,7 @@
             ready = self._legal(job, self._pool(Role.WRITER))
         if not ready:
             return False
-        ready = self._roomy(ready)
+        ready = [h for h in ready if h.due] or self._roomy(ready)  # taken in again: work soon
         matched, kept = self._match(job, ready)
         target, tokens = divert(matched, ready), job.ask.prompt_tokens
         takes = {h: h.expects(tokens - kept * (h is matched), self.now_us) for h in ready}
@@ -413,7 +445,7 @@
 
     def _write(self, job: Job, holder: Host) -> bool:
         writers = self._legal(job, self._pool(Role.WRITER, Role.MIXED))
-        if writers:
+        if writers := [h for h in writers if h.due and h.role is Role.WRITER] or writers:
             seen, unseen = self._projected(writers), self._unseen(job, writers, holder.spec)
             self._send(job, place({h: seen[h] + unseen[h] for h in writers}, holder.spec), job.tokens)
         return bool(writers)
@@ -425,7 +457,7 @@
         job.out, job.sent_us, job.attempts, job.passed = host, self.now_us, job.attempts + 1, 0
         job.work = BASE_TOKENS + tokens + sum(host.flight.values())
         host.flight[job.ask.id] = tokens
-        host.credit -= 1
+        host.credit, host.due = host.credit - 1, False
         if host.role is Role.READER:
             self._ask_writers(host.spec)
         else:
--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -75,6 +75,7 @@
     known = len(found.known.get("hosts") or ())
     classes = ", ".join(c.name for c in found.settings.classes)
     typer.echo(f"{found.name}: listens on {found.listen}, discovery at {found.discovery}")
+    typer.echo(f"operators' address: {found.control or 'none'}; kept in {found.folder or 'memory only'}")
     typer.echo(f"classes: {classes}; servers known: {known}")
     typer.echo(f"descriptors: {found.sockets}, of them {found.share} for clients, as many for replicas")
     typer.echo(f"clients: {front.FIRST_US / 1e6:g} s for a request, {front.IDLE_US / 1e6:g} s between two")
--- a/onyxpass/config.py
+++ b/onyxpass/config.py
@@ -45,6 +45,9 @@
     sockets: int = 1024
     connect_timeout_us: int = 250_000
     conn_idle_us: int = 15_000_000
+    control: Address | None = None  # the operators' address
+    passed: int | None = None  # the descriptor of the clients' listening socket, where it is inherited
+    folder: Path | None = None  # what the two processes of an upgrade share
 
     @property
     def share(self) -> int:
@@ -66,6 +69,13 @@
             raise ConfigError(f"{key} is not told, neither as {PREFIX}{key.upper()} nor in the file")
         return str(value)
 
+    def control() -> Address | None:
+        text = environ.get(PREFIX + "CONTROL") or raw.get("control")
+        return Address.parse(str(text)) if text else None
+
+    number = environ.get(PREFIX + "PASSED_SOCKET") or ""
+    if number and not (number.isascii() and number.isdigit()):
+        raise ConfigError(f"{PREFIX}PASSED_SOCKET is no descriptor: {number!r}")
     conf = raw.get("settings")
     if not isinstance(conf, Mapping):
         raise ConfigError("settings is absent")
@@ -82,6 +92,9 @@
             sockets=int((raw.get("limits") or {}).get("sockets") or 1024),
             connect_timeout_us=int(limits.get("connectTimeoutUs") or 250_000),
             conn_idle_us=int(limits.get("connIdleUs") or 15_000_000),
+            control=control(),
+            passed=int(number) if number else None,
+            folder=Path(environ["TMPDIR"]) if environ.get("TMPDIR") else None,
         )
     except ConfigError:
         raise
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -5,7 +5,7 @@
 """
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import structlog
 
@@ -13,6 +13,7 @@
 from onyxpass.choice import Router
 from onyxpass.core.actor import Actor
 from onyxpass.core.clock import Clock
+from onyxpass.core.figures import Figures
 from onyxpass.core.requests import Attempt, Client, Fleet, Request
 from onyxpass.core.wheel import Wheel
 from onyxpass.interface import Status
@@ -32,7 +33,9 @@
         self.roles = {kind.name: kind.role for kind in settings.kinds}
         self.deadlines = {c.name: c.deadline_us for c in settings.classes}
         self.fleet: Fleet | None = None
+        self.figures = Figures(c.name for c in settings.classes)
         self.servers: dict[str, api.Server] = {}  # those on the list, as last told
+        self.excluded: frozenset[str] = frozenset()  # taken out by hand, on the list or not
         self.requests: dict[int, Request] = {}  # till they are over and no attempt is out
         self.live_ids: dict[str, Request] = {}  # the same: an id in use again would be a second copy
         self.to_release: list[Request] = []  # asked for by the event at hand
@@ -51,6 +54,7 @@
         """Take a request on; ``arrival.id`` comes from ``number_for``. The client gets one final answer."""
         request = Request(request_id, arrival.id, arrival, client, payload, self.clock.now_us())
         self.requests[request.number] = self.live_ids[request_id] = request
+        self.figures.taken += 1
         left_us = arrival.deadline_us - self.clock.now_us() + GUARD_US
         request.guard = self.wheel.after(left_us, lambda: self._overdue(request))
         self.tell(arrival)
@@ -62,6 +66,7 @@
             return
         log.info("client gone", id=request.id, committed=request.committed is not None)
         self._close(request)
+        self.figures.failed(request.arrival.cls)
         self.tell(api.Withdrawn(request.number))  # before the end of what is out, or the module tries again
         if request.out is not None:
             self._stop(request.out, Status.CANCELLED)
@@ -87,6 +92,12 @@
         attempt.parts, attempt.part_us = attempt.parts + 1, now_us
         return True
 
+    def written(self, attempt: Attempt) -> None:
+        """The last byte of an attempt has gone out; only the first such word counts."""
+        if not attempt.whole:
+            attempt.whole = True
+            self.figures.upstream += 1
+
     def ended(self, attempt: Attempt, status: Status, note: int = 0, reason: str = "") -> None:
         """The attempt has ended. Only the first such word counts."""
         if attempt.ended:
@@ -112,9 +123,9 @@
             log.info("attempt", **told, end=status.value, us=elapsed_us, why=reason)
         if request.committed is attempt and not request.over:
             if status is Status.SERVED:
-                self._answer(request, request.client.finish)
+                self._answer(request, request.client.finish, self.figures.completed)
             else:
-                self._answer(request, lambda: request.client.cut(reason or status.value))
+                self._answer(request, lambda: request.client.cut(reason or status.value), self.figures.failed)
         final = request.over
         self.tell(
             api.Outcome(request.number, attempt.number, attempt.server, status, elapsed_us, final, note)
@@ -131,10 +142,26 @@
                 self.servers[server.id] = server
         self.tell(update)
 
+    def exclude(self, servers: Iterable[str]) -> None:
+        """Just these are out by hand from now on; sends that still wait see it at once, as a drain."""
+        before, self.excluded = self.excluded, frozenset(servers)
+        for name in sorted(before ^ self.excluded):
+            out = name in self.excluded
+            log.info("taken out" if out else "taken in", server=name)
+            self.tell(api.Exclusion(name, out))
+            if self.fleet is not None:
+                self.fleet.forget(name)
+
     def may_send(self, server: str) -> bool:
-        """Whether the list, as it is now, lets new work go to that server."""
+        """Whether the list and the operators, as of now, let new work go to that server."""
         known = self.servers.get(server)
-        return known is not None and known.condition is api.Condition.UP
+        up = known is not None and known.condition is api.Condition.UP
+        return up and server not in self.excluded
+
+    def rows(self) -> dict[str, int]:
+        """The figures, with what the module itself says of the servers that it avoids."""
+        avoided = self.router.avoided(self.clock.now_us()) & self.servers.keys()
+        return self.figures.rows(len(self.servers), len(avoided))
 
     def reads(self, server: str) -> bool:
         known = self.servers.get(server)
@@ -198,7 +225,7 @@
                 if out is not None and out.number == attempt_number and not out.committed:
                     self._stop(out, Status.CANCELLED)
             case api.Probe(server):
-                if self.fleet is not None and self.settings.may_probe:
+                if self.fleet is not None and self.settings.may_probe and server not in self.excluded:
                     self.fleet.probe(server)
             case api.SetTimer(ref, delay_us):
                 self.wheel.after(delay_us, lambda: self.tell(api.TimerFired(ref)))
@@ -241,18 +268,23 @@
             self._fail(request, "it may have run")
             return
         log.info("refused", id=request.id, attempts=len(request.attempts))
-        self._answer(request, lambda: request.client.refuse(retry_after_us))
+        self._answer(request, lambda: request.client.refuse(retry_after_us), self.figures.rejected)
 
     def _fail(self, request: Request, reason: str) -> None:
         if not request.over:
             log.info("failed", id=request.id, attempts=len(request.attempts), why=reason)
             last = request.attempts[-1].status if request.attempts else None
             past = self.clock.now_us() >= request.arrival.deadline_us - LATE_US
-            self._answer(request, lambda: request.client.fail(reason, past or last is Status.TIMEOUT))
+            late = past or last is Status.TIMEOUT
+            self._answer(request, lambda: request.client.fail(reason, late), self.figures.failed)
+
+    def _answer(self, request: Request, final: Callable[[], None], count: Callable[[str], None]) -> None:
+        """The one place of final answers, so that each is counted once.
 
-    def _answer(self, request: Request, final: Callable[[], None]) -> None:
-        """Guards against a front whose answer fails: the module still hears how the request ended."""
+        Guards against a front whose answer fails: the module still hears how the request ended.
+        """
         self._close(request)
+        count(request.arrival.cls)
         try:
             final()
         except Exception:
--- a/onyxpass/core/fleet.py
+++ b/onyxpass/core/fleet.py
@@ -51,7 +51,7 @@
                     running.cancel()
                 else:
                     self.core.ended(attempt, Status.NOT_SENT, reason="called off before it began")
-            case Ping():
+            case Ping() if self.name not in self.core.excluded:  # it may have waited in the mailbox
                 self._beside(self.probe())
 
     def broken(self, message: object) -> None:
@@ -104,6 +104,9 @@
         if actor := self.actors.get(server):
             actor.tell(Ping())
 
+    def forget(self, server: str) -> None:
+        """A fleet that keeps no connections has none to drop."""
+
     def releasing(self, work: Coroutine[object, object, None]) -> None:
         task = asyncio.create_task(work)
         self.releases.add(task)
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -39,6 +39,7 @@
     timer: Timer | None = None
     verdict: Status | None = None  # what it was called off for; its end is told once it is closed
     ended: bool = False
+    whole: bool = False  # whether all of it has gone out to its server
     status: Status | None = None  # how it ended
     reads: bool = False  # whether its server reads prompts, by the list at the send
     writes: bool = True  # whether it may write answers
@@ -84,3 +85,6 @@
         """Let go of all that is held; ``settle``: a read was just broken off and may be ending still."""
 
     def probe(self, server: str) -> None: ...
+
+    def forget(self, server: str) -> None:
+        """Keep no connection to that server: it was taken out, or comes back as another."""
--- a/onyxpass/interface.py
+++ b/onyxpass/interface.py
@@ -238,12 +238,30 @@
     report: LoadReport | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Exclusion:
+    """Operators take a server out of use, whatever the list says, or (``out`` False) in again."""
+
+    server: str
+    out: bool
+
+
 @dataclass(frozen=True, slots=True)
 class OtherNotice:
     """Anything that this library has no use for: place notes, messages of peers."""
 
 
-Event = ListUpdate | Arrival | StreamStarted | Outcome | Withdrawn | TimerFired | ProbeResult | OtherNotice
+Event = (
+    ListUpdate
+    | Arrival
+    | StreamStarted
+    | Outcome
+    | Withdrawn
+    | TimerFired
+    | ProbeResult
+    | Exclusion
+    | OtherNotice
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -16,7 +16,8 @@
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import ANSWER_ROOM_US, Core
 from onyxpass.core.requests import Request
-from onyxpass.net.http import BODY_LIMIT, CHUNK, Broken, Wire, body, header
+from onyxpass.net.http import BODY_LIMIT, CHUNK, Broken, Wire, body, drain_input, header
+from onyxpass.net.listen import Listener
 from onyxpass.net.replica import Payload, passed_on
 
 
@@ -33,7 +34,6 @@
 FIRST_US = 2_500_000  # from connecting, or from a later request's first byte, to a request's last byte
 IDLE_US = 8_000_000  # between requests
 LEAVE_US = 2_000_000  # for a client to take the rest of its answer
-DRAIN_US, DRAIN_PARTS = 300_000, 16  # what is still read of a bad request, so that its answer arrives
 BACKLOG = 512  # connections that may wait in the kernel while there is no room
 ROOM_US, SHORT_US = 20_000, 200_000  # between looks whether there is room, or descriptors again
 FRESH_US = 150_000  # so long after connecting a first request may still be on its way
@@ -230,7 +230,7 @@
     def __init__(self, core: Core, listen: Address, ready: Callable[[], bool], most: int) -> None:
         self.core, self.listen, self.ready, self.most = core, listen, ready, most
         self.clock, self.wheel = core.clock, core.wheel
-        self.listener: socket.socket | None = None
+        self.listener: Listener | None = None
         self.accepting: asyncio.Task[None] | None = None
         self.open: dict[asyncio.Task[None], Peer] = {}
         self.closing = False
@@ -238,11 +238,7 @@
 
     async def start(self) -> asyncio.Task[None]:
         """Listen; the task that accepts runs till ``close``."""
-        family = socket.AF_INET6 if ":" in self.listen.host else socket.AF_INET
-        self.listener = socket.create_server(
-            (self.listen.host, self.listen.port), family=family, backlog=BACKLOG
-        )
-        self.listener.setblocking(False)
+        self.listener = Listener.at(self.listen.host, self.listen.port, BACKLOG)
         self.accepting = asyncio.create_task(self._accept_all(self.listener))
         return self.accepting
 
@@ -250,7 +246,7 @@
     def port(self) -> int:
         """Where it really listens, should the port have been left to the system."""
         assert self.listener is not None
-        return int(self.listener.getsockname()[1])
+        return self.listener.port
 
     def close(self) -> None:
         """Take no new connections."""
@@ -260,14 +256,13 @@
 
     # Connections
 
-    async def _accept_all(self, listener: socket.socket) -> None:
+    async def _accept_all(self, listener: Listener) -> None:
         """Takes a connection only where there is room for it; till then it waits in the kernel's queue."""
-        loop = asyncio.get_running_loop()
         while True:
             while len(self.open) >= self.most and not self._make_room():
                 await self.wheel.sleep(ROOM_US)
             try:
-                sock, _ = await loop.sock_accept(listener)
+                sock = await listener.accept()
             except OSError as problem:  # guards against a front that ends when descriptors run out
                 log.warning("can't accept", why=str(problem))
                 await self.wheel.sleep(SHORT_US)
@@ -356,7 +351,7 @@
                     if wait_us > 0:  # never past the time that the client is owed its answer in
                         await self.wheel.sleep(wait_us)
                     self._complain(wire, status, str(problem) or "too slow")
-                    await self._drain_input(wire)
+                    await drain_input(wire, self.wheel)
                 return
             if client.broken or wire.writer.is_closing():
                 return
@@ -379,18 +374,6 @@
             )
         self.complaints.told(status, why)
 
-    async def _drain_input(self, wire: Wire) -> None:
-        """Guards against a reset that outruns the answer: read on for a moment before closing."""
-        if wire.writer.can_write_eof():
-            wire.writer.write_eof()
-        try:
-            async with self.wheel.limit(DRAIN_US):
-                for _ in range(DRAIN_PARTS):
-                    if not await wire.reader.read(CHUNK):
-                        return
-        except (OSError, TimeoutError):
-            return
-
     async def _exchange(self, peer: Peer, wire: Wire, client: HttpClient) -> None:
         arrived_us = self.clock.now_us()
         due_us = min(peer.due_us, arrived_us + FIRST_US)
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -6,9 +6,12 @@
 
 import h11
 
+from onyxpass.core.wheel import Wheel
+
 HEAD_LIMIT = 32 * 1024
 BODY_LIMIT = 256 * 1024
 CHUNK = 32 * 1024
+DRAIN_US, DRAIN_PARTS = 300_000, 16  # what is still read of a bad message, so that its answer arrives
 HOP_BY_HOP = frozenset(
     b"connection keep-alive proxy-connection te trailer transfer-encoding".split()
     + b"upgrade expect content-length".split()
@@ -30,6 +33,7 @@
         self.reader: asyncio.StreamReader = reader
         self.writer: asyncio.StreamWriter = writer
         self.h11 = h11.Connection(role, max_incomplete_event_size=HEAD_LIMIT)
+        self.born = 0  # which life of its server it was opened in
         self.kept_us = -1  # how long it stood idle before its present request; -1: it is new
 
     async def event(self) -> h11.Event | type[h11.PAUSED]:
@@ -111,6 +115,19 @@
         self.writer.close()
 
 
+async def drain_input(wire: Wire, wheel: Wheel, most_us: int = DRAIN_US) -> None:
+    """Guards against a reset that outruns the answer: end our side, and read on a moment before closing."""
+    if wire.writer.can_write_eof() and not wire.writer.is_closing():
+        wire.writer.write_eof()
+    try:
+        async with wheel.limit(most_us):
+            for _ in range(DRAIN_PARTS):
+                if not await wire.reader.read(CHUNK):
+                    return
+    except (OSError, TimeoutError):
+        return
+
+
 async def body(wire: Wire, most: int = BODY_LIMIT) -> bytes:
     """The rest of the message's body; Broken with 413 if it is larger than ``most``."""
     parts: list[bytes] = []
--- /dev/null
+++ b/onyxpass/net/listen.py
@@ -0,0 +1,44 @@
+"""A listening socket whose connections are never taken and then lost."""
+
+import asyncio
+import socket
+
+
+class Listener:
+    """``accept`` may be cancelled at any moment, and the socket may be shared with another process."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.setblocking(False)
+
+    @classmethod
+    def at(cls, host: str, port: int, backlog: int) -> "Listener":
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        return cls(socket.create_server((host, port), family=family, backlog=backlog))
+
+    @property
+    def port(self) -> int:
+        return int(self.sock.getsockname()[1])
+
+    async def accept(self) -> socket.socket:
+        """Guards against a connection that is taken while the task is cancelled: it would be reset unread.
+
+        So nothing is taken but by this very step. Where another process was quicker, it waits on.
+        """
+        while True:
+            try:
+                return self.sock.accept()[0]
+            except (BlockingIOError, InterruptedError):
+                await self._readable()
+
+    async def _readable(self) -> None:
+        loop, number, ready = asyncio.get_running_loop(), self.sock.fileno(), asyncio.Event()
+        loop.add_reader(number, ready.set)
+        try:
+            await ready.wait()
+        finally:
+            loop.remove_reader(number)
+
+    def close(self) -> None:
+        """This process's hold on it only: never ``shutdown``, which would end it for the other one too."""
+        self.sock.close()
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -57,6 +57,11 @@
     everything: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Forget:
+    pass
+
+
 @dataclass(slots=True)
 class Idle:
     wire: Wire
@@ -94,6 +99,7 @@
         self.idle: list[Idle] = []
         self.left = False
         self.answered_us = 0  # when it last answered anything
+        self.born = 0  # how often it was taken out or in: connections from before are not kept
 
     @property
     def finished(self) -> bool:
@@ -107,6 +113,9 @@
                 if address != self.address or left:
                     self.address = address
                     self._drop_idle(True)
+            case Forget():
+                self.born += 1
+                self._drop_idle(True)
             case Sweep(everything):
                 self._drop_idle(everything)
             case _:
@@ -151,13 +160,16 @@
         except BaseException:
             self.budget.open -= 1
             raise
-        return Wire(h11.CLIENT, *streams)
+        wire = Wire(h11.CLIENT, *streams)
+        wire.born = self.born
+        return wire
 
     def _give_back(self, wire: Wire) -> None:
         """Keep the connection if both sides are ready for another request on it."""
         if wire.h11.our_state is h11.DONE and wire.h11.their_state is h11.DONE and not wire.stale:
             wire.h11.start_next_cycle()
-            if len(self.idle) < MOST_IDLE:
+            # Guards against connections kept from before a drain or a ban: their other end has gone.
+            if len(self.idle) < MOST_IDLE and self.core.may_send(self.name) and wire.born == self.born:
                 self.idle.append(Idle(wire, self.core.clock.now_us()))
                 return
         self._discard(wire)
@@ -181,6 +193,7 @@
                 # leave at any moment, also in the turn of the loop that cancels this task.
                 written, written_us = True, self.core.clock.now_us()
                 await wire.flush()
+                self.core.written(attempt)
                 status, note, reason = await self._answer(wire, attempt)
         except Shortage as problem:  # guards against a replica blamed for what is lacking here
             status, reason = Status.NOT_SENT, str(problem)
@@ -289,6 +302,8 @@
         try:
             async with self.wheel.limit(PROBE_US):
                 wire = self._reuse() or await self._open()
+                if self.name in self.core.excluded:  # taken out while the connection was coming up
+                    return
                 wire.write(request(b"GET", b"/health/live"), h11.EndOfMessage())
                 head = await wire.event()
                 if isinstance(head, h11.Response):
@@ -370,6 +385,10 @@
             if name not in names:
                 actor.tell(Moved(actor.address, True))
 
+    def forget(self, server: str) -> None:
+        if actor := self.actors.get(server):
+            actor.tell(Forget())
+
     def release(self, request: Request, settle: bool) -> None:
         self.releasing(self._release(request, settle))
 
@@ -379,6 +398,8 @@
             await self.core.wheel.sleep(SETTLE_US)
         latest = sorted(self.actors, key=lambda name: -self.actors[name].answered_us)
         asked = list(dict.fromkeys([request.holder, *latest]))
+        # Guards against new calls to a server that operators took out: any other lets go in its place.
+        asked = [name for name in asked if name not in self.core.excluded] or asked
         for name in asked[:LEASE_TRIES]:
             if request.out is not None:  # guards against taking the state of a newer attempt away
                 request.may_hold = True
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -11,13 +11,23 @@
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.wheel import Wheel
+from onyxpass.handover import Handover
+from onyxpass.net.control import Control
 from onyxpass.net.front import Front
 from onyxpass.net.replica import Replicas
 from onyxpass.net.watch import ListActor
 
 SWEEP_US = 1_000_000
 STATE_US = 10_000_000
-KEPT = ("name", "listen", "settings", "sockets", "connect_timeout_us", "conn_idle_us")  # till a restart
+KEPT = (
+    "name",
+    "listen",
+    "control",
+    "settings",
+    "sockets",
+    "connect_timeout_us",
+    "conn_idle_us",
+)  # till a restart
 log = structlog.get_logger("serve")
 
 
@@ -31,13 +41,26 @@
         self.core.fleet = self.replicas
         self.list = ListActor(self.core, self.replicas, config.discovery)
         self.front = Front(self.core, config.listen, lambda: self.list.ready, config.share)
+        self.handover = Handover(config.folder, f"{config.name}|{config.listen}", config.sockets, self.wheel)
+        self.handover.on_excluded = self.core.exclude
+        self.control: Control | None = None
+        if config.control is not None:
+            self.control = Control(self.core, config.control, self.ready, self.handover.exclude)
         self.tasks: list[asyncio.Task[None]] = []
 
+    def ready(self) -> bool:
+        """Whether the list is whole and clients are taken."""
+        accepting = self.front.accepting
+        return self.list.ready and not self.front.closing and accepting is not None and not accepting.done()
+
     async def start(self) -> None:
+        self.handover.start()
         for work in (self.core.run(), self.wheel.run(), self.list.run(), self.list.follow()):
             self.tasks.append(asyncio.create_task(work))
         self.list.saved(self.config.known)
         self.tasks.append(await self.front.start())
+        if self.control is not None:
+            self.tasks.append(asyncio.create_task(self.control.run()))
         self._sweep()
         self.wheel.after(STATE_US, self._tell_state)
         log.info("listening", name=self.config.name, listen=f"{self.config.listen.host}:{self.front.port}")
@@ -82,6 +105,7 @@
         await asyncio.gather(*self.replicas.releases, return_exceptions=True)
         for task in self.tasks:
             task.cancel()
+        self.handover.end()
         log.info("stopped", name=self.config.name)
 
 
--- a/onyxpass/toolcalls/peers.py
+++ b/onyxpass/toolcalls/peers.py
@@ -64,6 +64,7 @@
                 elif not attempt.ended:
                     written = True  # guards against a second run: from here on it may have been taken
                     self._ask(writer, attempt)
+                    self.core.written(attempt)
                     status, note, reason = await self._answer(reader, writer, attempt)
         except Shortage as problem:
             status, reason = Status.NOT_SENT, str(problem)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -192,7 +192,7 @@
 
 
 @asynccontextmanager
-async def world(readers: list[Replica], writers: list[Replica], list_in: bool = True) -> AsyncIterator[World]:
+async def world(readers: list[Replica], writers: list[Replica], **more: Any) -> AsyncIterator[World]:
     discovery = Discovery()
     parts: list[Server] = [discovery, *readers, *writers]
     for part in parts:
@@ -201,7 +201,7 @@
         for i, replica in enumerate(replicas):
             discovery.hosts.append(discovery.entry(f"{kind}{i}", kind, replica.address))
     listen = Address("127.0.0.1", 0)
-    config = Config("n0", listen, Address("127.0.0.1", discovery.port), 1, SETTINGS, {})
+    config = Config("n0", listen, Address("127.0.0.1", discovery.port), 1, SETTINGS, {}, **more)
     dispatcher = Dispatcher(config)
     await dispatcher.start()
     made = World(readers, writers, dispatcher)
@@ -215,6 +215,7 @@
         for part in parts:
             await part.stop()
         dispatcher.front.close()
+        dispatcher.handover.end()
 
 
 def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,367 @@
+"""The operators' address, figures, replicas taken out by hand, and what processes of an upgrade share."""
+
+import asyncio
+import json
+import socket
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import pytest
+from helpers import SETTINGS, Drive, fleet
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_core import HandClock
+from test_net import FULL, READ, STREAM, Replica, World, ask, run, world
+
+from onyxpass import interface as api
+from onyxpass.config import Address, ConfigError, parse
+from onyxpass.core.wheel import Wheel
+from onyxpass.handover import Handover, passed_listener
+from onyxpass.interface import Status
+from onyxpass.net import control
+from onyxpass.net.listen import Listener
+
+CONTROL = Address("127.0.0.1", 0)
+READY = b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+async def call(w: World, *parts: bytes, end: bool = False) -> bytes:
+    """One call, written part by part; its whole answer."""
+    assert w.dispatcher.control is not None
+    reader, writer = await asyncio.open_connection("127.0.0.1", w.dispatcher.control.port)
+    try:
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0)
+        if end:
+            writer.write_eof()
+        return await reader.read()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+async def post(w: World, what: str) -> int:
+    return int((await call(w, f"POST /api/{what} HTTP/1.1\r\nHost: x\r\n\r\n".encode())).split()[1])
+
+
+async def figures(w: World) -> dict[str, int]:
+    answer = await call(w, READY.replace(b"ready", b"telemetry"))
+    assert answer.startswith(b"HTTP/1.1 200")
+    rows = answer.partition(b"\r\n\r\n")[2].decode().split()
+    return {name: int(value) for name, value in (row.split("=") for row in rows)}
+
+
+def test_every_request_and_attempt_is_counted_once_and_bad_requests_are_none() -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM, FULL)], control=CONTROL) as w:
+            at_first = await figures(w)
+            ends = [f"svc.downstream_requests.{c.name}.{e}" for c in SETTINGS.classes for e in
+                    ("completed", "rejected", "failed")]  # fmt: skip
+            assert all(at_first[name] == 0 for name in ends)
+            assert at_first["svc.upstream_requests"] == at_first["svc.pending"] == 0
+            assert at_first["svc.members"] == 2 and at_first["svc.members_unavailable"] == 0
+            await w.ask("a1")
+            await w.ask("a2")  # the writer is full from now on
+            assert b" 400 " in await w.ask("b1", cls="unheard-of")
+            now = await figures(w)
+            assert now["svc.downstream_requests.light.completed"] == 1
+            assert now["svc.downstream_requests.light.rejected"] == 1
+            assert sum(now[name] for name in ends) == 2 and now["svc.pending"] == 0
+            sent = sum(len(replica.heads) for replica in (*w.readers, *w.writers))
+            assert now["svc.upstream_requests"] == sent
+
+    run(go)
+
+
+@pytest.mark.parametrize(
+    ("text", "code"),
+    [
+        (READY, 200),
+        (READY.replace(b"ready", b"unready"), 404),
+        (READY.replace(b"GET", b"POST"), 405),
+        (READY.replace(b"ready", b"exclude"), 405),
+        (b"POST /api/exclude HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+        (b"POST /api/exclude?host= HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+        (b"POST /api/exclude?host=r0&host=w0 HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+        (b"POST /api/exclude?host=%ff HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+        (b"POST /api/include?host=nobody HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+        (b"POST /api/exclude?host=r0 HTTP/1.1\r\nHost: x\r\nContent-Length: 9999\r\n\r\n" + b"x" * 9999, 413),
+        (b"\x16\x03\x01 noise\r\n\r\n", 400),
+    ],
+)
+def test_calls_get_their_status(text: bytes, code: int) -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)], control=CONTROL) as w:
+            assert int((await call(w, text)).split()[1]) == code
+            assert not w.dispatcher.core.excluded
+
+    run(go)
+
+
+@settings(derandomize=True, max_examples=25, deadline=None)
+@given(st.lists(st.integers(1, len(READY) - 1), max_size=8), st.binary(max_size=60))
+def test_calls_may_come_in_pieces_and_garbage_gets_a_no_or_a_close(places: list[int], noise: bytes) -> None:
+    marks = sorted({0, len(READY), *places})
+
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)], control=CONTROL) as w:
+            parts = [READY[a:b] for a, b in pairwise(marks)]
+            assert (await call(w, *parts)).startswith(b"HTTP/1.1 200")
+            answer = await call(w, noise, end=True)
+            assert not answer or answer.split()[1].startswith(b"4")
+
+    run(go)
+
+
+def test_silent_and_half_calls_go_in_time_and_keep_nobody_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)], control=CONTROL) as w:
+            assert w.dispatcher.control is not None
+            port = w.dispatcher.control.port
+            silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(control.MOST + 4)]
+            assert (await call(w, READY)).startswith(b"HTTP/1.1 200"), "a newcomer takes a silent one's place"
+            monkeypatch.setattr(control, "CALL_US", 30_000)
+            assert (await call(w, READY[:20])).startswith(b"HTTP/1.1 408")
+            assert await call(w) == b""
+            for _, writer in silent:
+                writer.close()
+
+    run(go)
+
+
+def test_not_ready_before_the_whole_list_nor_once_it_stops() -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)], control=CONTROL) as w:
+            w.dispatcher.list.ready = False
+            assert (await call(w, READY)).startswith(b"HTTP/1.1 503")
+            w.dispatcher.list.ready = True
+            assert (await call(w, READY)).startswith(b"HTTP/1.1 200")
+            w.dispatcher.front.closing = True
+            assert (await call(w, READY)).startswith(b"HTTP/1.1 503")
+
+    run(go)
+
+
+def test_a_replica_taken_out_gets_nothing_new_till_it_is_back_and_then_soon() -> None:
+    async def go() -> None:
+        readers = [Replica(READ), Replica(READ)]
+        async with world(readers, [Replica(STREAM)], control=CONTROL) as w:
+            await w.ask("a0")
+            out = readers[0] if readers[0].heads else readers[1]
+            name, seen, opened = f"r{readers.index(out)}", len(out.heads), out.connections
+            assert await post(w, f"exclude?host={name}") == 200
+            assert await post(w, f"exclude?host={name}") == 200, "twice is no fault"
+            actor = w.dispatcher.replicas.actors[name]
+            w.dispatcher.core._do(api.Probe(name))
+            listed = [api.Server(s.id, s.kind, s.zone, s.cell) for s in w.dispatcher.core.servers.values()]
+            w.dispatcher.core.listed(api.ListUpdate(api.ListForm.FULL, tuple(listed), 50))
+            for i in range(6):
+                assert b" 200 " in await w.ask(f"b{i}")
+            assert len(out.heads) == seen and not actor.idle and not out.writers, "and no connection is kept"
+            assert (await figures(w))["svc.members_unavailable"] == 1
+            assert await post(w, f"include?host={name}") == 200, "once undoes both"
+            for i in range(40):  # cold, so it earns its first request by those of the others
+                assert b" 200 " in await w.ask(f"c{i}")
+            assert len(out.heads) > seen and out.connections > opened
+
+    run(go)
+
+
+def test_a_send_that_waits_for_its_connection_does_not_go_out_once_the_replica_is_taken_out() -> None:
+    async def go() -> None:
+        reader = Replica(READ)
+        async with world([reader], [Replica(STREAM)], control=CONTROL) as w:
+            actor = w.dispatcher.replicas.actors["r0"]
+            open_one, waiting, go_on = actor._open, asyncio.Event(), asyncio.Event()
+
+            async def slowly() -> Any:
+                wire = await open_one()
+                waiting.set()
+                await go_on.wait()
+                return wire
+
+            actor._open = slowly  # type: ignore[method-assign]
+            asked = asyncio.create_task(w.ask("a1"))
+            await waiting.wait()
+            assert await post(w, "exclude?host=r0") == 200
+            go_on.set()
+            assert b" 503 " in await asked
+            assert not reader.heads
+
+    run(go)
+
+
+def test_the_module_leaves_out_what_operators_took_out_and_takes_it_back_cold() -> None:
+    d = Drive(fleet(2, 2))
+    d.serve(1)
+    home = d.sent[1][0]
+    d.router.hosts[home].strikes = 4
+    d.give(api.Exclusion(home, True))
+    d.give(api.ListUpdate(api.ListForm.FULL, fleet(2, 2)))
+    assert d.router.avoided(d.now) == {home}
+    assert all(d.serve(n) != home for n in range(2, 8))
+    d.give(api.Exclusion(home, False))
+    back = d.router.hosts[home]
+    assert not back.strikes and back.warmth(d.now) == SETTINGS.cold_from and not d.router.avoided(d.now)
+    d.give(api.ListUpdate(api.ListForm.DELTA, (api.Server(home, "r", "z0", 0, d.now - 90_000_000),)))
+    assert d.router.hosts[home].warmth(d.now) < 0.5, "an older start in the list does not make it warm"
+    reads = [d.serve(n) for n in range(10, 30)]
+    assert home in reads and reads[0] != home, "work soon, but within its cold budget"
+
+
+def test_what_the_module_puts_aside_counts_as_avoided() -> None:
+    d = Drive(fleet(4, 4))
+    victim = d.ask(1)
+    d.end(1, Status.UNREACHABLE)
+    d.give(api.ProbeResult(str(victim), False))
+    assert victim in d.router.avoided(d.now)
+
+
+class Pair:
+    """Two processes of one dispatcher, as far as ``$TMPDIR`` goes, on a clock that the test turns."""
+
+    def __init__(self, folder: Path) -> None:
+        self.clock = HandClock()
+        self.wheel = Wheel(self.clock)
+        self.folder = folder
+
+    def process(self) -> Handover:
+        made = Handover(self.folder, "n1|127.0.0.1:1", 256, self.wheel)
+        made.start()
+        self.clock.us += 1_000
+        return made
+
+    async def excluded(self, by: Handover, server: str, out: bool = True) -> bool:
+        task = asyncio.create_task(by.exclude(server, out))
+        while not task.done():
+            await asyncio.sleep(0)
+            self.clock.us += 10_000
+            self.wheel.advance()
+        return task.result()
+
+
+def test_a_yes_means_that_both_processes_have_the_ban_and_the_next_one_too(tmp_path: Path) -> None:
+    async def go() -> None:
+        pair = Pair(tmp_path)
+        elder, younger = pair.process(), pair.process()
+        heard: list[frozenset[str]] = []
+        younger.on_excluded = heard.append
+        assert await pair.excluded(elder, "r1")
+        assert younger.excluded == {"r1"} and heard == [{"r1"}]
+        assert await pair.excluded(younger, "r1") and await pair.excluded(younger, "w1")
+        assert await pair.excluded(elder, "r1", out=False)
+        elder.end()
+        younger.end()
+        assert pair.process().excluded == {"w1"}
+
+    asyncio.run(go())
+
+
+def test_no_yes_while_the_other_process_does_not_look(tmp_path: Path) -> None:
+    async def go() -> None:
+        pair = Pair(tmp_path)
+        elder, younger = pair.process(), pair.process()
+        younger.look = lambda: None  # type: ignore[method-assign]
+        assert not await pair.excluded(elder, "r1")
+        assert elder.excluded == {"r1"}, "in force here all the same"
+        assert not younger.excluded
+
+    asyncio.run(go())
+
+
+@pytest.mark.parametrize(
+    "left", [b"", b"{", b"[]", b'{"version":1,"excluded":[1]}', b"\xff\x00", b"[" * 9999]
+)
+def test_damaged_files_and_leftovers_of_the_killed_do_no_harm(tmp_path: Path, left: bytes) -> None:
+    pair = Pair(tmp_path)
+    folder = pair.process().folder
+    assert folder is not None
+    (folder / "excluded.json").write_bytes(left)
+    (folder / "00000000000000000001-9.process").write_bytes(left)
+    fresh = pair.process()
+    assert not fresh.excluded and asyncio.run(pair.excluded(fresh, "r1")) and fresh.excluded == {"r1"}
+    assert not (folder / "00000000000000000001-9.process").exists(), "nobody holds its lock"
+    assert json.loads((folder / "excluded.json").read_text())["excluded"] == ["r1"]
+
+
+def test_a_folder_that_can_not_be_written_does_not_stop_the_start(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("")
+    handover = Handover(tmp_path / "file", "n1", 256, Wheel(HandClock()))
+    handover.start()
+    assert asyncio.run(handover.exclude("r1", True)) and handover.excluded == {"r1"}
+
+
+def test_a_cancelled_accept_takes_no_connection_and_the_passed_socket_is_never_shut_down() -> None:
+    async def go() -> None:
+        listener = Listener.at("127.0.0.1", 0, 8)
+        shared = Listener(socket.socket(fileno=listener.sock.dup().detach()))
+        taking = asyncio.create_task(listener.accept())
+        await asyncio.sleep(0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+        await asyncio.sleep(0)  # the loop has seen the connection, the task has not
+        taking.cancel()
+        await asyncio.gather(taking, return_exceptions=True)
+        listener.close()
+        taken = await shared.accept() if taking.cancelled() else taking.result()
+        taken.sendall(b"hello")
+        assert await reader.readexactly(5) == b"hello"
+        taken.close()
+        writer.close()
+        shared.close()
+
+    asyncio.run(asyncio.wait_for(go(), 10))
+
+
+def test_a_passed_descriptor_is_used_only_if_it_listens() -> None:
+    ours = socket.create_server(("127.0.0.1", 0))
+    found = passed_listener(ours.dup().detach())
+    assert found is not None and found.getsockname() == ours.getsockname() and not found.get_inheritable()
+    found.close()
+    ours.close()
+    plain = socket.socket()
+    assert passed_listener(plain.fileno()) is None and plain.fileno() >= 0, "what is not ours is left open"
+    plain.close()
+    assert passed_listener(None) is None and passed_listener(987_654) is None
+
+
+def test_the_new_keys_the_variable_first() -> None:
+    from test_program import RAW
+
+    assert parse(RAW, {}).control is None and parse(RAW, {}).folder is None
+    told = parse({**RAW, "control": "127.0.0.1:5"}, {"ROUTER_PASSED_SOCKET": "4", "TMPDIR": "/tmp"})
+    assert (str(told.control), told.passed, str(told.folder)) == ("127.0.0.1:5", 4, "/tmp")
+    assert str(parse({**RAW, "control": "x:y"}, {"ROUTER_CONTROL": "127.0.0.1:6"}).control) == "127.0.0.1:6"
+    for wrong in ({"ROUTER_CONTROL": "here"}, {"ROUTER_PASSED_SOCKET": "four"}):
+        with pytest.raises(ConfigError):
+            parse(RAW, wrong)
+
+
+def test_a_request_in_the_making_counts_as_pending() -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)], control=CONTROL) as w:
+            w.readers[0].answers = [hold := Held()]
+            reader, writer = await w.send(ask("a1", close=True))
+            await hold.there.wait()
+            assert (await figures(w))["svc.pending"] == 1
+            hold.go.set()
+            await reader.read()
+            assert (await figures(w))["svc.pending"] == 0
+            writer.close()
+
+    run(go)
+
+
+class Held:
+    """A read that waits for the test."""
+
+    def __init__(self) -> None:
+        self.there, self.go = asyncio.Event(), asyncio.Event()
+
+    async def __call__(self, replica: Any, reader: Any, writer: Any, head: bytes) -> None:
+        self.there.set()
+        await self.go.wait()
+        await READ(replica, reader, writer, head)
