--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -76,6 +76,8 @@
     classes = ", ".join(c.name for c in found.settings.classes)
     typer.echo(f"{found.name}: listens on {found.listen}, discovery at {found.discovery}")
     typer.echo(f"operators' address: {found.control or 'none'}; kept in {found.folder or 'memory only'}")
+    passed = "bound here" if found.passed is None else f"passed as descriptor {found.passed}"
+    typer.echo(f"clients' socket: {passed}")
     typer.echo(f"classes: {classes}; servers known: {known}")
     typer.echo(f"descriptors: {found.sockets}, of them {found.share} for clients, as many for replicas")
     typer.echo(f"clients: {front.FIRST_US / 1e6:g} s for a request, {front.IDLE_US / 1e6:g} s between two")
--- a/onyxpass/config.py
+++ b/onyxpass/config.py
@@ -11,7 +11,7 @@
 from onyxpass.benchlink import read_settings
 
 PREFIX = "ROUTER_"
-SPARE = 64  # descriptors for discovery, the log, the loop itself and what is just being closed
+SPARE, SPARE_PART = 64, 4  # descriptors for discovery, operators, the log, the loop; at most this part of all
 
 
 class ConfigError(ValueError):
@@ -34,6 +34,11 @@
         return f"{self.host}:{self.port}"
 
 
+def share_of(sockets: int) -> int:
+    """What one side, clients or replicas, may hold of so many descriptors."""
+    return max(8, (sockets - min(SPARE, sockets // SPARE_PART)) // 2)
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -52,7 +57,7 @@
     @property
     def share(self) -> int:
         """Connections that clients may hold, and as many that replicas may: half each of the rest."""
-        return max(64, self.sockets - SPARE) // 2
+        return share_of(self.sockets)
 
 
 def parse(raw: Mapping[str, Any], environ: Mapping[str, str], again: bool = False) -> Config:
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -39,6 +39,7 @@
         self.requests: dict[int, Request] = {}  # till they are over and no attempt is out
         self.live_ids: dict[str, Request] = {}  # the same: an id in use again would be a second copy
         self.to_release: list[Request] = []  # asked for by the event at hand
+        self.closed = False  # nothing more is taken on
         self.on_idle: Callable[[], None] | None = None
 
     # What fronts ask for
@@ -55,11 +56,25 @@
         request = Request(request_id, arrival.id, arrival, client, payload, self.clock.now_us())
         self.requests[request.number] = self.live_ids[request_id] = request
         self.figures.taken += 1
+        if self.closed:
+            self._refuse(request, 0)
+            self._settle(request)
+            return request
         left_us = arrival.deadline_us - self.clock.now_us() + GUARD_US
         request.guard = self.wheel.after(left_us, lambda: self._overdue(request))
         self.tell(arrival)
         return request
 
+    def close(self) -> None:
+        """Guards against requests that can't be finished before the process ends: they are refused."""
+        self.closed = True
+
+    def answer_all(self) -> None:
+        """Guards against requests unanswered when the process is killed: what has not begun has failed."""
+        for request in list(self.requests.values()):
+            if not request.over and request.committed is None:
+                self._give_up(request, "the dispatcher ends", Status.CANCELLED)
+
     def withdraw(self, request: Request) -> None:
         """The client has gone: nothing more is owed, and what is out is given up."""
         if request.over:
@@ -301,10 +316,13 @@
         if request.over or request.committed is not None:
             return
         log.warning("overdue", id=request.id)
-        self._fail(request, "no answer in time")
-        self.tell(api.Withdrawn(request.number))
+        self._give_up(request, "no answer in time", Status.TIMEOUT)
+
+    def _give_up(self, request: Request, reason: str, end: Status) -> None:
+        self._fail(request, reason)
+        self.tell(api.Withdrawn(request.number))  # before the end of what is out, or the module tries again
         if request.out is not None:
-            self._stop(request.out, Status.TIMEOUT)
+            self._stop(request.out, end)
 
     def _close(self, request: Request) -> None:
         request.over = True
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -45,7 +45,12 @@
 )
 COMPLAINT_US, COMPLAINT_BURST_US, COMPLAINT_MOST_US = 20_000, 400_000, 1_000_000
 LINE_US = 1_000_000  # between log lines on bad requests
-LINGER_US = 450_000  # after SIGTERM new connections keep coming for up to 0.4 s
+LINGER_US = 450_000  # after SIGTERM new connections keep coming for up to 0.4 s, where the socket is our own
+LAST_US = 650_000  # after SIGTERM what comes so late may not be finished in time
+END_US, END_MOST_US = (
+    450_000,
+    3_000_000,
+)  # after the longest deadline (at most this), and SIGTERM, all is answered
 NUMBER_MOST = 2**53
 WAIT_MOST = 10  # times its class's usual time that a client may wait
 HINT_MOST_US = 3_600_000_000
@@ -227,10 +232,18 @@
 
 
 class Front:
-    def __init__(self, core: Core, listen: Address, ready: Callable[[], bool], most: int) -> None:
+    def __init__(
+        self,
+        core: Core,
+        listen: Address,
+        ready: Callable[[], bool],
+        most: int,
+        passed: socket.socket | None = None,
+    ) -> None:
         self.core, self.listen, self.ready, self.most = core, listen, ready, most
         self.clock, self.wheel = core.clock, core.wheel
-        self.listener: Listener | None = None
+        self.listener = Listener(passed) if passed is not None else None
+        self.shared = passed is not None  # another process may take connections from the same socket
         self.accepting: asyncio.Task[None] | None = None
         self.open: dict[asyncio.Task[None], Peer] = {}
         self.closing = False
@@ -238,7 +251,8 @@
 
     async def start(self) -> asyncio.Task[None]:
         """Listen; the task that accepts runs till ``close``."""
-        self.listener = Listener.at(self.listen.host, self.listen.port, BACKLOG)
+        if self.listener is None:
+            self.listener = Listener.at(self.listen.host, self.listen.port, BACKLOG)
         self.accepting = asyncio.create_task(self._accept_all(self.listener))
         return self.accepting
 
@@ -258,6 +272,8 @@
 
     async def _accept_all(self, listener: Listener) -> None:
         """Takes a connection only where there is room for it; till then it waits in the kernel's queue."""
+        while self.shared and not self.ready():  # till then the other process, if there is one, serves
+            await self.wheel.sleep(ROOM_US)
         while True:
             while len(self.open) >= self.most and not self._make_room():
                 await self.wheel.sleep(ROOM_US)
@@ -439,12 +455,19 @@
             return b""
 
     async def stop(self) -> None:
-        """A planned end: keep accepting a moment, finish all that was taken, then return."""
-        self.closing = True
-        await self.wheel.sleep(LINGER_US)
+        """A planned end: take no new connections, finish all that was taken, then return."""
+        began_us, self.closing = self.clock.now_us(), True
+        longest_us = min(END_MOST_US, max(self.core.deadlines.values(), default=END_MOST_US))
+        self.wheel.after(LAST_US, self.core.close)
+        self.wheel.after(longest_us + END_US, self.core.answer_all)
+        if not self.shared:
+            await self.wheel.sleep(LINGER_US)
         self.close()
         for peer in list(self.open.values()):
-            if peer.wire is not None and peer.stage in (Stage.IDLE, Stage.NEW):
+            # Guards against a reset of what is on its way: only where nothing has come is a connection
+            # closed; a new one was opened for a request, which is served, with ``Connection: close``.
+            if peer.wire is not None and peer.stage is Stage.IDLE and not peer.wire.stale:
                 peer.wire.close()
         while self.open:
             await asyncio.wait(list(self.open))
+        log.info("all clients served", us=self.clock.now_us() - began_us)
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -78,6 +78,11 @@
     risk_us: int = 0  # when that was learnt
     make_room: Callable[[], bool] = lambda: False  # close the connection that is idle for longest
 
+    def shrink(self) -> None:
+        """Guards against idle connections that are kept beyond the limit once it has been lowered."""
+        while self.open > self.most and self.make_room():
+            pass
+
     def met(self, now_us: int, broke: bool) -> None:
         """A kept connection was used again, and broke or did not."""
         self.risk, self.risk_us = self.risk_at(now_us), now_us
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -7,11 +7,11 @@
 
 import structlog
 
-from onyxpass.config import Config, ConfigError
+from onyxpass.config import Config, ConfigError, share_of
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.wheel import Wheel
-from onyxpass.handover import Handover
+from onyxpass.handover import Handover, passed_listener
 from onyxpass.net.control import Control
 from onyxpass.net.front import Front
 from onyxpass.net.replica import Replicas
@@ -40,14 +40,21 @@
         self.replicas = Replicas(self.core, config.share, config.connect_timeout_us, config.conn_idle_us)
         self.core.fleet = self.replicas
         self.list = ListActor(self.core, self.replicas, config.discovery)
-        self.front = Front(self.core, config.listen, lambda: self.list.ready, config.share)
+        passed = passed_listener(config.passed)
+        self.front = Front(self.core, config.listen, lambda: self.list.ready, config.share, passed)
         self.handover = Handover(config.folder, f"{config.name}|{config.listen}", config.sockets, self.wheel)
         self.handover.on_excluded = self.core.exclude
+        self.handover.on_limit = self._share
         self.control: Control | None = None
         if config.control is not None:
             self.control = Control(self.core, config.control, self.ready, self.handover.exclude)
         self.tasks: list[asyncio.Task[None]] = []
 
+    def _share(self, sockets: int) -> None:
+        """How many descriptors this process may hold: fewer while there is another one of this dispatcher."""
+        self.front.most = self.replicas.budget.most = share_of(sockets)
+        self.replicas.budget.shrink()
+
     def ready(self) -> bool:
         """Whether the list is whole and clients are taken."""
         accepting = self.front.accepting
@@ -99,6 +106,7 @@
         self.list.move(fresh.discovery)
 
     async def stop(self) -> None:
+        self.handover.stopping = True
         await self.front.stop()
         while self.core.requests:  # what was taken and left by its client is still being tidied up
             await self.wheel.sleep(10_000)
@@ -118,7 +126,11 @@
     dispatcher = Dispatcher(config)
     # Guards against SIGHUP's default, which ends the program with all that it has taken.
     loop.add_signal_handler(signal.SIGHUP, dispatcher.reload, reread)
-    await dispatcher.start()
+    try:
+        await dispatcher.start()
+    except OSError as problem:  # its address is in use, or not this machine's
+        log.error("can't start", why=str(problem))
+        raise SystemExit(1) from problem
     gc.collect()
     gc.freeze()  # what lives as long as the process is not looked at again by the collector
     ended = asyncio.create_task(stopping.wait())
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -11,15 +11,17 @@
 from helpers import SETTINGS, Drive, fleet
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from standins import until
 from test_core import HandClock
 from test_net import FULL, READ, STREAM, Replica, World, ask, run, world
 
+from onyxpass import handover
 from onyxpass import interface as api
 from onyxpass.config import Address, ConfigError, parse
 from onyxpass.core.wheel import Wheel
 from onyxpass.handover import Handover, passed_listener
 from onyxpass.interface import Status
-from onyxpass.net import control
+from onyxpass.net import control, front
 from onyxpass.net.listen import Listener
 
 CONTROL = Address("127.0.0.1", 0)
@@ -290,9 +292,9 @@
 
 def test_a_folder_that_can_not_be_written_does_not_stop_the_start(tmp_path: Path) -> None:
     (tmp_path / "file").write_text("")
-    handover = Handover(tmp_path / "file", "n1", 256, Wheel(HandClock()))
-    handover.start()
-    assert asyncio.run(handover.exclude("r1", True)) and handover.excluded == {"r1"}
+    made = Handover(tmp_path / "file", "n1", 256, Wheel(HandClock()))
+    made.start()
+    assert asyncio.run(made.exclude("r1", True)) and made.excluded == {"r1"}
 
 
 def test_a_cancelled_accept_takes_no_connection_and_the_passed_socket_is_never_shut_down() -> None:
@@ -365,3 +367,64 @@
         self.there.set()
         await self.go.wait()
         await READ(replica, reader, writer, head)
+
+
+def test_at_the_end_new_connections_are_served_late_requests_refused_and_the_rest_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def go() -> None:
+        hold = Held()
+        passed = socket.create_server(("127.0.0.1", 0))
+        monkeypatch.setattr(front, "LAST_US", 0)
+        monkeypatch.setattr(front, "END_US", -2_900_000)  # all is answered soon
+        async with world([Replica(hold)], [Replica(STREAM)], passed=passed.detach()) as w:
+            open_one, stays = await w.send(ask("a1", ms=9000))
+            await hold.there.wait()
+            fresh, late = await asyncio.open_connection("127.0.0.1", w.port)
+            await until(lambda: len(w.dispatcher.front.open) == 2)
+            stopping = asyncio.create_task(w.dispatcher.stop())
+            await until(lambda: w.dispatcher.core.closed)
+            late.write(ask("a2"))
+            refused = await fresh.read()
+            assert refused.startswith(b"HTTP/1.1 503") and b"connection: close" in refused.lower()
+            assert (await open_one.read()).startswith(b"HTTP/1.1 50"), "answered before the process is killed"
+            await stopping
+            figures = w.dispatcher.core.figures
+            assert figures.pending == 0 and figures.downstream["light"].rejected == 1
+            for writer in (stays, late):
+                writer.close()
+
+    run(go)
+
+
+def test_two_processes_never_may_hold_more_descriptors_than_one(tmp_path: Path) -> None:
+    pair = Pair(tmp_path)
+    elder = pair.process()
+    assert elder.limit == 256
+    younger = pair.process()
+    floor = 256 // handover.FLOOR_PART
+    assert younger.limit == floor, "the elder has not yielded anything yet"
+    for _ in range(3):
+        for process in (younger, elder):
+            process.look()
+            assert process is elder or elder.limit + process.limit <= 256 + floor
+    assert (elder.limit, younger.limit) == (128, 128)
+    elder.stopping = True
+    elder.look()
+    younger.look()
+    assert elder.limit < 128 and elder.limit + younger.limit == 256
+    elder.end()
+    younger.look()
+    assert younger.limit == 256
+
+
+def test_a_lower_limit_closes_idle_connections_to_replicas() -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            await asyncio.gather(*(w.ask(f"a{i}") for i in range(20)))
+            budget = w.dispatcher.replicas.budget
+            assert budget.open > 8
+            w.dispatcher._share(20)
+            assert budget.open <= budget.most == w.dispatcher.front.most == 8
+
+    run(go)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import json
+import os
 import signal
+import socket
+import subprocess
 import sys
 from pathlib import Path
 
@@ -30,6 +33,8 @@
     for told in (
         "1024, of them 480 for clients",
         "2.5 s for a request",
+        "operators' address: none",
+        "clients' socket: bound here",
         "on SIGHUP: discovery at 127.0.0.1:1",
     ):
         assert told in good.output
@@ -63,6 +68,95 @@
         service.loopback("10.0.0.1:80")
 
 
+async def started(path: Path, *fds: int, **environ: str) -> tuple[asyncio.subprocess.Process, dict[str, int]]:
+    """The program, once it has the whole list; and the ports that it listens on."""
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "onyxpass", "serve", "--config", str(path)),
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        pass_fds=fds,
+        env={**os.environ, **environ},
+    )
+    assert process.stdout is not None
+    ports: dict[str, int] = {}
+    seen: set[str] = set()
+    while not {"listening", "full"} <= seen or ("ROUTER_CONTROL" in environ and "control" not in seen):
+        line = json.loads(await process.stdout.readline())
+        seen |= {line["event"], str(line.get("form"))}
+        if "listen" in line:
+            ports[line["event"]] = int(line["listen"].rpartition(":")[2])
+    return process, ports
+
+
+async def call(port: int, what: str) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"{what} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def test_an_upgrade_hands_the_clients_over_and_keeps_what_is_out(tmp_path: Path) -> None:
+    async def go() -> None:
+        discovery, reader, writer = Discovery(), Replica(READ), Replica(STREAM)
+        spare = Replica(READ)
+        for part in (discovery, reader, writer, spare):
+            await part.start()
+        for name, kind, part in (("r0", "r", reader), ("r1", "r", spare), ("w0", "w", writer)):
+            discovery.hosts.append(discovery.entry(name, kind, part.address))
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({**RAW, "discovery": discovery.address}))
+        ours = socket.create_server(("127.0.0.1", 0))
+        port, number = ours.getsockname()[1], ours.fileno()
+        told = {"ROUTER_PASSED_SOCKET": str(number), "TMPDIR": str(tmp_path), "ROUTER_CONTROL": "127.0.0.1:0"}
+        old, at_old = await started(path, number, **told)
+        assert at_old["listening"] == port
+        kept, idle = await asyncio.open_connection("127.0.0.1", port)
+        idle.write(ask("a1", "a"))
+        assert (await kept.readuntil(b"0\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        fresh, late = await asyncio.open_connection("127.0.0.1", port)  # its request is still on its way
+        late.write(ask("a2", "a")[:40])
+        new, at_new = await started(path, number, **told)
+        assert (await call(at_new["control"], "GET /api/ready")).startswith(b"HTTP/1.1 200")
+        assert (await call(at_old["control"], "POST /api/exclude?host=r1")).startswith(b"HTTP/1.1 200")
+        assert b"members_unavailable=1\n" in await call(at_new["control"], "GET /api/telemetry")
+        old.send_signal(signal.SIGTERM)
+        assert await kept.read() == b"", "an idle connection is closed"
+        late.write(ask("a2", "a")[40:])
+        served = await fresh.read()
+        assert served.startswith(b"HTTP/1.1 200") and b"connection: close" in served.lower()
+        assert await old.wait() == 0
+        for i in range(6):
+            source, sink = await asyncio.open_connection("127.0.0.1", port)
+            sink.write(ask(f"b{i}", "a", close=True))
+            assert (await source.read()).startswith(b"HTTP/1.1 200"), "the listener was not shut down"
+            sink.close()
+        assert not any(b"b" + str(i).encode() in head for head in spare.heads for i in range(6))
+        new.send_signal(signal.SIGTERM)
+        assert await new.wait() == 0
+        ours.close()
+        idle.close()
+        late.close()
+        for part in (discovery, reader, writer, spare):
+            await part.stop()
+
+    asyncio.run(asyncio.wait_for(go(), 60))
+
+
+def test_an_address_in_use_ends_the_start_with_a_plain_line(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as ours:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({**RAW, "listen": f"127.0.0.1:{ours.getsockname()[1]}"}))
+        done = subprocess.run(
+            (sys.executable, "-m", "onyxpass", "serve", "--config", str(path)),
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+    assert done.returncode == 1 and "can't start" in done.stdout and "Traceback" not in done.stderr
+
+
 def test_serve_from_start_to_sigterm(tmp_path: Path) -> None:
     async def go() -> None:
         discovery, reader, writer = Discovery(), Replica(READ), Replica(STREAM)
@@ -74,13 +168,9 @@
         ]
         path = tmp_path / "config.json"
         path.write_text(json.dumps({**RAW, "discovery": discovery.address, "listen": "127.0.0.1:0"}))
-        command = (sys.executable, "-m", "onyxpass", "serve", "--config", str(path))
-        process = await asyncio.create_subprocess_exec(*command, cwd=ROOT, stdout=asyncio.subprocess.PIPE)
+        process, ports = await started(path)
         assert process.stdout is not None
-        port = 0
-        while (line := json.loads(await process.stdout.readline())).get("form") != "full":
-            port = int(line["listen"].rpartition(":")[2]) if line["event"] == "listening" else port
-        source, sink = await asyncio.open_connection("127.0.0.1", port)
+        source, sink = await asyncio.open_connection("127.0.0.1", ports["listening"])
         sink.write(ask("a1", "a"))
         assert (await source.readuntil(b"0\r\n\r\n")).startswith(b"HTTP/1.1 200")
         path.write_text('{"name":')  # half written: the old settings hold
