--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -241,6 +241,8 @@
                 self._listed(event)
             case api.Exclusion():
                 self._excluded(event)
+            case api.Adopted(request, server, tokens) if host := self.hosts.get(server):
+                host.streams[request] = (now_us, tokens)  # it holds memory there all the same
         return self.acts
 
     def _listed(self, event: api.ListUpdate) -> None:
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -75,6 +75,26 @@
             if not request.over and request.committed is None:
                 self._give_up(request, "the dispatcher ends", Status.CANCELLED)
 
+    def adopt(self, request: Request, attempt: Attempt) -> None:
+        """Go on with a stream that the process before this one had begun; it has committed its request."""
+        request.attempts, request.out, request.committed = [attempt], attempt, attempt
+        self.requests[request.number] = self.live_ids[request.id] = request
+        self.figures.taken += 1
+        asked = request.arrival
+        tokens = asked.prompt_tokens + asked.max_tokens // 2
+        self.tell(api.Adopted(request.number, attempt.server, tokens))
+
+    def moved(self, attempt: Attempt) -> None:
+        """The process that comes after this one has taken the stream over, and counts its request."""
+        request = attempt.request
+        if attempt.ended or request.over:
+            return
+        attempt.ended, attempt.status, request.out = True, Status.CANCELLED, None
+        self._close(request)
+        self.figures.taken -= 1
+        log.info("handed over", id=request.id, server=attempt.server)
+        self.tell(api.Outcome(request.number, attempt.number, attempt.server, Status.CANCELLED, 0, True))
+
     def withdraw(self, request: Request) -> None:
         """The client has gone: nothing more is owed, and what is out is given up."""
         if request.over:
--- a/onyxpass/core/fleet.py
+++ b/onyxpass/core/fleet.py
@@ -44,8 +44,7 @@
     def receive(self, message: object) -> None:
         match message:
             case Carry(attempt) if not attempt.ended:
-                task = self.tasks[attempt] = asyncio.create_task(self.carry(attempt))
-                task.add_done_callback(lambda _: self._done(attempt))
+                self.work(attempt, self.carry(attempt))
             case GiveUp(attempt):
                 if (running := self.tasks.get(attempt)) is not None:
                     running.cancel()
@@ -54,6 +53,10 @@
             case Ping() if self.name not in self.core.excluded:  # it may have waited in the mailbox
                 self._beside(self.probe())
 
+    def work(self, attempt: Attempt, carrying: Coroutine[object, object, None]) -> None:
+        task = self.tasks[attempt] = asyncio.create_task(carrying)
+        task.add_done_callback(lambda _: self._done(attempt))
+
     def broken(self, message: object) -> None:
         if isinstance(message, Carry):
             self.core.ended(message.attempt, Status.NOT_SENT, reason="the dispatcher's own fault")
--- a/onyxpass/core/wheel.py
+++ b/onyxpass/core/wheel.py
@@ -38,10 +38,11 @@
 
     async def __aenter__(self) -> "Limit":
         self._task = asyncio.current_task()
-        self._timer = self._wheel.after(self._delay_us, self._expire)
+        self._timer = self._wheel.after(self._delay_us, self.expire)
         return self
 
-    def _expire(self) -> None:
+    def expire(self) -> None:
+        """Let the time be over now."""
         if self._task is not None:
             self._fired = True
             self._task.cancel()
--- a/onyxpass/handover.py
+++ b/onyxpass/handover.py
@@ -108,6 +108,15 @@
             os.close(self._own)
             self._own = None
 
+    def heir(self, name: str = "") -> Path | None:
+        """Where this process, or the one that is named, takes streams over."""
+        return (self.folder / (name or self._name)).with_suffix(".heir") if self.folder is not None else None
+
+    def successor(self) -> Path | None:
+        """Where the process that comes after this one does, if there is one."""
+        younger = [other.name for other in self.others if other.name > self._name]
+        return self.heir(max(younger)) if younger else None
+
     def look(self) -> None:
         """Who else runs, what has been taken out, and what that means for this process."""
         if self.folder is None:
@@ -136,6 +145,7 @@
             try:
                 fcntl.flock(number, fcntl.LOCK_EX | fcntl.LOCK_NB)
                 path.unlink(missing_ok=True)  # guards against the leftover of one that was killed
+                path.with_suffix(".heir").unlink(missing_ok=True)
             except BlockingIOError:
                 found.append(self._other(path.name, os.pread(number, FILE_MOST, 0)))
             finally:
@@ -171,7 +181,10 @@
         if elders:
             told = sum(self.sockets if other.limit is None else other.limit for other in elders)
             return max(floor, self.sockets - told)
-        held = len(os.listdir("/proc/self/fd")) + 4
+        try:
+            held = len(os.listdir("/proc/self/fd")) + 4
+        except OSError:  # where that can't be told, nothing is yielded beyond half
+            held = self.sockets
         return max(floor, min(self.limit, max(held, 0 if self.stopping else self.sockets // 2)))
 
     # Replicas that operators took out
--- a/onyxpass/interface.py
+++ b/onyxpass/interface.py
@@ -246,6 +246,15 @@
     out: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """A stream under way that another process of this router began; its end comes as an Outcome."""
+
+    id: int
+    server: str
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class OtherNotice:
     """Anything that this library has no use for: place notes, messages of peers."""
@@ -260,6 +269,7 @@
     | TimerFired
     | ProbeResult
     | Exclusion
+    | Adopted
     | OtherNotice
 )
 
--- a/onyxpass/net/answers.py
+++ b/onyxpass/net/answers.py
@@ -4,12 +4,13 @@
 
 import h11
 
-from onyxpass.core.wheel import Wheel
+from onyxpass.core.wheel import Limit, Wheel
 from onyxpass.net.http import BODY_LIMIT, Broken, Wire, header
 
 EVENT_MOST = BODY_LIMIT  # of one event, and of one chunk
 PART_US = 1_000_000  # from the first bytes of a head, chunk or small body to its last
 BLANK_LINES = (b"\n\n", b"\n\r\n", b"\r\r")
+Part = h11.Event | type[h11.PAUSED] | bytes  # of an answer: its head, a whole chunk, its end
 FIELDS = (b"data", b"event", b"id", b"retry", b"")  # the last: a comment
 
 
@@ -17,6 +18,10 @@
     """An answer that had begun and is no use: its request has run, and the state that it needed is gone."""
 
 
+class Nudged(Exception):
+    """A wait between two chunks was ended from outside; nothing is lost."""
+
+
 class Incoming:
     """One answer from a replica. Gives heads, the end, and the body as bytes, each chunk whole."""
 
@@ -24,11 +29,25 @@
         self.wire, self.wheel = wire, wheel
         self.begun = False  # whether anything of the answer has come
         self.chunked = False
+        self._wait: Limit | None = None  # at present, with nothing of a next part there
+        self._nudged = False
         self._parts: list[bytes] = []
+        self._tail = b""  # how the last whole chunk ended
         self._size = self._due_us = 0
         self._ahead: h11.Event | type[h11.PAUSED] | None = None
 
-    async def next(self, quiet_us: int | None = None) -> h11.Event | type[h11.PAUSED] | bytes:
+    @property
+    def between(self) -> bool:
+        """Whether all that has come are whole chunks, and the line's end of the last one with them."""
+        ended = self.wire.last == b"\r\n" != self._tail  # a chunk's own end that looks alike proves nothing
+        return self.chunked and ended and not (self._parts or self._ahead or self.wire.pending)
+
+    def nudge(self) -> None:
+        if self._wait is not None:
+            self._nudged = True
+            self._wait.expire()
+
+    async def next(self, quiet_us: int | None = None) -> Part:
         """``quiet_us``: how long nothing at all may come; what has begun has its own time."""
         while True:
             event, self._ahead = self._ahead, None
@@ -56,6 +75,7 @@
         self._ahead = self.wire.poll()
         part = b"".join(self._parts)
         self._parts, self._size, self._due_us = [], 0, 0
+        self._tail = part[-2:]
         return part
 
     async def _fill(self, quiet_us: int | None) -> None:
@@ -67,20 +87,28 @@
             now_us = self.wheel.clock.now_us()
             if part and not self._due_us:
                 self._due_us = now_us + PART_US
+            limit = self.wheel.limit(self._due_us - now_us if part else quiet_us or 0)
             try:
-                async with self.wheel.limit(self._due_us - now_us if part else quiet_us or 0):
+                async with limit:
+                    self._wait = None if part else limit
                     await self.wire.fill()
             except TimeoutError:
+                if self._nudged:
+                    self._nudged = False
+                    raise Nudged from None
                 raise Broken("a head or chunk that does not end" if part else "silence") from None
+            finally:
+                self._wait = None
         self.begun = self.begun or self.wire.pending
 
 
 class Events:
     """Cuts a body into whole server-sent events, byte for byte; the first must be well formed."""
 
-    def __init__(self) -> None:
-        self._rest = bytearray()
-        self._sound = False
+    def __init__(self, rest: bytes | None = None) -> None:
+        """``rest``: of a stream whose first event has been seen elsewhere, what is there of the next one."""
+        self._rest = bytearray(rest or b"")
+        self._sound = rest is not None
 
     def feed(self, data: bytes) -> bytes:
         """All events that are whole by now, once the first that carries data is among them."""
@@ -97,6 +125,11 @@
         del self._rest[:end]
         return whole
 
+    @property
+    def held(self) -> bytes:
+        """The part of the next event that has come."""
+        return bytes(self._rest)
+
     @property
     def rest(self) -> bool:
         """Whether an event has begun and not ended."""
--- a/onyxpass/net/control.py
+++ b/onyxpass/net/control.py
@@ -10,7 +10,7 @@
 
 from onyxpass.config import Address
 from onyxpass.core.dispatcher import Core
-from onyxpass.net.http import CHUNK, Broken, Wire, body, drain_input
+from onyxpass.net.http import Broken, Wire, body, drain_input
 from onyxpass.net.listen import Listener
 
 CALL_US = 800_000  # from connecting to the end of the call; then its caller is told so, or closed on
@@ -82,13 +82,9 @@
         return eldest is not None
 
     async def _call(self, sock: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        reader = asyncio.StreamReader(CHUNK, loop)
-        protocol = asyncio.StreamReaderProtocol(reader)
         wire: Wire | None = None
         try:
-            transport, _ = await loop.connect_accepted_socket(lambda: protocol, sock)
-            wire = Wire(h11.SERVER, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+            wire = await Wire.over(sock, h11.SERVER)
             await self._answer(wire)
             wire.close()
             async with self.wheel.limit(LEAVE_US):
@@ -100,8 +96,6 @@
         finally:
             if wire is not None:
                 wire.abort()
-            else:
-                sock.close()
 
     async def _answer(self, wire: Wire) -> None:
         began = False
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -4,7 +4,7 @@
 import json
 import re
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from enum import Enum
 
@@ -156,6 +156,7 @@
         self.done = asyncio.Event()
         self.broken = False
         self.begun = False  # whether the stream's head has gone out
+        self.keeps = True  # whether the client, and then that head, lets the connection stay open
 
     def _headers(self, *more: tuple[bytes, bytes]) -> list[tuple[bytes, bytes]]:
         return [*more, (b"connection", b"close")] if self._closing() else list(more)
@@ -166,7 +167,7 @@
         if self.begun:
             self.wire.write(h11.Data(data=event))
         else:
-            self.begun = True
+            self.begun, self.keeps = True, self.keeps and not self._closing()
             kind = (b"content-type", b"text/event-stream")
             headers = self._headers(kind, (b"transfer-encoding", b"chunked"))
             self.wire.write(h11.Response(status_code=200, headers=headers), h11.Data(data=event))
@@ -184,6 +185,10 @@
         self.wire.abort()  # guards against a broken stream that looks whole: no last chunk
         self.done.set()
 
+    def leave(self) -> None:
+        """Another process goes on with it: close this one's hold on the connection and nothing else."""
+        self.cut("")
+
     def refuse(self, retry_after_us: int) -> None:
         advice = [(b"retry-after", b"%.3f" % (retry_after_us / 1e6))] if retry_after_us > 0 else []
         self.answer(503, b"refused\n", *advice)
@@ -231,6 +236,9 @@
     stage: Stage = Stage.NEW
 
 
+UnderWay = tuple[HttpClient, Request] | None
+
+
 class Front:
     def __init__(
         self,
@@ -285,9 +293,7 @@
                 continue
             now_us = self.clock.now_us()
             peer = Peer(now_us, now_us + FIRST_US)
-            task = asyncio.create_task(self._converse(sock, peer))
-            self.open[task] = peer
-            task.add_done_callback(self._gone)
+            self._keep(peer, self._converse(sock, peer))
             await asyncio.sleep(0)  # guards against a flood of connections that lets nothing else run
 
     def _gone(self, task: asyncio.Task[None]) -> None:
@@ -311,18 +317,27 @@
         return False
 
     async def _converse(self, sock: socket.socket, peer: Peer) -> None:
-        loop = asyncio.get_running_loop()
-        reader = asyncio.StreamReader(CHUNK, loop)
-        protocol = asyncio.StreamReaderProtocol(reader)
         try:
-            transport, _ = await loop.connect_accepted_socket(lambda: protocol, sock)
+            wire = peer.wire = await Wire.over(sock, h11.SERVER)
         except OSError as problem:
             log.debug("connection ended", why=str(problem))
-            sock.close()
             return
-        wire = peer.wire = Wire(h11.SERVER, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+        await self._follow(peer, wire)
+
+    def adopt(self, wire: Wire, client: HttpClient, request: Request) -> None:
+        """Go on with a connection whose request the process before this one was answering."""
+        now_us = self.clock.now_us()
+        peer = Peer(now_us, now_us, wire, Stage.OPEN)
+        self._keep(peer, self._follow(peer, wire, (client, request)))
+
+    def _keep(self, peer: Peer, work: Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(work)
+        self.open[task] = peer
+        task.add_done_callback(self._gone)
+
+    async def _follow(self, peer: Peer, wire: Wire, under_way: UnderWay = None) -> None:
         try:
-            await self._serve(peer, wire)
+            await self._serve(peer, wire, under_way)
         except (Broken, OSError, TimeoutError) as problem:
             log.debug("connection ended", why=str(problem))
         except asyncio.CancelledError:  # the program ends; asyncio's own callback would print a traceback
@@ -345,18 +360,22 @@
     def _at(self, peer: Peer, stage: Stage) -> None:
         peer.stage, peer.since_us = stage, self.clock.now_us()
 
-    async def _serve(self, peer: Peer, wire: Wire) -> None:
+    async def _serve(self, peer: Peer, wire: Wire, under_way: UnderWay = None) -> None:
         while True:
-            if not wire.pending:
+            if not wire.pending and under_way is None:
                 limit_us = IDLE_US if peer.stage is Stage.IDLE else peer.due_us - self.clock.now_us()
                 async with self.wheel.limit(limit_us):
                     await wire.fill()
                 if not wire.pending:
                     return
-            self._at(peer, Stage.READING)
-            client = HttpClient(wire, lambda: self.closing)
+            client = under_way[0] if under_way else HttpClient(wire, lambda: self.closing)
             try:
-                await self._exchange(peer, wire, client)
+                if under_way is not None:
+                    await self._await_answer(wire, *under_way)
+                    under_way = None
+                else:
+                    self._at(peer, Stage.READING)
+                    await self._exchange(peer, wire, client)
             except (Broken, BadRequest, TimeoutError) as problem:
                 status = problem.status if isinstance(problem, Broken) else 400
                 if isinstance(problem, TimeoutError):
@@ -404,6 +423,7 @@
         if wire.pending:  # guards against a length that is wrong: what came behind is no request of its own
             raise Broken("bytes behind the request", 400)
         self._at(peer, Stage.OPEN)
+        client.keeps = b"close" not in (header(head, b"connection") or b"").lower()
         path = bytes(head.target).partition(b"?")[0]
         if path in (b"/health/ready", b"/health/live"):
             fit = path == b"/health/live" or (self.ready() and not self.closing)
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import select
+import socket
 from typing import Any
 
 import h11
@@ -34,8 +35,22 @@
         self.writer: asyncio.StreamWriter = writer
         self.h11 = h11.Connection(role, max_incomplete_event_size=HEAD_LIMIT)
         self.born = 0  # which life of its server it was opened in
+        self.last = b""  # the last two bytes that came
         self.kept_us = -1  # how long it stood idle before its present request; -1: it is new
 
+    @classmethod
+    async def over(cls, sock: socket.socket, role: type[h11.CLIENT] | type[h11.SERVER]) -> "Wire":
+        """A wire on a connection that is there already."""
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader(CHUNK, loop)
+        protocol = asyncio.StreamReaderProtocol(reader)
+        try:
+            transport, _ = await loop.connect_accepted_socket(lambda: protocol, sock)
+        except BaseException:
+            sock.close()
+            raise
+        return cls(role, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+
     async def event(self) -> h11.Event | type[h11.PAUSED]:
         """The next event. Broken if the other side ends within a message or breaks the protocol."""
         while (event := self.poll()) is None:
@@ -56,6 +71,7 @@
             data = await self.reader.read(CHUNK)
         except OSError as problem:
             raise Broken(f"connection lost: {problem}") from problem
+        self.last = (self.last + data[-2:])[-2:]
         try:
             self.h11.receive_data(data)
         except (h11.RemoteProtocolError, RuntimeError) as problem:
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Callable, Container, Coroutine, Iterable
 from dataclasses import dataclass
+from typing import Protocol
 
 import h11
 import structlog
@@ -14,7 +15,7 @@
 from onyxpass.core.fleet import ActorFleet, ServerActor
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.interface import KEPT_BROKE, STATE_GONE, ProbeResult, Repeat, Status
-from onyxpass.net.answers import Events, Incoming, Spoilt, framed
+from onyxpass.net.answers import Events, Incoming, Nudged, Part, Spoilt, framed
 from onyxpass.net.http import BODY_LIMIT, HOP_BY_HOP, Broken, Wire, body, header
 
 IDLE_MARGIN_US = 1_500_000  # so long before the replica may close it, an idle connection is no longer used
@@ -92,6 +93,22 @@
         return self.risk * 0.5 ** ((now_us - self.risk_us) / RISK_HALVES_US) if self.risk else 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Resumed:
+    """A stream that the process before this one had begun to pass on."""
+
+    wire: Wire
+    events: Events
+
+
+class HandedOver(Exception):
+    """The process that comes after this one goes on with the stream."""
+
+
+class Heirs(Protocol):
+    async def take(self, attempt: Attempt, incoming: Incoming, events: Events) -> bool: ...
+
+
 class Replica(ServerActor):
     """One replica as its own actor; exchanges run beside it, one for each connection in use."""
 
@@ -102,7 +119,11 @@
         self.address, self.budget = address, budget
         self.connect_us, self.keep_us = connect_us, max(0, idle_us - IDLE_MARGIN_US)
         self.idle: list[Idle] = []
+        self.streams: set[Incoming] = set()  # those that wait for their next part
         self.left = False
+        self.heirs: Callable[[], Heirs | None] = lambda: (
+            None
+        )  # who goes on with streams, once this process ends
         self.answered_us = 0  # when it last answered anything
         self.born = 0  # how often it was taken out or in: connections from before are not kept
 
@@ -181,11 +202,16 @@
 
     # Exchanges
 
-    async def carry(self, attempt: Attempt) -> None:
-        """One attempt from connection to end; however it ends, the core is told."""
-        wire: Wire | None = None
+    async def carry(self, attempt: Attempt, resumed: Resumed | None = None) -> None:
+        """One attempt from connection to end, or the rest of one; however it ends, the core is told."""
+        wire: Wire | None = resumed.wire if resumed else None
         status, note, reason, written, written_us = Status.UNREACHABLE, 0, "", False, 0
+        handed_over = False
         try:
+            if resumed is not None:
+                written = True
+                status, note, reason = await self._resume(resumed, attempt)
+                return
             if self._wary(attempt) or (wire := self._reuse()) is None:
                 wire = await self._open()
             if not self.core.may_send(self.name):  # guards against sends to a server that drains meanwhile
@@ -200,6 +226,8 @@
                 await wire.flush()
                 self.core.written(attempt)
                 status, note, reason = await self._answer(wire, attempt)
+        except HandedOver:
+            handed_over = True
         except Shortage as problem:  # guards against a replica blamed for what is lacking here
             status, reason = Status.NOT_SENT, str(problem)
         except Spoilt as problem:
@@ -223,7 +251,10 @@
                     self.budget.met(self.core.clock.now_us(), note == KEPT_BROKE and status is Status.RESET)
                 if reason and wire.kept_us >= 0:
                     reason += f" (kept for {wire.kept_us // 1000} ms)"
-            self.core.ended(attempt, status, note, reason)
+            if handed_over:
+                self.core.moved(attempt)
+            else:
+                self.core.ended(attempt, status, note, reason)
 
     def _wary(self, attempt: Attempt) -> bool:
         """Guards against bookings lost and attempts spent where kept connections break when used again."""
@@ -243,8 +274,18 @@
 
     async def _answer(self, wire: Wire, attempt: Attempt) -> tuple[Status, int, str]:
         incoming = Incoming(wire, self.wheel)
+        return await self._or_spoilt(incoming, self._read_answer(incoming, attempt))
+
+    async def _resume(self, resumed: Resumed, attempt: Attempt) -> tuple[Status, int, str]:
+        incoming = Incoming(resumed.wire, self.wheel)
+        incoming.begun = incoming.chunked = True
+        return await self._or_spoilt(incoming, self._pass_on(incoming, attempt, resumed.events, True))
+
+    async def _or_spoilt(
+        self, incoming: Incoming, answer: Coroutine[object, object, tuple[Status, int, str]]
+    ) -> tuple[Status, int, str]:
         try:
-            return await self._read_answer(incoming, attempt)
+            return await answer
         except Broken as problem:
             # Noise, or a break within the answer, proves that the request has run; silence proves nothing.
             if incoming.begun:
@@ -284,9 +325,20 @@
         """Pass whole events on as they come; served only if the stream is whole."""
         if not (header(head, b"content-type") or b"").lower().startswith(b"text/event-stream"):
             raise Broken("not a stream of events")
-        client, events = attempt.request.client, Events()
+        return await self._pass_on(incoming, attempt, Events(), framed(head))
+
+    async def _pass_on(
+        self, incoming: Incoming, attempt: Attempt, events: Events, whole_at_end: bool
+    ) -> tuple[Status, int, str]:
+        client = attempt.request.client
         while True:
-            part = await incoming.next(STALL_US if attempt.committed else OPENING_US)
+            heirs = self.heirs()
+            if heirs is not None and attempt.committed and await heirs.take(attempt, incoming, events):
+                raise HandedOver
+            try:
+                part = await self._next(incoming, STALL_US if attempt.committed else OPENING_US)
+            except Nudged:
+                continue
             if isinstance(part, bytes):
                 # Guards against noise that commits the request: only whole events reach the client.
                 if not (whole := events.feed(part)):
@@ -296,12 +348,19 @@
                 async with self.wheel.limit(TAKE_US):  # a client that takes nothing holds no replica for ever
                     await client.relay(whole)
             elif isinstance(part, h11.EndOfMessage):
-                if attempt.committed and framed(head) and not events.rest:
+                if attempt.committed and whole_at_end and not events.rest:
                     return Status.SERVED, 0, ""
                 raise Broken("the stream was not whole")
             else:
                 raise Broken("ended within the stream")
 
+    async def _next(self, incoming: Incoming, quiet_us: int) -> Part:
+        self.streams.add(incoming)
+        try:
+            return await incoming.next(quiet_us)
+        finally:
+            self.streams.discard(incoming)
+
     async def probe(self) -> None:
         began_us, ok, wire = self.core.clock.now_us(), False, None
         try:
@@ -368,15 +427,38 @@
     def __init__(self, core: Core, most: int, connect_us: int, idle_us: int) -> None:
         super().__init__(core)
         self.connect_us, self.idle_us = connect_us, idle_us
+        self.heirs: Heirs | None = None
         self.budget = Budget(most, make_room=self._make_room)
 
     def told(self, name: str, address: Address, left: bool) -> None:
         """What the list says of where a replica listens."""
         if (actor := self.actors.get(name)) is None:
-            self.join(Replica(name, address, self.core, self.budget, self.connect_us, self.idle_us))
+            self._enter(name, address)
         else:
             actor.tell(Moved(address, left))
 
+    def _enter(self, name: str, address: Address) -> Replica:
+        actor = Replica(name, address, self.core, self.budget, self.connect_us, self.idle_us)
+        actor.heirs = lambda: self.heirs
+        self.join(actor)
+        return actor
+
+    def hand_over(self, heirs: Heirs) -> None:
+        """Streams go over from now on, also those that wait for their next event."""
+        self.heirs = heirs
+        for actor in self.actors.values():
+            for incoming in list(actor.streams):
+                incoming.nudge()
+
+    def adopt(self, attempt: Attempt, resumed: Resumed, address: Address) -> None:
+        """Go on with a stream; its replica may have left the list, and is then forgotten with it."""
+        actor = self.actors.get(attempt.server)
+        if actor is None:
+            actor = self._enter(attempt.server, address)
+            actor.left = True
+        self.budget.open += 1
+        actor.work(attempt, actor.carry(attempt, resumed))
+
     def _make_room(self) -> bool:
         """Guards against connections that idle while a request can't go out for want of one."""
         idle = [actor for actor in self.actors.values() if actor.idle]
--- /dev/null
+++ b/onyxpass/net/succession.py
@@ -0,0 +1,261 @@
+"""Streams under way go over to the process that takes this one's place, with both of their connections.
+
+The old process offers a stream between two whole chunks, with nothing half read or half written and reading
+paused. The new one says that it could go on with it; only then is it told to, and the old one lets go.
+Nothing goes out again to a replica, and whatever fails before that word leaves the stream where it was.
+"""
+
+import asyncio
+import json
+import os
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import h11
+import structlog
+
+from onyxpass import interface as api
+from onyxpass.config import Address
+from onyxpass.core.dispatcher import Core
+from onyxpass.core.requests import Attempt, Request
+from onyxpass.net.answers import Events, Incoming
+from onyxpass.net.front import Front, HttpClient
+from onyxpass.net.http import Wire
+from onyxpass.net.listen import Listener
+from onyxpass.net.replica import Replicas, Resumed
+
+VERSION = 1  # of the message; another one's is turned down
+MESSAGE_MOST = 64 * 1024
+TURNS = 4  # streams on their way at once
+FAILURES = 8  # offers in vain, till no more are made
+OFFER_US = 300_000  # from the offer to the other process's word
+PATH_MOST = 100  # bytes of a socket's path that every system takes
+BACKLOG = 64
+WILLING, GO = b"1", b"2"
+log = structlog.get_logger("succession")
+
+
+@contextmanager
+def short(path: Path) -> Iterator[str]:
+    """The path of a socket, in a form that is short enough however deep the folder lies."""
+    if len(os.fsencode(path)) <= PATH_MOST:
+        yield str(path)
+        return
+    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        yield f"/proc/self/fd/{folder}/{path.name}"
+    finally:
+        os.close(folder)
+
+
+def describe(attempt: Attempt, rest: bytes, keeps: bool) -> bytes:
+    """What the other process needs to know of a stream besides its two connections."""
+    request = attempt.request
+    asked = request.arrival
+    told = {
+        "version": VERSION,
+        "id": request.id,
+        "cls": asked.cls,
+        "session": asked.session,
+        "deadline_us": asked.deadline_us,
+        "prompt_tokens": asked.prompt_tokens,
+        "max_tokens": asked.max_tokens,
+        "arrived_us": request.arrived_us,
+        "n": attempt.number,
+        "server": attempt.server,
+        "sent_us": attempt.sent_us,
+        "first_us": attempt.first_us,
+        "parts": attempt.parts,
+        "gap_us": attempt.gap_us,
+        "rest": rest.decode("latin-1"),
+        "keeps": keeps,
+    }
+    return json.dumps(told).encode()
+
+
+class Successor:
+    """The new process, as the old one sees it."""
+
+    def __init__(self, path: Path, core: Core) -> None:
+        self.path, self.core, self.wheel = path, core, core.wheel
+        self.turns = asyncio.Semaphore(TURNS)
+        self.failures = 0
+
+    async def take(self, attempt: Attempt, incoming: Incoming, events: Events) -> bool:
+        """True: the stream is the other process's, and nothing of it may be touched here any more."""
+        client = attempt.request.client
+        if not isinstance(client, HttpClient) or not client.begun:
+            return False
+        if self.failures >= FAILURES:  # guards against streams held up by offers that nobody takes
+            return False
+        async with self.turns:
+            wires = (client.wire, incoming.wire)
+            if attempt.verdict or client.done.is_set() or not incoming.between or not all(map(quiet, wires)):
+                return False
+            message = describe(attempt, events.held, client.keeps)
+            if len(message) > MESSAGE_MOST:
+                return False
+            for wire in wires:  # what comes from now on is for the one who goes on
+                wire.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            taken = False
+            try:
+                held = [wire.writer.get_extra_info("socket").fileno() for wire in wires]
+                taken = await self._offer(message, held)
+            except (OSError, TimeoutError) as problem:
+                log.warning("a stream stays", id=attempt.request.id, why=str(problem) or "no answer")
+            finally:
+                if taken:
+                    client.leave()
+                else:
+                    self.failures += 1
+                    for wire in wires:
+                        wire.writer.transport.resume_reading()  # type: ignore[attr-defined]
+            return taken
+
+    async def _offer(self, message: bytes, descriptors: list[int]) -> bool:
+        with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
+            sock.setblocking(False)
+            with short(self.path) as path:
+                sock.connect(path)
+            socket.send_fds(sock, [message], descriptors)
+            async with self.wheel.limit(OFFER_US):
+                answer = await asyncio.get_running_loop().sock_recv(sock, 1)
+            if answer != WILLING:
+                return False
+            sock.send(GO)
+            return True
+
+
+def quiet(wire: Wire) -> bool:
+    """Whether nothing is half done on it: all that was read is used, all that was written has left."""
+    reader = wire.reader
+    ended = reader.at_eof() or reader.exception() is not None
+    return not (ended or bool(getattr(reader, "_buffer", b"")) or wire.pending) and wire.written
+
+
+class Heir:
+    """The new process's side: takes over streams from the one before it."""
+
+    def __init__(self, path: Path, core: Core, front: Front, replicas: Replicas) -> None:
+        self.path, self.core, self.front, self.replicas = path, core, front, replicas
+        self.wheel = core.wheel
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        try:
+            with short(self.path) as path:
+                sock.bind(path)
+            sock.listen(BACKLOG)
+        except OSError as problem:  # guards against a start that fails for what is only needed at an upgrade
+            log.error("streams can't be taken over", why=str(problem))
+            sock.close()
+            await asyncio.Event().wait()
+        listener = Listener(sock)
+        try:
+            while True:
+                offer = await listener.accept()
+                task = asyncio.create_task(self._hear(offer))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+        finally:
+            listener.close()
+            self.path.unlink(missing_ok=True)
+
+    async def _hear(self, offer: socket.socket) -> None:
+        loop, held = asyncio.get_running_loop(), list[socket.socket]()
+        offer.setblocking(False)
+        try:
+            async with self.wheel.limit(OFFER_US):
+                message, descriptors = await receive(offer)
+                held = [socket.socket(fileno=number) for number in descriptors]
+                stream = self._read(message, held)
+                offer.send(WILLING)
+                if await loop.sock_recv(offer, 1) != GO:
+                    raise ValueError("taken back")
+            client, replica = held
+            held = []
+            await self._go_on(stream, client, replica)
+        except (OSError, TimeoutError, ValueError, KeyError, TypeError, RecursionError) as problem:
+            log.warning("a stream was not taken over", why=str(problem) or "no word")
+        except Exception:
+            log.exception("a stream could not be taken over")
+        finally:
+            for sock in held:  # a copy: the other process's connection lives on
+                sock.close()
+            offer.close()
+
+    def _read(self, message: bytes, held: list[socket.socket]) -> dict[str, Any]:
+        told: Any = json.loads(message)
+        if not isinstance(told, dict) or told["version"] != VERSION or len(held) != 2:
+            raise ValueError("not a stream that this version knows")
+        for name in ("id", "cls", "session", "server", "rest"):
+            if not isinstance(told[name], str):
+                raise ValueError(f"{name} is no text")
+        for name in ("deadline_us", "prompt_tokens", "max_tokens", "arrived_us", "n", "sent_us", "first_us"):
+            if type(told[name]) is not int or told[name] < 0:
+                raise ValueError(f"{name} is no number")
+        told["rest"].encode("latin-1")
+        if told["id"] in self.core.live_ids:  # guards against two answers under one id
+            raise ValueError("a request with this id is open")
+        return told
+
+    async def _go_on(self, told: dict[str, Any], client_sock: socket.socket, sock: socket.socket) -> None:
+        wire = await Wire.over(sock, h11.CLIENT)
+        client_wire = await Wire.over(client_sock, h11.SERVER)
+        client = HttpClient(client_wire, lambda: self.front.closing)
+        client.begun, client.keeps = True, bool(told["keeps"])
+        replay(wire, client_wire, client.keeps)
+        asked = api.Arrival(
+            id=self.core.number_for(told["id"]),
+            cls=told["cls"],
+            session=told["session"],
+            deadline_us=told["deadline_us"],
+            prompt_tokens=told["prompt_tokens"],
+            max_tokens=told["max_tokens"],
+        )
+        request = Request(told["id"], asked.id, asked, client, None, told["arrived_us"])
+        attempt = Attempt(request, told["n"], told["server"], 0, told["sent_us"], whole=True)
+        attempt.first_us, attempt.parts = told["first_us"], int(told["parts"])
+        attempt.gap_us, attempt.part_us = int(told["gap_us"]), self.core.clock.now_us()
+        self.core.adopt(request, attempt)
+        self.front.adopt(client_wire, client, request)
+        address = Address(*sock_name(wire))
+        self.replicas.adopt(attempt, Resumed(wire, Events(told["rest"].encode("latin-1"))), address)
+        log.info("taken over", id=request.id, server=attempt.server)
+
+
+async def receive(sock: socket.socket) -> tuple[bytes, list[int]]:
+    """One message with the descriptors that came with it."""
+    loop, ready = asyncio.get_running_loop(), asyncio.Event()
+    loop.add_reader(sock.fileno(), ready.set)
+    try:
+        await ready.wait()
+    finally:
+        loop.remove_reader(sock.fileno())
+    message, descriptors, _, _ = socket.recv_fds(sock, MESSAGE_MOST, 2)
+    return message, descriptors
+
+
+def sock_name(wire: Wire) -> tuple[str, int]:
+    host, port = wire.writer.get_extra_info("peername")[:2]
+    return str(host), int(port)
+
+
+def replay(wire: Wire, client_wire: Wire, keeps: bool) -> None:
+    """Bring two fresh h11 machines to where those of the other process are: within a body in chunks."""
+    wire.h11.send(h11.Request(method=b"GET", target=b"/", headers=[(b"host", b"x")]))
+    wire.h11.send(h11.EndOfMessage())
+    wire.h11.receive_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    wire.h11.next_event()
+    client_wire.h11.receive_data(
+        b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n%b\r\n"
+        % (b"" if keeps else b"Connection: close\r\n")
+    )
+    client_wire.h11.next_event()
+    client_wire.h11.next_event()
+    chunked = [(b"transfer-encoding", b"chunked")]
+    client_wire.h11.send(h11.Response(status_code=200, headers=chunked))
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -15,6 +15,7 @@
 from onyxpass.net.control import Control
 from onyxpass.net.front import Front
 from onyxpass.net.replica import Replicas
+from onyxpass.net.succession import Heir, Successor
 from onyxpass.net.watch import ListActor
 
 SWEEP_US = 1_000_000
@@ -48,6 +49,7 @@
         self.control: Control | None = None
         if config.control is not None:
             self.control = Control(self.core, config.control, self.ready, self.handover.exclude)
+        self.heir: Heir | None = None
         self.tasks: list[asyncio.Task[None]] = []
 
     def _share(self, sockets: int) -> None:
@@ -66,6 +68,9 @@
             self.tasks.append(asyncio.create_task(work))
         self.list.saved(self.config.known)
         self.tasks.append(await self.front.start())
+        if (path := self.handover.heir()) is not None:
+            self.heir = Heir(path, self.core, self.front, self.replicas)
+            self.tasks.append(asyncio.create_task(self.heir.run()))
         if self.control is not None:
             self.tasks.append(asyncio.create_task(self.control.run()))
         self._sweep()
@@ -107,6 +112,9 @@
 
     async def stop(self) -> None:
         self.handover.stopping = True
+        self.handover.look()
+        if (path := self.handover.successor()) is not None:
+            self.replicas.hand_over(Successor(path, self.core))
         await self.front.stop()
         while self.core.requests:  # what was taken and left by its client is still being tidied up
             await self.wheel.sleep(10_000)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,7 +11,7 @@
 
 import pytest
 from test_adapter import CONF
-from test_net import READ, STREAM, Discovery, Replica, ask
+from test_net import READ, STREAM, Discovery, Replica, ask, ends_with
 from typer.testing import CliRunner
 
 from onyxpass import __version__
@@ -143,6 +143,45 @@
     asyncio.run(asyncio.wait_for(go(), 60))
 
 
+def test_a_stream_under_way_goes_over_to_the_new_process_and_its_connections_live_on(tmp_path: Path) -> None:
+    async def go() -> None:
+        hold = asyncio.Event()
+        discovery, reader, writer = Discovery(), Replica(READ), Replica(ends_with(hold), STREAM)
+        for part in (discovery, reader, writer):
+            await part.start()
+        for name, kind, part in (("r0", "r", reader), ("w0", "w", writer)):
+            discovery.hosts.append(discovery.entry(name, kind, part.address))
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({**RAW, "discovery": discovery.address}))
+        ours = socket.create_server(("127.0.0.1", 0))
+        port, number = ours.getsockname()[1], ours.fileno()
+        told = {"ROUTER_PASSED_SOCKET": str(number), "TMPDIR": str(tmp_path), "ROUTER_CONTROL": "127.0.0.1:0"}
+        old, _ = await started(path, number, **told)
+        source, sink = await asyncio.open_connection("127.0.0.1", port)
+        sink.write(ask("a1", "a"))
+        await source.readuntil(b"[DONE]\n\n\r\n")
+        new, at_new = await started(path, number, **told)
+        old.send_signal(signal.SIGTERM)
+        while b"svc.pending=1\n" not in await call(at_new["control"], "GET /api/telemetry"):
+            await asyncio.sleep(0.01)
+        assert await old.wait() == 0, "it has nothing left to wait for, though the stream has not ended"
+        hold.set()
+        assert (await source.readuntil(b"0\r\n\r\n")) == b"0\r\n\r\n"
+        sink.write(ask("a2", "a"))  # the connection is the new process's now
+        assert (await source.readuntil(b"0\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        told_now = await call(at_new["control"], "GET /api/telemetry")
+        assert b".completed=2\n" in told_now and b"svc.pending=0\n" in told_now
+        assert len(writer.heads) == 2, "nothing was sent twice"
+        new.send_signal(signal.SIGTERM)
+        assert await new.wait() == 0
+        ours.close()
+        sink.close()
+        for part in (discovery, reader, writer):
+            await part.stop()
+
+    asyncio.run(asyncio.wait_for(go(), 60))
+
+
 def test_an_address_in_use_ends_the_start_with_a_plain_line(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as ours:
         path = tmp_path / "config.json"
