--- a/onyxpass/net/listen.py
+++ b/onyxpass/net/listen.py
@@ -9,6 +9,7 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
+        self.waiting = -1  # the descriptor that the loop watches for it at present
         sock.setblocking(False)
 
     @classmethod
@@ -32,13 +33,21 @@
                 await self._readable()
 
     async def _readable(self) -> None:
-        loop, number, ready = asyncio.get_running_loop(), self.sock.fileno(), asyncio.Event()
-        loop.add_reader(number, ready.set)
+        ready = asyncio.Event()
+        self.waiting = self.sock.fileno()
+        asyncio.get_running_loop().add_reader(self.waiting, ready.set)
         try:
             await ready.wait()
         finally:
-            loop.remove_reader(number)
+            self._unwatch()
+
+    def _unwatch(self) -> None:
+        """Guards against a later socket left unwatched: once this one is closed, its number is another's."""
+        if self.waiting >= 0:
+            asyncio.get_running_loop().remove_reader(self.waiting)
+            self.waiting = -1
 
     def close(self) -> None:
         """This process's hold on it only: never ``shutdown``, which would end it for the other one too."""
+        self._unwatch()
         self.sock.close()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -321,6 +321,28 @@
     asyncio.run(asyncio.wait_for(go(), 10))
 
 
+def test_a_listener_that_closes_leaves_alone_the_socket_that_gets_its_number() -> None:
+    async def go() -> None:
+        listener = Listener.at("127.0.0.1", 0, 8)
+        number = listener.sock.fileno()
+        taking = asyncio.create_task(listener.accept())
+        await asyncio.sleep(0)
+        taking.cancel()
+        listener.close()
+        one, two = socket.socketpair()
+        reused = socket.socket(fileno=one.detach()) if one.fileno() == number else one
+        reused.setblocking(False)
+        assert reused.fileno() == number, "the lowest free number is given out again"
+        heard = asyncio.create_task(asyncio.get_running_loop().sock_recv(reused, 1))
+        await asyncio.gather(taking, return_exceptions=True)
+        two.send(b"x")
+        assert await heard == b"x"
+        reused.close()
+        two.close()
+
+    asyncio.run(asyncio.wait_for(go(), 10))
+
+
 def test_a_passed_descriptor_is_used_only_if_it_listens() -> None:
     ours = socket.create_server(("127.0.0.1", 0))
     found = passed_listener(ours.dup().detach())
@@ -572,3 +594,25 @@
     assert d.sent[1][1] == "w1"
     d.give(api.Outcome(77, 1, "w0", Status.SERVED, 1, True))
     assert not d.router.hosts["w0"].streams
+
+
+def test_after_a_release_cold_servers_bear_what_no_warm_one_can_and_no_more_than_their_budget() -> None:
+    def earned(warm: int, cold_for_us: int) -> float:
+        """What one request earns all cold readers together, of four."""
+        d = Drive(fleet(4, 4))
+        started = d.now - cold_for_us
+        cold = [api.Server(f"r{i}", "r", f"z{i % 2}", i % 2, started) for i in range(warm, 4)]
+        d.give(api.ListUpdate(api.ListForm.DELTA, tuple(cold)))
+        hosts = [d.router.hosts[s.id] for s in cold]
+        for host in hosts:
+            host.credit = 0.0
+        d.ask(1)
+        return sum(host.credit for host in hosts)
+
+    half_us = SETTINGS.cold_us // 2
+    assert earned(0, half_us) == pytest.approx(1.0), "all of the requests"
+    least = SETTINGS.cold_from * SETTINGS.fall_multiple * 0.7
+    assert earned(0, 0) == pytest.approx(min(1.0, least)), "short of what makes them fall over"
+    assert earned(2, 0) == pytest.approx(SETTINGS.cold_from * 2 / 4), (
+        "where warm ones bear the rest, their part"
+    )
