Make room in a crowd for newcomers by least progress, and only once one is there

A test showed a second fault: _accept_all made room as soon as all places were taken, before any newcomer was there.

--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -234,6 +234,16 @@
     due_us: int  # by when the request that is being read must be whole
     wire: Wire | None = None
     stage: Stage = Stage.NEW
+    pieces: int = 0  # that had come on the wire before the request that is being read
+
+    def progress(self) -> tuple[int, int]:
+        """Guards against true requests that are written slowly and go for what a crowd has left behind.
+
+        In how many pieces its request has come so far: one that is never finished stops early, so among those
+        with the fewest the eldest is missed least.
+        """
+        reading = self.stage is Stage.READING and self.wire is not None
+        return (self.wire.pieces - self.pieces if reading and self.wire else 0), self.since_us
 
 
 UnderWay = tuple[HttpClient, Request] | None
@@ -283,14 +293,17 @@
         while self.shared and not self.ready():  # till then the other process, if there is one, serves
             await self.wheel.sleep(ROOM_US)
         while True:
+            await listener.newcomer()  # guards against a connection closed for a newcomer that never comes
             while len(self.open) >= self.most and not self._make_room():
                 await self.wheel.sleep(ROOM_US)
             try:
-                sock = await listener.accept()
+                sock = listener.take()
             except OSError as problem:  # guards against a front that ends when descriptors run out
                 log.warning("can't accept", why=str(problem))
                 await self.wheel.sleep(SHORT_US)
                 continue
+            if sock is None:
+                continue
             now_us = self.clock.now_us()
             peer = Peer(now_us, now_us + FIRST_US)
             self._keep(peer, self._converse(sock, peer))
@@ -309,7 +322,7 @@
         for stage, least_us in SPARED:
             held = [t for t, p in self.open.items() if p.stage is stage and now_us - p.since_us >= least_us]
             if held:
-                task = min(held, key=lambda t: self.open[t].since_us)
+                task = min(held, key=lambda t: self.open[t].progress())
                 if (wire := self.open.pop(task).wire) is not None:
                     wire.abort()
                 task.cancel()
@@ -375,6 +388,7 @@
                     under_way = None
                 else:
                     self._at(peer, Stage.READING)
+                    peer.pieces = wire.pieces - 1
                     await self._exchange(peer, wire, client)
             except (Broken, BadRequest, TimeoutError) as problem:
                 status = problem.status if isinstance(problem, Broken) else 400
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -35,6 +35,7 @@
         self.writer: asyncio.StreamWriter = writer
         self.h11 = h11.Connection(role, max_incomplete_event_size=HEAD_LIMIT)
         self.born = 0  # which life of its server it was opened in
+        self.pieces = 0  # in which what came so far has come
         self.last = b""  # the last two bytes that came
         self.kept_us = -1  # how long it stood idle before its present request; -1: it is new
 
@@ -71,6 +72,7 @@
             data = await self.reader.read(CHUNK)
         except OSError as problem:
             raise Broken(f"connection lost: {problem}") from problem
+        self.pieces += 1
         self.last = (self.last + data[-2:])[-2:]
         try:
             self.h11.receive_data(data)
--- a/onyxpass/net/listen.py
+++ b/onyxpass/net/listen.py
@@ -26,13 +26,19 @@
 
         So nothing is taken but by this very step. Where another process was quicker, it waits on.
         """
-        while True:
-            try:
-                return self.sock.accept()[0]
-            except (BlockingIOError, InterruptedError):
-                await self._readable()
+        while (taken := self.take()) is None:
+            await self.newcomer()
+        return taken
 
-    async def _readable(self) -> None:
+    def take(self) -> socket.socket | None:
+        """The connection that has waited for longest, if there is one."""
+        try:
+            return self.sock.accept()[0]
+        except (BlockingIOError, InterruptedError):
+            return None
+
+    async def newcomer(self) -> None:
+        """Returns once a connection waits to be taken; another process may take it first."""
         ready = asyncio.Event()
         self.waiting = self.sock.fileno()
         asyncio.get_running_loop().add_reader(self.waiting, ready.set)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -566,6 +566,35 @@
     run(go)
 
 
+def test_a_crowd_of_half_requests_does_not_take_the_place_of_one_written_slowly(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def go() -> None:
+        monkeypatch.setattr(front, "SPARED", [(stage, 0) for stage, _ in front.SPARED])
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            text, held = ask("slow", close=True), w.dispatcher.front
+
+            def pieces() -> list[int]:
+                return sorted(peer.wire.pieces for peer in held.open.values() if peer.wire is not None)
+
+            slow, writer = await w.send(b"")
+            for i in range(3):  # the eldest of all, but it keeps coming
+                writer.write(text[20 * i : 20 * (i + 1)])
+                await until(lambda i=i: pieces() == [i + 1])
+            held.most = 4
+            crowd = [await w.send(b"POST /v1/chat") for _ in range(12)]
+            ended = [asyncio.create_task(reader.read()) for reader, _ in crowd]
+            await until(lambda: sum(task.done() for task in ended) == 9)
+            assert pieces() == [1, 1, 1, 3]
+            writer.write(text[60:])
+            assert (await slow.read()).startswith(b"HTTP/1.1 200")
+            for _, other in (*crowd, (slow, writer)):
+                other.close()
+            await asyncio.gather(*ended, return_exceptions=True)
+
+    run(go)
+
+
 def test_complaints_are_paced_and_their_lines_counted() -> None:
     clock = Clock()
     made = front.Complaints(clock)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -447,7 +447,8 @@
     async def go() -> None:
         async with world([Replica(READ)], [Replica(STREAM)]) as w:
             await asyncio.gather(*(w.ask(f"a{i}") for i in range(20)))
-            budget = w.dispatcher.replicas.budget
+            budget, actors = w.dispatcher.replicas.budget, w.dispatcher.replicas.actors.values()
+            await until(lambda: not any(actor.tasks for actor in actors))
             assert budget.open > 8
             w.dispatcher._share(20)
             assert budget.open <= budget.most == w.dispatcher.front.most == 8
