Resume the known list and be patient with a busy discovery, with full jitter

Ruled out: the connection (it came up). Now the list that the configuration holds is resumed by one watch from its version, the time for a whole list doubles, pauses have full jitter up to 2 s.

--- a/onyxpass/net/watch.py
+++ b/onyxpass/net/watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -19,9 +20,10 @@
 LIST = b"/registry/instances"
 QUIET_US = 6_000_000  # a watch sends a line every 2 s at least
 CONNECT_US = 500_000
-WHOLE_US = 1_000_000  # for the whole list, which is there at once wherever discovery answers
+WHOLE_US, WHOLE_MOST_US = 1_000_000, 6_000_000  # for the whole list; twice as long each time, up to this
 LINE_LIMIT = 4 * 1024 * 1024
-BACKOFF_MS, BACKOFF_MOST_MS = 20, 500
+STEP_MS = 20
+BACKOFF_MS, BACKOFF_MOST_MS = 50, 2_000  # bounds of the pause before discovery is asked again
 CONDITIONS = {
     "active": api.Condition.UP,
     "leaving": api.Condition.DRAINING,
@@ -67,9 +69,11 @@
 
     def __init__(self, most: int = LINE_LIMIT) -> None:
         self._rest, self._most = b"", most
+        self.ended = False  # whether there has been a whole line, if only an empty one
 
     def feed(self, data: bytes) -> list[bytes]:
         *lines, self._rest = (self._rest + data).split(b"\n")
+        self.ended = self.ended or bool(lines)
         if len(self._rest) > self._most:
             raise ListError("a line without an end")
         return [line.strip() for line in lines if line.strip()]
@@ -79,15 +83,17 @@
 class News:
     """One of discovery's objects, and the how-manieth address it was heard at."""
 
-    message: Mapping[str, Any]
+    message: Mapping[str, Any] | None  # None: all that there was to tell since our version has been told
     era: int
 
 
 class ListActor(Actor[News]):
     """Its mailbox takes discovery's objects in order; ``follow`` fills it from the watch."""
 
-    def __init__(self, core: Core, replicas: Replicas, discovery: Address) -> None:
+    def __init__(self, core: Core, replicas: Replicas, discovery: Address, seed: int = 0) -> None:
         super().__init__("list")
+        self.chance = random.Random(seed)
+        self.failures = 0  # in a row, with nothing heard
         self.core, self.replicas, self.discovery = core, replicas, discovery
         self.seq: int | None = None
         self.era = 0  # how often discovery has moved
@@ -96,13 +102,15 @@
         self.on_ready: Callable[[], None] | None = None
 
     def saved(self, known: Mapping[str, Any]) -> None:
-        """The list as this dispatcher last had it. It may be old, so it makes nothing ready."""
+        """The list as this dispatcher last had it. It may be old, so it makes nothing ready by itself."""
         try:
             update, addresses = read_list(known, api.ListForm.SAVED)
         except ListError as problem:
             if known:
                 log.warning("the known list is no use", why=str(problem))
             update, addresses = api.ListUpdate(api.ListForm.SAVED), {}
+        if update.servers:  # guards against a herd that asks for the whole list where little has changed
+            self.seq = update.version
         self._apply(update, addresses)
 
     def _apply(self, update: api.ListUpdate, addresses: Mapping[str, Address]) -> None:
@@ -114,6 +122,9 @@
         self.core.listed(update)
 
     def receive(self, message: News) -> None:
+        if message.message is None:
+            self._be_ready()
+            return
         update, addresses = read_list(message.message)
         # Guards against versions of two addresses being compared: each counts for itself.
         known = self.seq if message.era == self.era else None
@@ -123,7 +134,11 @@
         if message.era == self.era:
             self.seq = update.version
         log.info("list", seq=update.version, form=update.form.value, n=len(update.servers))
-        if not self.ready and update.form is api.ListForm.FULL:
+        if update.form is api.ListForm.FULL:
+            self._be_ready()
+
+    def _be_ready(self) -> None:
+        if not self.ready:
             self.ready = True
             if self.on_ready:
                 self.on_ready()
@@ -136,14 +151,14 @@
         if discovery == self.discovery:
             return
         self.discovery, self.seq, self.era = discovery, None, self.era + 1
+        self.failures = 0
         if self._watch is not None:
             self._watch.cancel()
 
     async def follow(self) -> None:
         """Never ends: the old list holds while the watch is lost, and it resumes from the last version."""
-        wait_ms = BACKOFF_MS
         while True:
-            before, era = self.seq, self.era
+            era = self.era
             watch = self._watch = asyncio.create_task(self._once())
             try:
                 await asyncio.wait([watch])
@@ -154,11 +169,16 @@
                 log.warning("watch lost", why=str(problem) or type(problem).__name__, seq=self.seq)
             elif problem is not None:
                 log.error("the watch failed", exc_info=problem)
-            wait_ms = BACKOFF_MS if self.seq != before else min(BACKOFF_MOST_MS, wait_ms * 2)
-            waited_ms = 0
+            wait_ms, waited_ms = self.pause_ms(), 0
             while era == self.era and waited_ms < wait_ms:  # not at all where discovery has moved
-                await self.core.wheel.sleep(BACKOFF_MS * 1000)
-                waited_ms += BACKOFF_MS
+                await self.core.wheel.sleep(STEP_MS * 1000)
+                waited_ms += STEP_MS
+
+    def pause_ms(self) -> float:
+        """Guards against dispatchers that lose discovery together and then all ask it in step."""
+        most_ms = min(BACKOFF_MOST_MS, BACKOFF_MS << min(self.failures, 10))
+        self.failures += 1
+        return self.chance.uniform(0, most_ms)
 
     async def _once(self) -> None:
         wheel = self.core.wheel
@@ -167,8 +187,9 @@
         wire = Wire(h11.CLIENT, *streams)
         try:
             if self.seq is None:
-                # Guards against an address that takes the question and says nothing: it is asked again soon.
-                async with wheel.limit(WHOLE_US):
+                # Guards against an address that takes the question and says nothing: it is asked again soon;
+                # and against a busy one that never has the time to answer: what is given up costs it as well.
+                async with wheel.limit(min(WHOLE_MOST_US, WHOLE_US << min(self.failures, 10))):
                     await self._ask(wire, LIST, whole=True)
                 wire.h11.start_next_cycle()
             await self._ask(wire, LIST + b"?watch=1&from=%d" % (self.seq or 0), whole=False)
@@ -192,6 +213,9 @@
                     continue
                 for line in lines.feed(bytes(event.data)):
                     self._hear(line)
+                if lines.ended and self.failures + (not self.ready):
+                    self.failures = 0
+                    self.tell(News(None, self.era))
             elif isinstance(event, h11.EndOfMessage):
                 if whole:
                     self._hear(text)
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -40,7 +40,7 @@
         self.core = Core(config.settings, config.seed, self.clock, self.wheel)
         self.replicas = Replicas(self.core, config.share, config.connect_timeout_us, config.conn_idle_us)
         self.core.fleet = self.replicas
-        self.list = ListActor(self.core, self.replicas, config.discovery)
+        self.list = ListActor(self.core, self.replicas, config.discovery, config.seed)
         passed = passed_listener(config.passed)
         self.front = Front(self.core, config.listen, lambda: self.list.ready, config.share, passed)
         self.handover = Handover(config.folder, f"{config.name}|{config.listen}", config.sockets, self.wheel)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -20,7 +20,7 @@
 from onyxpass.core.clock import Clock
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.interface import Status
-from onyxpass.net import answers, front
+from onyxpass.net import answers, front, watch
 from onyxpass.net import replica as net_replica
 from onyxpass.net.http import Wire
 from onyxpass.net.watch import News
@@ -126,6 +126,7 @@
         super().__init__()
         self.hosts: list[dict[str, Any]] = []
         self.seq, self.asked = 41, []  # type: ignore[var-annotated]
+        self.delay_s = 0.0
         self.changes: asyncio.Queue[bytes] = asyncio.Queue()
 
     def entry(self, host: str, kind: str, dial: str, health: str = "active") -> dict[str, Any]:
@@ -137,6 +138,7 @@
             head, _ = await message(reader)
             target = head.split()[1].decode()
             self.asked.append(target)
+            await asyncio.sleep(self.delay_s)
             if "watch" not in target:
                 text = json.dumps({"seq": self.seq, "whole": True, "hosts": self.hosts}).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text))
@@ -201,7 +203,8 @@
         for i, replica in enumerate(replicas):
             discovery.hosts.append(discovery.entry(f"{kind}{i}", kind, replica.address))
     listen = Address("127.0.0.1", 0)
-    config = Config("n0", listen, Address("127.0.0.1", discovery.port), 1, SETTINGS, {}, **more)
+    known = more.pop("known", {})
+    config = Config("n0", listen, Address("127.0.0.1", discovery.port), 1, SETTINGS, known, **more)
     dispatcher = Dispatcher(config)
     await dispatcher.start()
     made = World(readers, writers, dispatcher)
@@ -409,6 +412,55 @@
     run(go)
 
 
+def test_a_known_list_is_resumed_by_a_watch_and_an_empty_line_confirms_it() -> None:
+    async def go() -> None:
+        replicas = [Replica(READ), Replica(STREAM)]
+        for replica in replicas:
+            await replica.start()
+        entries = [
+            Discovery().entry(*e)
+            for e in (("r0", "r", replicas[0].address), ("w0", "w", replicas[1].address))
+        ]
+        known = {"seq": 41, "whole": True, "hosts": entries}
+        async with world([], [], known=known) as w:
+            assert w.discovery.asked == ["/registry/instances?watch=1&from=41"], "not the whole list"
+            assert b" 200 " in await w.ask("a1")
+            w.discovery.change(w.discovery.entry("r0", "r", replicas[0].address, "left"))
+            await until(lambda: "r0" not in w.dispatcher.core.servers)
+            assert "w0" in w.dispatcher.core.servers
+        for replica in replicas:
+            await replica.stop()
+
+    run(go)
+
+
+def test_a_busy_discovery_gets_more_time_each_time_and_is_not_asked_in_step(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def go() -> None:
+        monkeypatch.setattr(watch, "WHOLE_US", 20_000)
+        monkeypatch.setattr(watch, "BACKOFF_MS", 1)
+        slow = Discovery()
+        slow.delay_s = 0.1  # five times what it gets at first
+        await slow.start()
+        listen = Address("127.0.0.1", 0)
+        config = Config("n0", listen, Address("127.0.0.1", slow.port), 1, SETTINGS, {})
+        dispatcher = Dispatcher(config)
+        await dispatcher.start()
+        await until(lambda: dispatcher.list.ready)
+        for task in dispatcher.tasks:
+            task.cancel()
+        await slow.stop()
+        dispatcher.front.close()
+
+    run(go)
+    monkeypatch.undo()
+    lists = [watch.ListActor(None, None, Address("x", 1), seed) for seed in (1, 2)]  # type: ignore[arg-type]
+    pauses = [[one.pause_ms() for _ in range(30)] for one in lists]
+    assert all(0 <= p <= watch.BACKOFF_MOST_MS for row in pauses for p in row)
+    assert pauses[0] != pauses[1] and max(pauses[0]) > watch.BACKOFF_MOST_MS / 2 > min(pauses[0][6:])
+
+
 def test_discovery_moves_under_a_request_and_its_older_versions_count() -> None:
     async def go() -> None:
         hold = asyncio.Event()
