Tell a lost connection by one later answer where answers come at once

Where a first answer usually takes under 8% of the aim there is no queue in which one could pass another, so one is enough there.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -596,7 +596,9 @@
             # Guards against waiting on a connection that fell silent while its server answers others: servers
             # take what comes first, so reads that come later are no sooner done. Writers wait for memory too.
             due_us = job.sent_us + PATIENCE * (job.out.pace * job.work if job.out else 0.0)
-            lost = job.passed >= OVERTAKEN and self.now_us >= due_us
+            # Where answers come at once, there is no queue in which one later send could pass by another.
+            brisk = job.out and PATIENCE * self.usual[job.out.role] < PATIENCE_AIM * job.aim_us
+            lost = job.passed >= (1 if brisk else OVERTAKEN) and self.now_us >= due_us
             silent = lost or (job.out and job.out.answered_us < job.sent_us)
             free = lost and not job.holder
             if quiet and silent and (free or self.call_credit >= 1):  # call it off, once
