--- a/onyxpass/net/succession.py
+++ b/onyxpass/net/succession.py
@@ -205,7 +205,11 @@
 
     async def _go_on(self, told: dict[str, Any], client_sock: socket.socket, sock: socket.socket) -> None:
         wire = await Wire.over(sock, h11.CLIENT)
-        client_wire = await Wire.over(client_sock, h11.SERVER)
+        try:
+            client_wire = await Wire.over(client_sock, h11.SERVER)
+        except BaseException:  # guards against a replica kept at work for a client that can't be answered
+            wire.abort()
+            raise
         client = HttpClient(client_wire, lambda: self.front.closing)
         client.begun, client.keeps = True, bool(told["keeps"])
         replay(wire, client_wire, client.keeps)
