Take back the cold servers' larger part; judge unproven cold servers by their peers

Also at fault: Host.expects says 0 for a server that has answered nothing, so a cold one took every read that its credit let it have; now its peers' pace counts, by its warmth.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -39,8 +39,6 @@
 BASE_TOKENS = 1_500  # what a read or fetch costs besides its tokens, so that short ones compare with long
 FATE_HALVES_US, FATE_DOUBT, FATE_MOST = 4_000_000, 0.25, 0.9  # memory; requests of doubt; most to refuse
 PROBE_SPEND = 0.003  # part of the result to spend on probes, whatever one costs
-WARM_BEARS = 2.0  # times an even share that a warm server can take on while others are cold
-COLD_BEARS = 0.7  # of the multiple at which a cold server falls over, at most
 NEAR_ASKED = 2  # writers near the reader that are asked for their load; one more is asked anywhere
 UNKNOWN = api.TrafficClass("unknown", 1_000_000, 5_000_000, repeat=Repeat.UNSAFE)
 TICK_US = 50_000  # how often waiting requests and servers put aside are looked at
@@ -137,10 +135,12 @@
     def distance(self, near: api.Server) -> tuple[bool, bool]:
         return (self.spec.zone, self.spec.cell) != (near.zone, near.cell), self.spec.zone != near.zone
 
-    def expects(self, tokens: int, now_us: int) -> float:
+    def expects(self, tokens: int, now_us: int, guess: float = 0.0) -> float:
         """Time that a read of so many tokens likely takes; an old pace is believed less and less."""
         aged = 1.0 if self.flight else 0.5 ** ((now_us - self.answered_us) / PACE_HALVES_US)
-        return self.pace * aged * (BASE_TOKENS + tokens + sum(self.flight.values()))
+        cold = not self.samples and (warmth := self.warmth(now_us)) < 1
+        pace = guess / warmth if cold else self.pace
+        return pace * aged * (BASE_TOKENS + tokens + sum(self.flight.values()))
 
     def good(self, now_us: int, pace: float) -> None:
         self.answered_us, self.silent, self.samples = now_us, False, self.samples + 1
@@ -314,14 +314,10 @@
     def _earn(self) -> None:
         """Slow start: a request earns each cold server its part of an even share, however many routers."""
         for hosts in self.up.values():
-            cold = {h: warmth for h in hosts if (warmth := h.warmth(self.now_us)) < 1}
-            # Guards against refusals while nearly all are cold, after a release: what warm ones can't bear
-            # goes to cold ones, up to a part of what makes them fall.
-            warm = sum(h not in cold and h.well(self.now_us) for h in hosts)
-            lacking = (len(hosts) - WARM_BEARS * warm) / (sum(cold.values()) or 1.0)
-            part = min(max(1.0, lacking), max(1.0, COLD_BEARS * self.settings.fall_multiple))
-            for h, warmth in cold.items():
-                h.credit = min(1.0, h.credit + warmth * part / len(hosts))
+            for h in hosts:
+                if (warmth := h.warmth(self.now_us)) < 1:
+                    part = warmth * min(1.0, self.settings.fall_multiple / 2)
+                    h.credit = min(1.0, h.credit + part / len(hosts))
 
     def _arrive(self, ask: api.Arrival) -> None:
         cls = self.classes.get(ask.cls, UNKNOWN)
@@ -410,7 +406,10 @@
         ready = [h for h in ready if h.due] or self._roomy(ready)  # taken in again: work soon
         matched, kept = self._match(job, ready)
         target, tokens = divert(matched, ready), job.ask.prompt_tokens
-        takes = {h: h.expects(tokens - kept * (h is matched), self.now_us) for h in ready}
+        # Guards against cold servers that seem quickest for as long as they have answered nothing.
+        paces = [h.pace for h in ready if h.samples]
+        guess = median(paces) if paces else 0.0
+        takes = {h: h.expects(tokens - kept * (h is matched), self.now_us, guess) for h in ready}
         # Guards against queues: a match that can't be in time yields to the quickest reader, else it waits.
         left = job.aim_us * IN_TIME - (self.now_us - job.arrived_us) - self.usual[Role.WRITER]
         if not job.attempts and takes[target] > left:
