Tell what an instance really runs on, widen what a reload takes over, and drain it

Need: an operator must know that a change was taken; a signal that was sent proves nothing, a reload took over discovery only, and an instance could not be drained without ending it.

A configuration is a flat table with a digest; an instance under an agent answers on a Unix socket what it runs on, takes a reload (now also limits, connection times and the classes' aims, deadlines and worths; never their repeats) and a drain that ends only with the last final answer.

--- /dev/null
+++ b/onyxpass/admin/drain.py
@@ -0,0 +1,94 @@
+"""The drain of one instance as a state machine without I/O.
+
+Ordered, an instance tells the front layer that it is not ready, and goes on serving what still comes for the
+notice. After the notice new requests are refused. It is drained once the last final answer has gone out. At
+the deadline the order itself has failed; the instance goes on draining. Only an explicit ``force`` cuts short
+what is open, and how much that was is told for as long as the drain stands.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+NOTICE_US = 1_000_000  # new requests are served for so long, while the front layer hears of it
+DEADLINE_US = 60_000_000
+
+
+class Phase(Enum):
+    SERVING = "serving"
+    NOTICE = "notice"  # not ready any more, but what comes is served
+    DRAINING = "draining"  # what comes is refused
+    DRAINED = "drained"
+
+
+class Step(Enum):
+    """What the instance has to do next, each told once."""
+
+    CLOSE = "close"  # refuse new requests
+    CUT = "cut"  # end what is open
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What is open at one moment."""
+
+    requests: int  # without their final answer
+    streams: int  # of them, those that have begun to stream
+    oldest_us: int = 0  # age of the oldest
+
+
+@dataclass(slots=True)
+class Drain:
+    phase: Phase = Phase.SERVING
+    since_us: int = 0
+    notice_us: int = NOTICE_US
+    due_us: int = 0
+    force: bool = False
+    late: bool = False  # the deadline passed with something open
+    cut: int = 0  # requests that force ended
+
+    @property
+    def leaving(self) -> bool:
+        return self.phase is not Phase.SERVING
+
+    def order(self, now_us: int, deadline_us: int, force: bool, notice_us: int = NOTICE_US) -> None:
+        """Begin, or change the deadline of what has begun: a second order never starts the notice again."""
+        if self.phase is Phase.SERVING:
+            self.phase, self.since_us, self.cut = Phase.NOTICE, now_us, 0
+            self.notice_us = min(notice_us, deadline_us)
+        self.due_us, self.force, self.late = now_us + deadline_us, force, False
+
+    def undo(self) -> bool:
+        """Serve again. True if there was a drain to undo."""
+        was, self.phase = self.leaving, Phase.SERVING
+        self.force = self.late = False
+        self.cut = 0
+        return was
+
+    def look(self, now_us: int, load: Load) -> tuple[Step, ...]:
+        """What is due, given what is open now. Call it at least every few tens of milliseconds."""
+        steps: list[Step] = []
+        if self.phase is Phase.NOTICE and now_us - self.since_us >= self.notice_us:
+            self.phase = Phase.DRAINING
+            steps.append(Step.CLOSE)
+        if self.phase is Phase.DRAINING:
+            if load.requests == 0:
+                self.phase = Phase.DRAINED
+            elif now_us >= self.due_us and not self.late:
+                self.late = True
+                if self.force:
+                    self.cut += load.requests
+                    steps.append(Step.CUT)
+        return tuple(steps)
+
+    def told(self, now_us: int, load: Load) -> dict[str, Any]:
+        left_us = max(0, self.due_us - now_us) if self.leaving else 0
+        return {
+            "phase": self.phase.value,
+            "requests": load.requests,
+            "streams": load.streams,
+            "oldest_ms": load.oldest_us // 1000,
+            "left_ms": left_us // 1000,
+            "late": self.late,
+            "cut": self.cut,
+        }
--- /dev/null
+++ b/onyxpass/admin/running.py
@@ -0,0 +1,135 @@
+"""What an instance really runs on, and what a reload can change. Nothing here does I/O.
+
+A configuration is a flat table of keys and values. Its digest names the whole of it: an instance runs on a
+configuration exactly if both digests are equal. A reload takes over some keys in flight; where one that needs
+a restart differs too, the instance runs on a mixture, whose digest equals neither file's.
+"""
+
+import hashlib
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, fields, replace
+from typing import Any
+
+from onyxpass import interface as api
+
+DIGEST_BYTES = 12
+Values = Mapping[str, Any]
+CLASS_IN_FLIGHT = frozenset(("aim_us", "deadline_us", "value", "late_worth", "aim_per_k_us", "token_us"))
+SETTINGS_IN_FLIGHT = frozenset(("retry_after", "max_retry_after_us"))
+
+
+def digest_of(values: Values) -> str:
+    """24 hexadecimal digits that stand for the table, whatever order its keys were written in."""
+    text = json.dumps(values, sort_keys=True, separators=(",", ":"), ensure_ascii=True, allow_nan=True)
+    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
+def plain(value: Any) -> Any:
+    """A setting as JSON has it: enumerations by their values, records as tables, tuples as lists."""
+    if isinstance(value, api.Role | api.Repeat | api.Scope | api.Reports):
+        return value.value
+    if isinstance(value, tuple):
+        return [plain(v) for v in value]
+    if hasattr(value, "__dataclass_fields__"):
+        return {f.name: plain(getattr(value, f.name)) for f in fields(value)}
+    return value
+
+
+def settings_values(settings: api.Settings) -> dict[str, Any]:
+    """``settings.KEY``, and ``class.NAME.KEY`` for the traffic classes; their order is a key as well."""
+    found: dict[str, Any] = {"classes": [c.name for c in settings.classes]}
+    for f in fields(settings):
+        if f.name != "classes":
+            found[f"settings.{f.name}"] = plain(getattr(settings, f.name))
+    for cls in settings.classes:
+        for f in fields(cls):
+            if f.name != "name":
+                found[f"class.{cls.name}.{f.name}"] = plain(getattr(cls, f.name))
+    return found
+
+
+def settings_in_flight(key: str) -> bool:
+    """Whether new requests can go by another value of this key at once.
+
+    ``repeat`` can't: a booking that is under way must never come to count as safe to repeat.
+    """
+    kind, _, rest = key.partition(".")
+    if kind == "settings":
+        return rest in SETTINGS_IN_FLIGHT
+    return kind == "class" and rest.rpartition(".")[2] in CLASS_IN_FLIGHT
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """The difference between what runs and a new file. ``values``: what runs once ``taken`` is in force."""
+
+    taken: tuple[str, ...]
+    kept: tuple[str, ...]  # these need a restart
+    values: Mapping[str, Any]
+
+    @property
+    def digest(self) -> str:
+        return digest_of(self.values)
+
+
+def compare(running: Values, wanted: Values, in_flight: Callable[[str], bool]) -> Change:
+    """Sort the keys that differ into those that a reload takes over and those that need a restart.
+
+    Guards against a mixture of class tables: where the classes themselves differ, no key of a class is taken.
+    """
+    differ = [
+        key
+        for key in sorted(running.keys() | wanted.keys())
+        if (key in running) != (key in wanted) or running.get(key) != wanted.get(key)
+    ]
+    whole = running.get("classes") == wanted.get("classes")
+    taken: list[str] = []
+    kept: list[str] = []
+    for key in differ:
+        fits = key in running and key in wanted and in_flight(key) and (whole or not key.startswith("class."))
+        (taken if fits else kept).append(key)
+    values = {**running, **{key: wanted[key] for key in taken}}
+    return Change(tuple(taken), tuple(kept), values)
+
+
+def retuned(running: api.Settings, wanted: api.Settings) -> api.Settings:
+    """``running`` with all that is taken over in flight as ``wanted`` has it."""
+    classes = running.classes
+    if [c.name for c in running.classes] == [c.name for c in wanted.classes]:
+        classes = tuple(
+            replace(old, **{name: getattr(new, name) for name in CLASS_IN_FLIGHT})
+            for old, new in zip(running.classes, wanted.classes, strict=True)
+        )
+    more = {name: getattr(wanted, name) for name in SETTINGS_IN_FLIGHT}
+    return replace(running, classes=classes, **more)
+
+
+@dataclass(slots=True)
+class Running:
+    """What an instance tells of its configuration."""
+
+    values: Values
+    generation: int = 0
+    needs_restart: tuple[str, ...] = ()  # keys of the newest file that are not in force
+    problem: str = ""  # why the last reload was refused
+    reloads: int = 0
+
+    def took(self, change: Change, generation: int | None) -> None:
+        """The generation is taken on only with the whole of its configuration."""
+        self.values, self.needs_restart, self.problem = change.values, change.kept, ""
+        self.reloads += 1
+        if generation is not None and not change.kept:
+            self.generation = generation
+
+    def refused(self, why: str) -> None:
+        self.problem = why
+
+    def told(self) -> dict[str, Any]:
+        return {
+            "digest": digest_of(self.values),
+            "generation": self.generation,
+            "needs_restart": list(self.needs_restart),
+            "problem": self.problem,
+            "reloads": self.reloads,
+        }
--- /dev/null
+++ b/onyxpass/admin/server.py
@@ -0,0 +1,116 @@
+"""The admin socket of one instance: a Unix socket in its agent's folder, which only that user may open.
+
+``GET /status`` tells what it runs on, what is open, and its drain. ``POST /reload {"generation": N}`` reads
+the file again; 409 where that is no use, and nothing is changed. ``POST /drain {"deadline_ms": N,
+"notice_ms": N, "force": false}`` begins a drain, or gives it a new deadline; ``POST /undrain`` serves again.
+"""
+
+import json
+import os
+import time
+from pathlib import Path
+from typing import Any
+
+import h11
+import structlog
+
+from onyxpass.admin.drain import DEADLINE_US, NOTICE_US, Drain, Step
+from onyxpass.admin.instances import CUT, Managed
+from onyxpass.admin.running import Running
+from onyxpass.config import ADMIN, GENERATION, LAUNCH, ConfigError
+from onyxpass.core.wheel import Wheel
+from onyxpass.net.calls import BACKLOG, JSON, CallServer, Refusal, Reply, flag, object_in, only, whole
+from onyxpass.net.listen import Listener
+from onyxpass.net.unix import listening
+
+LOOK_US = 20_000  # between looks at a drain
+MOST_MS = 24 * 3600 * 1000
+log = structlog.get_logger("admin")
+
+
+class Admin(CallServer):
+    kind = JSON
+
+    def __init__(self, managed: Managed, wheel: Wheel) -> None:
+        self.path = Path(os.environ[ADMIN])
+        super().__init__(wheel, str(self.path))
+        self.managed, self.drain = managed, Drain()
+        told = os.environ.get(GENERATION, "0")
+        generation = int(told) if told.isdigit() else 0
+        self.running = Running(managed.values(), generation)
+        self.launch = os.environ.get(LAUNCH, "")
+        self.started_s = time.time()
+
+    def listen(self) -> Listener:
+        return Listener(listening(self.path, BACKLOG))
+
+    def status(self) -> dict[str, Any]:
+        now_us = self.wheel.clock.now_us()
+        self.running.values = self.managed.values()  # a reload by SIGHUP counts as well
+        return {
+            "kind": self.managed.kind,
+            "pid": os.getpid(),
+            "launch": self.launch,
+            "started_s": round(self.started_s, 3),
+            "ready": self.managed.ready(),
+            "config": self.running.told(),
+            "drain": self.drain.told(now_us, self.managed.load()),
+            "figures": self.managed.figures(),
+        }
+
+    async def answer(self, head: h11.Request, text: bytes) -> Reply:
+        path, call = bytes(head.target).decode("ascii", "replace"), object_in(text)
+        match head.method, path:
+            case b"GET", "/status":
+                only(call)
+            case b"POST", "/reload":
+                only(call, "generation")
+                self._reload(whole(call, "generation", self.running.generation, 2**53))
+            case b"POST", "/drain":
+                only(call, "deadline_ms", "notice_ms", "force")
+                deadline_us = whole(call, "deadline_ms", DEADLINE_US // 1000, MOST_MS) * 1000
+                notice_us = whole(call, "notice_ms", NOTICE_US // 1000, MOST_MS) * 1000
+                self._drain(deadline_us, notice_us, flag(call, "force"))
+            case b"POST", "/undrain":
+                only(call)
+                if self.drain.undo():
+                    log.info("undrained")
+                self.managed.leave(False)
+            case _, "/status" | "/reload" | "/drain" | "/undrain":
+                raise Refusal(405, "not with this method")
+            case _:
+                raise Refusal(404, "no such path")
+        return 200, json.dumps(self.status()).encode() + b"\n"
+
+    def _reload(self, generation: int) -> None:
+        try:
+            change = self.managed.reload()
+        except ConfigError as problem:
+            self.running.refused(str(problem))
+            log.error("the new configuration is no use", why=str(problem))
+            raise Refusal(409, str(problem), config=self.running.told()) from problem
+        self.running.took(change, generation)
+
+    def _drain(self, deadline_us: int, notice_us: int, force: bool) -> None:
+        was = self.drain.leaving
+        self.drain.order(self.wheel.clock.now_us(), deadline_us, force, notice_us)
+        self.managed.leave(True)
+        log.info("drain", deadline_ms=deadline_us // 1000, force=force)
+        if not was:
+            self._look()
+
+    def _look(self) -> None:
+        """Follow the drain till it is undone: once drained it stays so, and a later force still counts."""
+        if not self.drain.leaving:
+            return
+        try:
+            before = self.drain.phase
+            for step in self.drain.look(self.wheel.clock.now_us(), self.managed.load()):
+                if step is Step.CLOSE:
+                    self.managed.shut()
+                elif step is Step.CUT:
+                    log.warning("cut short", requests=self.managed.core.cut_all(CUT))
+            if self.drain.phase is not before:
+                log.info("drain", phase=self.drain.phase.value, cut=self.drain.cut)
+        finally:  # guards against a drain that is never looked at again after one bad look
+            self.wheel.after(LOOK_US, self._look)
--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -201,10 +201,9 @@
     """Feed it events with the time; carry out the actions it returns, in order."""
 
     def __init__(self, settings: api.Settings, seed: int = 0) -> None:
-        self.settings, self.seed = settings, seed
-        self.classes = {c.name: c for c in settings.classes}
+        self.seed = seed
+        self._retuned(settings)
         self.kinds = {k.name: k for k in settings.kinds}
-        self.top_value = max((c.value for c in settings.classes), default=0) or 1.0
         self.fates = {c.name: Fate() for c in (*settings.classes, UNKNOWN)}
         self.hosts: dict[str, Host] = {}
         self.banned: set[str] = set()  # taken out by operators, on the list or not
@@ -220,6 +219,10 @@
         self.ticking = False
         self.acts: list[api.Action] = []
 
+    def _retuned(self, settings: api.Settings) -> None:  # requests under way keep the class they came with
+        self.settings, self.classes = settings, {c.name: c for c in settings.classes}
+        self.top_value = max((c.value for c in settings.classes), default=0) or 1.0
+
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         self.now_us, self.acts = now_us, []
         match event:
@@ -243,6 +246,8 @@
                 self._listed(event)
             case api.Exclusion():
                 self._excluded(event)
+            case api.Retuned(settings):
+                self._retuned(settings)
             case api.Adopted(request, server, tokens) if host := self.hosts.get(server):
                 host.streams[request] = (now_us, tokens)  # it holds memory there all the same
         return self.acts
--- a/onyxpass/config.py
+++ b/onyxpass/config.py
@@ -8,12 +8,20 @@
 from typing import Any
 
 from onyxpass import interface as api
-from onyxpass.benchlink import read_settings
+from onyxpass.settings import read_settings
 
 PREFIX = "ROUTER_"
 SPARE, SPARE_PART = 64, 4  # descriptors for discovery, operators, the log, the loop; at most this part of all
 
 
+ADMIN, GENERATION, LAUNCH = "ONYXPASS_ADMIN", "ONYXPASS_GENERATION", "ONYXPASS_LAUNCH"  # set by an agent
+
+
+def managed() -> bool:
+    """Whether an agent has started this process and wants to be answered on a socket of its own."""
+    return bool(os.environ.get(ADMIN))
+
+
 class ConfigError(ValueError):
     """The configuration does not hold what a dispatcher needs; the text says what."""
 
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -75,6 +75,37 @@
             if not request.over and request.committed is None:
                 self._give_up(request, "the dispatcher ends", Status.CANCELLED)
 
+    def reopen(self) -> None:
+        """Take requests again."""
+        self.closed = False
+
+    def cut_all(self, reason: str) -> int:
+        """End all that is open, as an operator ordered expressly; how many requests that were."""
+        under_way = [request for request in self.requests.values() if not request.over]
+        for request in under_way:
+            if request.committed is None:
+                self._give_up(request, reason, Status.CANCELLED)
+                continue
+            client = request.client
+            self._answer(request, lambda client=client: client.cut(reason), self.figures.failed)  # type: ignore[misc]
+            self.tell(api.Withdrawn(request.number))
+            if request.out is not None:
+                self._stop(request.out, Status.CANCELLED)
+        return len(under_way)
+
+    def retune(self, settings: api.Settings) -> None:
+        """New settings for requests from now on; names, kinds and repeats must be as they were."""
+        self.settings = settings
+        self.deadlines = {c.name: c.deadline_us for c in settings.classes}
+        self.tell(api.Retuned(settings))
+
+    def under_way(self) -> tuple[int, int, int]:
+        """Requests without their final answer, those of them that stream, and the oldest one's age."""
+        open_now = [request for request in self.requests.values() if not request.over]
+        streams = sum(request.committed is not None for request in open_now)
+        oldest_us = min((request.arrived_us for request in open_now), default=self.clock.now_us())
+        return len(open_now), streams, max(0, self.clock.now_us() - oldest_us)
+
     def adopt(self, request: Request, attempt: Attempt) -> None:
         """Go on with a stream that the process before this one had begun; it has committed its request."""
         request.attempts, request.out, request.committed = [attempt], attempt, attempt
--- a/onyxpass/handover.py
+++ b/onyxpass/handover.py
@@ -102,6 +102,14 @@
         finally:  # guards against a process that never looks again after one bad look
             self._turn()
 
+    def resize(self, sockets: int) -> None:
+        """Another limit of descriptors, for all processes of this dispatcher together."""
+        self.sockets = sockets
+        self.look()
+        if self.folder is None:
+            self.limit = sockets
+            self.on_limit(sockets)
+
     def end(self) -> None:
         if self._own is not None and self.folder is not None:
             (self.folder / self._name).unlink(missing_ok=True)
--- a/onyxpass/interface.py
+++ b/onyxpass/interface.py
@@ -255,6 +255,13 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """New settings for requests that arrive from now on; names, kinds and repeats are as they were."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class OtherNotice:
     """Anything that this library has no use for: place notes, messages of peers."""
@@ -270,6 +277,7 @@
     | ProbeResult
     | Exclusion
     | Adopted
+    | Retuned
     | OtherNotice
 )
 
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -265,6 +265,7 @@
         self.accepting: asyncio.Task[None] | None = None
         self.open: dict[asyncio.Task[None], Peer] = {}
         self.closing = False
+        self.draining = False  # not ready, and each connection ends with its present answer
         self.complaints = Complaints(core.clock)
 
     async def start(self) -> asyncio.Task[None]:
@@ -274,6 +275,24 @@
         self.accepting = asyncio.create_task(self._accept_all(self.listener))
         return self.accepting
 
+    @property
+    def leaving(self) -> bool:
+        return self.closing or self.draining
+
+    def answering(self) -> int:
+        """Connections on which a request is open, or its answer has not wholly left."""
+        return sum(peer.stage in (Stage.OPEN, Stage.LEAVING) for peer in self.open.values())
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is on its way.
+
+        Guards against a reset of what is on its way: only where nothing has come is a connection closed; a
+        new one was opened for a request, which is served, with ``Connection: close``.
+        """
+        for peer in list(self.open.values()):
+            if peer.wire is not None and peer.stage is Stage.IDLE and not peer.wire.stale:
+                peer.wire.close()
+
     @property
     def port(self) -> int:
         """Where it really listens, should the port have been left to the system."""
@@ -381,7 +400,7 @@
                     await wire.fill()
                 if not wire.pending:
                     return
-            client = under_way[0] if under_way else HttpClient(wire, lambda: self.closing)
+            client = under_way[0] if under_way else HttpClient(wire, lambda: self.leaving)
             try:
                 if under_way is not None:
                     await self._await_answer(wire, *under_way)
@@ -408,7 +427,7 @@
                 await wire.writer.drain()
             if wire.h11.our_state is not h11.DONE or wire.h11.their_state is not h11.DONE:
                 return
-            if self.closing:
+            if self.leaving:
                 return
             wire.h11.start_next_cycle()
             self._at(peer, Stage.IDLE)
@@ -440,7 +459,7 @@
         client.keeps = b"close" not in (header(head, b"connection") or b"").lower()
         path = bytes(head.target).partition(b"?")[0]
         if path in (b"/health/ready", b"/health/live"):
-            fit = path == b"/health/live" or (self.ready() and not self.closing)
+            fit = path == b"/health/live" or (self.ready() and not self.leaving)
             client.answer(*((200, b"ok\n") if fit else (503, b"not ready\n")))
         elif not path.startswith(b"/v1/"):
             client.answer(404, b"no such path\n")
@@ -497,11 +516,7 @@
         if not self.shared:
             await self.wheel.sleep(LINGER_US)
         self.close()
-        for peer in list(self.open.values()):
-            # Guards against a reset of what is on its way: only where nothing has come is a connection
-            # closed; a new one was opened for a request, which is served, with ``Connection: close``.
-            if peer.wire is not None and peer.stage is Stage.IDLE and not peer.wire.stale:
-                peer.wire.close()
+        self.close_idle()
         while self.open:
             await asyncio.wait(list(self.open))
         log.info("all clients served", us=self.clock.now_us() - began_us)
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -117,7 +117,7 @@
     ) -> None:
         super().__init__(name, core)
         self.address, self.budget = address, budget
-        self.connect_us, self.keep_us = connect_us, max(0, idle_us - IDLE_MARGIN_US)
+        self.connect_us, self.keep_us = connect_us, keep_us(idle_us)
         self.idle: list[Idle] = []
         self.streams: set[Incoming] = set()  # those that wait for their next part
         self.left = False
@@ -404,6 +404,11 @@
                 self._give_back(wire)
 
 
+def keep_us(idle_us: int) -> int:
+    """How long an idle connection is used, where the replica closes it after ``idle_us``."""
+    return max(0, idle_us - IDLE_MARGIN_US)
+
+
 def request(method: bytes, target: bytes) -> h11.Request:
     return h11.Request(method=method, target=target, headers=[(b"host", b"backend.local")])
 
@@ -443,6 +448,12 @@
         self.join(actor)
         return actor
 
+    def retime(self, connect_us: int, idle_us: int) -> None:
+        """Other limits for connections, from the next one on."""
+        self.connect_us, self.idle_us = connect_us, idle_us
+        for actor in self.actors.values():
+            actor.connect_us, actor.keep_us = connect_us, keep_us(idle_us)
+
     def hand_over(self, heirs: Heirs) -> None:
         """Streams go over from now on, also those that wait for their next event."""
         self.heirs = heirs
--- a/onyxpass/net/succession.py
+++ b/onyxpass/net/succession.py
@@ -7,10 +7,7 @@
 
 import asyncio
 import json
-import os
 import socket
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -26,31 +23,18 @@
 from onyxpass.net.http import Wire
 from onyxpass.net.listen import Listener
 from onyxpass.net.replica import Replicas, Resumed
+from onyxpass.net.unix import short
 
 VERSION = 1  # of the message; another one's is turned down
 MESSAGE_MOST = 64 * 1024
 TURNS = 4  # streams on their way at once
 FAILURES = 8  # offers in vain, till no more are made
 OFFER_US = 300_000  # from the offer to the other process's word
-PATH_MOST = 100  # bytes of a socket's path that every system takes
 BACKLOG = 64
 WILLING, GO = b"1", b"2"
 log = structlog.get_logger("succession")
 
 
-@contextmanager
-def short(path: Path) -> Iterator[str]:
-    """The path of a socket, in a form that is short enough however deep the folder lies."""
-    if len(os.fsencode(path)) <= PATH_MOST:
-        yield str(path)
-        return
-    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-    try:
-        yield f"/proc/self/fd/{folder}/{path.name}"
-    finally:
-        os.close(folder)
-
-
 def describe(attempt: Attempt, rest: bytes, keeps: bool) -> bytes:
     """What the other process needs to know of a stream besides its two connections."""
     request = attempt.request
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -4,10 +4,12 @@
 import gc
 import signal
 from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING
 
 import structlog
 
-from onyxpass.config import Config, ConfigError, share_of
+from onyxpass.config import Config, ConfigError, managed, share_of
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.wheel import Wheel
@@ -18,23 +20,19 @@
 from onyxpass.net.succession import Heir, Successor
 from onyxpass.net.watch import ListActor
 
+if TYPE_CHECKING:  # guards against start time spent on what only a managed instance needs
+    from onyxpass.admin.running import Change
+    from onyxpass.admin.server import Admin
+
 SWEEP_US = 1_000_000
 STATE_US = 10_000_000
-KEPT = (
-    "name",
-    "listen",
-    "control",
-    "settings",
-    "sockets",
-    "connect_timeout_us",
-    "conn_idle_us",
-)  # till a restart
 log = structlog.get_logger("serve")
 
 
 class Dispatcher:
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, reread: Callable[[], Config] | None = None) -> None:
         self.config = config
+        self.reread = reread or (lambda: self.config)
         self.clock = Clock()
         self.wheel = Wheel(self.clock)
         self.core = Core(config.settings, config.seed, self.clock, self.wheel)
@@ -50,6 +48,7 @@
         if config.control is not None:
             self.control = Control(self.core, config.control, self.ready, self.handover.exclude)
         self.heir: Heir | None = None
+        self.admin: Admin | None = None
         self.tasks: list[asyncio.Task[None]] = []
 
     def _share(self, sockets: int) -> None:
@@ -60,7 +59,7 @@
     def ready(self) -> bool:
         """Whether the list is whole and clients are taken."""
         accepting = self.front.accepting
-        return self.list.ready and not self.front.closing and accepting is not None and not accepting.done()
+        return self.list.ready and not self.front.leaving and accepting is not None and not accepting.done()
 
     async def start(self) -> None:
         self.handover.start()
@@ -73,6 +72,12 @@
             self.tasks.append(asyncio.create_task(self.heir.run()))
         if self.control is not None:
             self.tasks.append(asyncio.create_task(self.control.run()))
+        if managed():
+            from onyxpass.admin.instances import ManagedDispatcher
+            from onyxpass.admin.server import Admin
+
+            self.admin = Admin(ManagedDispatcher(self, self.reread), self.wheel)
+            self.tasks.append(asyncio.create_task(self.admin.run()))
         self._sweep()
         self.wheel.after(STATE_US, self._tell_state)
         log.info("listening", name=self.config.name, listen=f"{self.config.listen.host}:{self.front.port}")
@@ -97,18 +102,42 @@
         self.wheel.after(STATE_US, self._tell_state)
 
     def reload(self, read: Callable[[], Config]) -> None:
-        """Take over what the replaced file says of discovery. All else stays as it was at the start."""
+        """Take over what the replaced file says, as far as that can be done in flight; on SIGHUP."""
         try:
-            fresh = read()
+            self.take_over(read)
         except ConfigError as problem:  # guards against a file half written: the old settings hold
             log.error("the new configuration is no use", why=str(problem))
-            return
         except Exception:  # guards against a crash on a file that nobody foresaw
             log.exception("the new configuration could not be read")
-            return
-        kept = [key for key in KEPT if getattr(fresh, key) != getattr(self.config, key)]
-        log.info("reloaded", discovery=str(fresh.discovery), needs_a_restart=kept)
+
+    def take_over(self, read: Callable[[], Config]) -> "Change":
+        """All that a running process can change, at once; the rest is named and waits for a restart."""
+        from onyxpass.admin.running import compare, retuned
+        from onyxpass.admin.values import serve_in_flight, serve_values
+
+        fresh, old = read(), self.config
+        change = compare(serve_values(old), serve_values(fresh), serve_in_flight)
+        self.config = replace(
+            old,
+            discovery=fresh.discovery,
+            sockets=fresh.sockets,
+            connect_timeout_us=fresh.connect_timeout_us,
+            conn_idle_us=fresh.conn_idle_us,
+            settings=retuned(old.settings, fresh.settings),
+        )
         self.list.move(fresh.discovery)
+        if fresh.sockets != old.sockets:
+            self.handover.resize(fresh.sockets)
+        self.replicas.retime(fresh.connect_timeout_us, fresh.conn_idle_us)
+        if self.config.settings != old.settings:
+            self.core.retune(self.config.settings)
+        log.info(
+            "reloaded",
+            discovery=str(fresh.discovery),
+            taken=list(change.taken),
+            needs_a_restart=list(change.kept),
+        )
+        return change
 
     async def stop(self) -> None:
         self.handover.stopping = True
@@ -131,7 +160,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    dispatcher = Dispatcher(config)
+    dispatcher = Dispatcher(config, reread)
     # Guards against SIGHUP's default, which ends the program with all that it has taken.
     loop.add_signal_handler(signal.SIGHUP, dispatcher.reload, reread)
     try:
--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -101,6 +101,11 @@
         assert self.server is not None
         return int(self.server.sockets[0].getsockname()[1])
 
+    def unsent(self) -> int:
+        """Connections on which an answer has not wholly left."""
+        writers = (connection.writer for connection in self.open.values())
+        return sum(not w.is_closing() and w.transport.get_write_buffer_size() > 0 for w in writers)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -5,18 +5,20 @@
 import signal
 import tomllib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 import structlog
 
 from onyxpass import interface as api
-from onyxpass.benchlink import read_settings
-from onyxpass.config import Address, ConfigError
+from onyxpass.admin.running import Change, compare, retuned
+from onyxpass.admin.values import toolcalls_in_flight, toolcalls_values
+from onyxpass.config import Address, ConfigError, managed
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.wheel import Wheel
+from onyxpass.settings import read_settings
 from onyxpass.store.redis import Store
 from onyxpass.toolcalls.desk import Desk, ToolServer
 from onyxpass.toolcalls.front import RpcFront
@@ -96,8 +98,9 @@
 
 
 class ToolcallService:
-    def __init__(self, config: ToolcallsConfig) -> None:
+    def __init__(self, config: ToolcallsConfig, reread: Callable[[], ToolcallsConfig] | None = None) -> None:
         self.config = config
+        self.reread = reread or (lambda: self.config)
         self.clock = Clock()
         self.wheel = Wheel(self.clock)
         self.core = Core(config.settings, config.seed, self.clock, self.wheel)
@@ -117,6 +120,12 @@
             self.tasks.append(asyncio.create_task(work))
         self._serve_with(self.config)
         await self.front.start()
+        if managed():
+            from onyxpass.admin.instances import ManagedToolcalls
+            from onyxpass.admin.server import Admin
+
+            admin = Admin(ManagedToolcalls(self, self.reread), self.wheel)
+            self.tasks.append(asyncio.create_task(admin.run()))
         log.info("listening", name=self.config.name, listen=f"{self.config.listen.host}:{self.front.port}")
 
     def _serve_with(self, config: ToolcallsConfig) -> None:
@@ -125,19 +134,32 @@
         self.core.listed(api.ListUpdate(api.ListForm.FULL, tuple(s for s, _ in config.servers)))
 
     def reload(self, read: Callable[[], ToolcallsConfig]) -> None:
-        """Take over the servers of the file as it is now; all else needs a restart."""
+        """Take over the servers of the file as it is now, and what else can be changed; on SIGHUP."""
         try:
-            fresh = read()
-            if unknown := {server.kind for server, _ in fresh.servers} - set(self.core.roles):
-                raise ConfigError(f"kinds that need a restart: {', '.join(sorted(unknown))}")
+            self.take_over(read)
         except ConfigError as problem:  # guards against a file half written: the old servers stay
             log.error("the new configuration is no use", why=str(problem))
-            return
         except Exception:  # guards against a crash on a file that nobody foresaw
             log.exception("the new configuration could not be read")
-            return
+
+    def take_over(self, read: Callable[[], ToolcallsConfig]) -> Change:
+        """All that a running process can change, at once; the rest is named and waits for a restart."""
+        fresh, old = read(), self.config
+        if unknown := {server.kind for server, _ in fresh.servers} - set(self.core.roles):
+            raise ConfigError(f"kinds that need a restart: {', '.join(sorted(unknown))}")
+        change = compare(toolcalls_values(old), toolcalls_values(fresh), toolcalls_in_flight)
+        self.config = replace(
+            old,
+            servers=fresh.servers,
+            claim_ttl_s=fresh.claim_ttl_s,
+            settings=retuned(old.settings, fresh.settings),
+        )
+        self.desk.ttl_s = fresh.claim_ttl_s
+        if self.config.settings != old.settings:
+            self.core.retune(self.config.settings)
         self._serve_with(fresh)
-        log.info("reloaded", servers=len(fresh.servers))
+        log.info("reloaded", servers=len(fresh.servers), needs_a_restart=list(change.kept))
+        return change
 
     async def stop(self) -> None:
         await self.front.stop()
@@ -161,7 +183,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    service = ToolcallService(config)
+    service = ToolcallService(config, reread)
     await service.start()
     loop.add_signal_handler(signal.SIGHUP, service.reload, reread)
     ended = asyncio.create_task(stopping.wait())
