--- a/onyxpass/__main__.py
+++ b/onyxpass/__main__.py
@@ -1,6 +1,6 @@
 """``python -m onyxpass``: the command line."""
 
-from onyxpass.cli import app
+from onyxpass.cli import main
 
 if __name__ == "__main__":
-    app(prog_name="onyxpass")
+    main()
--- a/onyxpass/agent/config.py
+++ b/onyxpass/agent/config.py
@@ -1,69 +1,127 @@
-"""The operator's file of instances."""
+"""The operator's file of one agent and its instances."""
 
 import sys
-import tomllib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any, Literal
 
+from pydantic import AfterValidator, Field
+
+from onyxpass import tomlfile
 from onyxpass.config import Address, ConfigError
 
-COMMANDS = ("serve", "toolcalls")
+Kind = Literal["serve", "toolcalls"]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+Positive = Annotated[float, Field(gt=0, le=86_400)]
+
+
+def address_text(text: str) -> str:
+    try:
+        Address.parse(text)
+    except ConfigError as problem:  # as pydantic wants it
+        raise ValueError(str(problem)) from problem
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(address_text)]
+
+
+class StoreTable(tomlfile.Model):
+    """Redis, where agents tell each other's tools of their instances. An agent needs none."""
+
+    url: str
+
+
+class RestartTable(tomlfile.Model):
+    """All times are seconds."""
+
+    first_s: Positive = 0.2  # the pause before the first restart; it doubles
+    most_s: Positive = 15.0
+    steady_s: Positive = 30.0  # an instance that ran for so long starts over with the first pause
+    grace_s: Positive = 20.0  # from SIGTERM to SIGKILL
+    start_s: Positive = 5.0  # a check may fail for so long after a start
+    poll_s: Positive = 1.0  # how often instances are checked, and the store told and asked
+
+
+class InstanceTable(tomlfile.Model):
+    name: Name
+    kind: Kind
+    config: str  # relative to the agent's file
+    env: dict[str, str] = Field(default_factory=dict)
+    check: AddressText | None = None  # where it must take connections while it runs
+
+
+class AgentFile(tomlfile.Model):
+    name: Name
+    state: str | None = None  # the folder that outlives the agent; without one, nothing does
+    listen: AddressText | None = None  # the agent's own address
+    key: str | None = None  # the file with the key that callers must show
+    store: StoreTable | None = None
+    restart: RestartTable = Field(default_factory=RestartTable)
+    instances: list[InstanceTable]
+
+    def faults(self) -> Iterable[tuple[tuple[tomlfile.Step, ...], str]]:
+        names: set[str] = set()
+        for number, instance in enumerate(self.instances):
+            if instance.name in names:
+                yield ("instances", number, "name"), f"two instances are called {instance.name!r}"
+            names.add(instance.name)
+        if self.listen is not None and (self.key is None or self.state is None):
+            # Guards against orders that are forgotten with the agent, and could then be carried out twice.
+            yield ("listen",), "listen needs a key (the file that holds it) and a state (a folder)"
 
 
 @dataclass(frozen=True, slots=True)
 class InstanceSpec:
+    """One instance. ``kind`` and ``config`` are empty for a command that is no program of ours."""
+
     name: str
     command: tuple[str, ...]
     env: Mapping[str, str] = field(default_factory=dict)
-    check: Address | None = None  # where it must take connections while it runs
+    check: Address | None = None
+    kind: str = ""
+    config: Path | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class AgentConfig:
     name: str
-    store_url: str
+    store_url: str  # empty: no store
     instances: tuple[InstanceSpec, ...]
-    first_s: float = 0.2  # the pause before the first restart; it doubles
+    first_s: float = 0.2
     most_s: float = 15.0
-    steady_s: float = 30.0  # an instance that ran for so long starts over with the first pause
-    grace_s: float = 20.0  # from SIGTERM to SIGKILL
-    start_s: float = 5.0  # a check may fail for so long after a start
-    poll_s: float = 1.0  # how often the store is told and asked, and the check made
+    steady_s: float = 30.0
+    grace_s: float = 20.0
+    start_s: float = 5.0
+    poll_s: float = 1.0
+    state: Path | None = None
+    listen: Address | None = None
+    key: Path | None = None
+
+
+def _config(file: AgentFile, base: Path) -> AgentConfig:
+    specs = []
+    for entry in file.instances:
+        path = base / entry.config
+        command = (sys.executable, "-m", "onyxpass", entry.kind, "--config", str(path))
+        check = Address.parse(entry.check) if entry.check else None
+        specs.append(InstanceSpec(entry.name, command, entry.env, check, entry.kind, path))
+    return AgentConfig(
+        name=file.name,
+        store_url=file.store.url if file.store else "",
+        instances=tuple(specs),
+        state=base / file.state if file.state else None,
+        listen=Address.parse(file.listen) if file.listen else None,
+        key=base / file.key if file.key else None,
+        **file.restart.model_dump(),
+    )
 
 
 def parse(raw: Mapping[str, Any], base: Path) -> AgentConfig:
-    """``base``: the folder that relative paths of configurations start from."""
-    try:
-        specs = []
-        for entry in raw["instances"]:
-            kind, name = entry["kind"], str(entry["name"])
-            if kind not in COMMANDS:
-                raise ConfigError(f"instance {name!r}: kind must be one of {', '.join(COMMANDS)}")
-            path = str(base / entry["config"])
-            command = (sys.executable, "-m", "onyxpass", kind, "--config", path)
-            env = {str(k): str(v) for k, v in (entry.get("env") or {}).items()}
-            check = Address.parse(entry["check"]) if "check" in entry else None
-            specs.append(InstanceSpec(name, command, env, check))
-        if len({spec.name for spec in specs}) < len(specs):
-            raise ConfigError("two instances have the same name")
-        pauses = raw.get("restart") or {}
-        known = ("first_s", "most_s", "steady_s", "grace_s", "start_s", "poll_s")
-        if unknown := set(pauses) - set(known):
-            raise ConfigError(f"restart: unknown {', '.join(sorted(unknown))}")
-        timing = {key: float(pauses[key]) for key in known if key in pauses}
-        if any(value <= 0 for value in timing.values()):
-            raise ConfigError("restart: all times must be above 0")
-        return AgentConfig(str(raw["name"]), str(raw["store"]["url"]), tuple(specs), **timing)
-    except ConfigError:
-        raise
-    except (ValueError, KeyError, TypeError, AttributeError) as problem:
-        raise ConfigError(f"the file can't be read: {problem!r}") from problem
+    """``base``: the folder that relative paths start from. ConfigError names the fault."""
+    return _config(tomlfile.check(AgentFile, raw), base)
 
 
 def load(path: Path) -> AgentConfig:
-    try:
-        return parse(tomllib.loads(path.read_text()), path.parent)
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
-        raise ConfigError(f"{path}: {problem}") from problem
+    return _config(tomlfile.read(AgentFile, path), path.parent)
--- a/onyxpass/agent/supervisor.py
+++ b/onyxpass/agent/supervisor.py
@@ -1,35 +1,66 @@
-"""One actor an instance: it alone starts, watches, restarts and stops that instance's process."""
+"""One actor an instance: it alone starts, watches, restarts and stops that instance's process.
+
+What is to be done is decided in ``lifecycle``; what must outlive the agent is in ``ledger``.
+"""
 
 import asyncio
 import os
+import secrets
+import shutil
 import signal
+import tempfile
 import time
+from collections.abc import Coroutine
 from dataclasses import dataclass
-from typing import Any
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
 from onyxpass.agent.config import AgentConfig, InstanceSpec
+from onyxpass.agent.ledger import Kept, Ledger
+from onyxpass.agent.lifecycle import Action, Launch, LaunchLater, Lifecycle, Pauses, State, Terminate
+from onyxpass.agent.process import Identity, Process, identify, trim, with_launch
+from onyxpass.config import ADMIN, GENERATION, LAUNCH
 from onyxpass.core.actor import Actor
-from onyxpass.store.redis import Store, StoreDown
+from onyxpass.core.clock import Clock
+from onyxpass.core.wheel import Wheel
+from onyxpass.net.ask import Answer, ask, at_path
+
+if TYPE_CHECKING:
+    from onyxpass.store.redis import Store
 
-CHECK_S, CHECKS = 1.0, 3  # a check's limit; so many failed ones in a row make a hung instance
+CHECK_S = 1.0  # a check's limit
+ADMIN_S = 2.0  # for an instance to answer on its admin socket
 log = structlog.get_logger("agent")
 
 
 @dataclass(frozen=True, slots=True)
 class Start:
-    """Start the process, unless it runs or is no longer wanted."""
+    """Adopt what runs, or start it, if it is wanted."""
+
+
+@dataclass(frozen=True, slots=True)
+class Due:
+    turn: int
 
 
 @dataclass(frozen=True, slots=True)
 class Want:
+    """``keep``: on record as well; the agent's own end stops instances without a word for the next one."""
+
     running: bool
+    keep: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Restart:
+    pass
 
 
 @dataclass(frozen=True, slots=True)
 class Exited:
-    code: int
+    code: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,105 +69,167 @@
     ok: bool
 
 
-Order = Start | Want | Exited | Checked
+Order = Start | Due | Want | Restart | Exited | Checked
 
 
 class Instance(Actor[Order]):
-    def __init__(self, spec: InstanceSpec, config: AgentConfig) -> None:
+    def __init__(self, spec: InstanceSpec, config: AgentConfig, ledger: Ledger, folder: Path) -> None:
         super().__init__(spec.name)
-        self.spec, self.config = spec, config
-        self.process: asyncio.subprocess.Process | None = None
-        self.wanted, self.starting = True, False
-        self.state, self.since = "new", time.time()
-        self.restarts, self.failures, self.missed = 0, 0, 0
-        self.last_exit: int | None = None
+        self.spec, self.config, self.ledger, self.folder = spec, config, ledger, folder
+        self.kept = ledger.instances().get(spec.name) or Kept(spec.name)
+        pauses = Pauses(config.first_s, config.most_s, config.steady_s, config.start_s)
+        self.life = Lifecycle(pauses, wanted=self.kept.wanted, restarts=self.kept.restarts)
+        self.process: Process | None = None
+        self.since = time.time()  # for people; nothing is decided by it
+        self.adopted = False
         self.tasks: set[asyncio.Task[None]] = set()
+        self.changed = asyncio.Event()  # set anew with each change of state
         self.gone = asyncio.Event()  # set while no process runs or is being started
         self.gone.set()
 
-    def beside(self, work: Any) -> None:
+    @property
+    def state(self) -> str:
+        return self.life.state.value
+
+    @property
+    def socket(self) -> Path:
+        return self.folder / "run" / f"{self.name}.sock"
+
+    def beside(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def _enter(self, state: str) -> None:
-        self.state, self.since = state, time.time()
-        log.info("instance", name=self.name, state=state, pid=self.process.pid if self.process else None)
-
     def receive(self, message: Order) -> None:
+        before, now_s = self.life.state, time.monotonic()
         match message:
             case Start():
-                if self.wanted and self.process is None and not self.starting:
-                    self.starting = True
-                    self.gone.clear()
-                    self.beside(self._run())
-            case Want(running):
-                if running and not self.wanted:
-                    self.wanted, self.failures = True, 0
-                    self.tell(Start())
-                elif not running and self.wanted:
-                    self.wanted = False
-                    if self.process is not None:
-                        self._enter("stopping")
-                        self.beside(self._end(self.process))
-                    elif not self.starting:
-                        self._enter("stopped")
+                actions = self._first(now_s)
+            case Due(turn):
+                actions = self.life.due(now_s, turn)
+            case Want(running, keep):
+                actions = self.life.want(now_s, running)
+                if keep and self.kept.wanted != running:
+                    self.kept.wanted = running
+                    self.ledger.keep(self.kept)
+            case Restart():
+                actions = self.life.restart(now_s)
+                if not self.kept.wanted:
+                    self.kept.wanted = True
+                    self.ledger.keep(self.kept)
             case Exited(code):
-                self._exited(code)
-            case Checked(pid, ok) if self.process is not None and self.process.pid == pid:
-                self.missed = 0 if ok else self.missed + 1
-                if self.missed == CHECKS and self.wanted:
-                    log.warning("hung", name=self.name, pid=pid)
+                actions = self._exited(now_s, code)
+            case Checked(pid, ok):
+                matches = self.process is not None and self.process.pid == pid
+                actions = self.life.checked(now_s, ok) if matches else []
+        for action in actions:
+            self._do(action)
+        if self.life.state is not before:
+            self._entered()
+
+    def _entered(self) -> None:
+        self.since = time.time()
+        pid = self.process.pid if self.process else None
+        log.info("instance", name=self.name, state=self.state, pid=pid)
+        self.ledger.event(self.name, self.state, pid=pid)
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+    def _do(self, action: Action) -> None:
+        match action:
+            case Launch():
+                self.gone.clear()
+                self._launch()
+            case Terminate(why):
+                if self.process is not None:
+                    log.info("ending", name=self.name, pid=self.process.pid, why=why)
                     self.beside(self._end(self.process))
-
-    def _exited(self, code: int) -> None:
-        ran_s = time.time() - self.since
-        self.process, self.starting, self.last_exit = None, False, code
-        self.gone.set()
-        if not self.wanted:
-            self._enter("stopped")
-            return
-        self.failures = 0 if ran_s >= self.config.steady_s else self.failures + 1
-        self.restarts += 1
-        pause_s = min(self.config.most_s, self.config.first_s * 2 ** min(20, max(0, self.failures - 1)))
-        self._enter("waiting")
-        log.warning("exited", name=self.name, code=code, ran_s=round(ran_s, 3), pause_s=pause_s)
-        asyncio.get_running_loop().call_later(pause_s, self.tell, Start())
-
-    async def _run(self) -> None:
-        code = -1
+            case LaunchLater(pause_s, turn):
+                asyncio.get_running_loop().call_later(pause_s, self.tell, Due(turn))
+
+    # Processes
+
+    def _first(self, now_s: float) -> list[Action]:
+        """Guards against a second process: what an agent before this one started and lives on is adopted.
+
+        The last process's identity is on record, or where the agent was killed before it could be, the name
+        of the launch, which the process carries in its environment.
+        """
+        known: Identity | None = self.kept.process
+        if known is None and self.kept.launch:
+            known = with_launch(LAUNCH, self.kept.launch)
+        process = Process.adopt(known) if known is not None else None
+        if process is None:
+            if known is not None:
+                self.ledger.event(self.name, "gone", pid=known.pid)
+            return self.life.start(now_s)
+        self.process, self.adopted = process, True
+        self.kept.process = process.identity
+        self.ledger.keep(self.kept)
+        self.gone.clear()
+        log.info("adopted", name=self.name, pid=process.pid)
+        self.ledger.event(self.name, "adopted", pid=process.pid)
+        self.beside(self._watch(process))
+        return self.life.adopted(now_s, process.identity.age_s)
+
+    def _launch(self) -> None:
+        """The launch is on record before the process is made, and its identity right after."""
+        self.kept.launch, self.kept.process = secrets.token_hex(8), None
+        self.ledger.keep(self.kept)
+        told = {ADMIN: str(self.socket), GENERATION: str(self.kept.generation), LAUNCH: self.kept.launch}
+        journal = self.folder / "logs" / f"{self.name}.log" if self.config.state is not None else None
         try:
-            self.process = await asyncio.create_subprocess_exec(
-                *self.spec.command,
-                env={**os.environ, **self.spec.env},
-                stdin=asyncio.subprocess.DEVNULL,
-                start_new_session=True,  # the terminal's Ctrl-C goes to the agent, which stops it in order
-            )
-            self.missed = 0
-            self._enter("running")
-            if not self.wanted:  # guards against a stop that came while the process was being made
-                self.beside(self._end(self.process))
-            code = await self.process.wait()
+            process = Process.launch(self.spec.command, {**os.environ, **self.spec.env, **told}, journal)
         except OSError as problem:
             log.error("can't start", name=self.name, why=str(problem))
-        finally:
-            self.tell(Exited(code))
+            self.ledger.event(self.name, "can't start", why=str(problem))
+            self.tell(Exited(None))
+            return
+        self.process, self.adopted = process, False
+        self.kept.process = process.identity
+        self.ledger.keep(self.kept)
+        self.beside(self._watch(process))
+        for action in self.life.launched(time.monotonic()):
+            self._do(action)
 
-    async def _end(self, process: asyncio.subprocess.Process) -> None:
+    async def _watch(self, process: Process) -> None:
+        self.tell(Exited(await process.wait()))
+
+    async def _end(self, process: Process) -> None:
         """SIGTERM, and SIGKILL if that is not heeded in time."""
         try:
-            process.send_signal(signal.SIGTERM)
+            process.send(signal.SIGTERM)
             try:
-                await asyncio.wait_for(process.wait(), self.config.grace_s)
+                await asyncio.wait_for(self.gone_or_replaced(process), self.config.grace_s)
             except TimeoutError:
                 log.warning("killed", name=self.name, pid=process.pid)
-                process.kill()
-        except ProcessLookupError:
+                self.ledger.event(self.name, "killed", pid=process.pid)
+                process.send(signal.SIGKILL)
+        except (ProcessLookupError, OSError):
             log.debug("ended meanwhile", name=self.name)
 
+    async def gone_or_replaced(self, process: Process) -> None:
+        while self.process is process:
+            await self.changed.wait()
+
+    def _exited(self, now_s: float, code: int | None) -> list[Action]:
+        ran_s = now_s - self.life.since_s
+        self.process = None
+        self.gone.set()
+        actions = self.life.exited(now_s, code)
+        self.kept.process, self.kept.launch = None, ""
+        self.kept.restarts, self.kept.last_exit = self.life.restarts, code
+        self.ledger.keep(self.kept)
+        self.ledger.exited(self.name, code, ran_s)
+        if self.life.state is State.WAITING:
+            log.warning("exited", name=self.name, code=code, ran_s=round(ran_s, 3))
+        return actions
+
     async def check(self) -> None:
         """Whether it takes connections, where the operator's file says that it must."""
-        if self.process is None or self.spec.check is None or self.state != "running":
+        if self.config.state is not None:
+            trim(self.folder / "logs" / f"{self.name}.log")
+        if self.process is None or self.spec.check is None or self.life.state is not State.RUNNING:
             return
         pid, ok = self.process.pid, False
         try:
@@ -145,48 +238,89 @@
             writer.close()
             ok = True
         except (OSError, TimeoutError):
-            ok = time.time() - self.since < self.config.start_s  # it may still be starting
+            ok = False
         self.tell(Checked(pid, ok))
 
+    async def ask(
+        self, method: str, target: str, message: dict[str, Any] | None = None, timeout_s: float = ADMIN_S
+    ) -> Answer:
+        """One call on the instance's admin socket; NotSent or NoAnswer where there is none."""
+        return await ask(at_path(self.socket), method, target, message, timeout_s=timeout_s)
+
     def told(self) -> dict[str, Any]:
         return {
             "agent": self.config.name,
+            "kind": self.spec.kind,
+            "wanted": self.life.wanted,
             "state": self.state,
             "pid": self.process.pid if self.process else None,
-            "restarts": self.restarts,
-            "last_exit": self.last_exit,
+            "adopted": self.adopted,
+            "launch": self.kept.launch,
+            "generation": self.kept.generation,
+            "restarts": self.life.restarts,
+            "last_exit": self.kept.last_exit,
             "since": round(self.since, 3),
         }
 
 
 class Agent:
-    def __init__(self, config: AgentConfig, store: Store) -> None:
+    def __init__(self, config: AgentConfig, store: "Store | None" = None) -> None:
         self.config, self.store = config, store
-        self.instances = [Instance(spec, config) for spec in config.instances]
+        self._temporary = tempfile.mkdtemp(prefix="onyxpass-agent-") if config.state is None else ""
+        self.folder = config.state or Path(self._temporary)
+        self.ledger = Ledger(config.state)
+        (self.folder / "run").mkdir(mode=0o700, parents=True, exist_ok=True)
+        self.wheel = Wheel(Clock())
+        self.instances = [Instance(spec, config, self.ledger, self.folder) for spec in config.instances]
+        self.by_name = {instance.name: instance for instance in self.instances}
         self.tasks: list[asyncio.Task[None]] = []
+        self._store_words: dict[str, bool | None] = {}  # what it last said of each instance
         self._store_down = self._stopping = False
 
     async def start(self) -> None:
+        for operation in self.ledger.interrupted():
+            log.warning("interrupted", operation=operation.id, instance=operation.name, kind=operation.kind)
+        self._orphans()
+        self.tasks.append(asyncio.create_task(self.wheel.run()))
         for instance in self.instances:
             self.tasks.append(asyncio.create_task(instance.run()))
-        await self._ask_store(look=True)  # what was stopped by an operator before stays so
+        await self._ask_store()  # what was stopped by an operator before stays so
         for instance in self.instances:
             instance.tell(Start())
         self.tasks.append(asyncio.create_task(self._poll()))
 
+    def _orphans(self) -> None:
+        """Guards against processes that nobody looks after: instances that left the file are told of."""
+        for name, kept in self.ledger.instances().items():
+            if name not in self.by_name:
+                lives = kept.process is not None and identify(kept.process.pid) == kept.process
+                if lives:
+                    log.warning(
+                        "not in the file, still running", name=name, pid=kept.process and kept.process.pid
+                    )
+                else:
+                    self.ledger.forget(name)
+
     async def _poll(self) -> None:
         while not self._stopping:
             await asyncio.sleep(self.config.poll_s)
-            await self._ask_store(look=True)
+            await self._ask_store()
             await asyncio.gather(*(instance.check() for instance in self.instances))
 
-    async def _ask_store(self, look: bool) -> None:
+    async def _ask_store(self) -> None:
         """Instances run on while the store is down; only what is told and asked waits."""
+        if self.store is None:
+            return
+        from onyxpass.store.redis import StoreDown
+
         ttl_s = max(2, round(self.config.poll_s * 5))
         try:
             for instance in self.instances:
-                wanted = look and await self.store.wanted(instance.name)
-                if look and not self._stopping:
+                wanted = await self.store.wanted(instance.name)
+                # Guards against an old word in the store that undoes a newer order at the agent's address.
+                news = self._store_words.get(instance.name) != wanted
+                self._store_words[instance.name] = wanted
+                if news and wanted is not None and not self._stopping:
                     instance.tell(Want(wanted))
                 await self.store.tell_instance(instance.name, instance.told(), ttl_s)
             self._store_down = False
@@ -196,38 +330,37 @@
             self._store_down = True
 
     async def stop(self) -> None:
-        """Stop all instances in order, and leave no word of them behind."""
+        """Stop all instances in order, and leave no word of them behind. What was wanted stays on record."""
         # Guards against a word from the store that starts an instance again while the agent stops: the poll
         # has ended before any stop is told, also if its cancel is lost within the store's client.
         self._stopping, poll = True, self.tasks.pop()
         poll.cancel()
         await asyncio.wait([poll])
         for instance in self.instances:
-            instance.tell(Want(False))
+            instance.tell(Want(False, keep=False))
         await asyncio.sleep(0)
         for instance in self.instances:
-            while instance.wanted:
+            while instance.life.wanted:
                 await asyncio.sleep(0.01)
             await instance.gone.wait()
         for task in self.tasks:
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.store is not None:
+            await self._leave(self.store)
+        self.close()
+
+    def close(self) -> None:
+        self.ledger.close()
+        if self._temporary:
+            shutil.rmtree(self._temporary, ignore_errors=True)
+
+    async def _leave(self, store: "Store") -> None:
+        from onyxpass.store.redis import StoreDown
+
         try:
             for instance in self.instances:
-                await self.store.forget_instance(instance.name)
+                await store.forget_instance(instance.name)
         except StoreDown as problem:
             log.warning("store down", why=str(problem))
-        await self.store.close()
-
-
-async def run(config: AgentConfig) -> None:
-    """Run till SIGTERM or SIGINT."""
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    # Guards against SIGHUP's default, which ends the agent alone and leaves its instances without one.
-    loop.add_signal_handler(signal.SIGHUP, log.warning, "the agent reads its file at its start only")
-    agent = Agent(config, Store(config.store_url))
-    await agent.start()
-    await stopping.wait()
-    await agent.stop()
+        await store.close()
--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -26,6 +26,20 @@
 ]
 
 
+LIGHT = ("serve", "toolcalls", "check-config", "version")  # what must start at once, with little memory
+
+
+def main() -> None:
+    """The whole command line; the operators' groups are loaded only where they are asked for."""
+    if (sys.argv[1:2] or [""])[0] not in LIGHT:
+        from onyxpass.fleet.cli import fleet_app
+        from onyxpass.standin.cli import standin_app
+
+        app.add_typer(fleet_app, name="fleet")
+        app.add_typer(standin_app, name="standin")
+    app(prog_name="onyxpass")
+
+
 def set_up_logging(level: str) -> None:
     """One JSON object a line on standard output, which is what the platform keeps as the log."""
     structlog.configure(
@@ -122,15 +136,40 @@
 @agent_app.command("run")
 def agent_run(
     config: Annotated[Path, typer.Option("--config", help="The operator's TOML file.")],
+    check: Annotated[bool, typer.Option("--check", help="Only read the file and say what it holds.")] = False,
     log_level: str = "info",
 ) -> None:
     """Start, watch and restart the instances of a file till SIGTERM; then stop them all."""
     from onyxpass.agent import config as agent_config
-    from onyxpass.agent import supervisor
+    from onyxpass.agent import program
+    from onyxpass.agent.ledger import LedgerError
 
     found = read_toml(agent_config.load, config)
+    if check:
+        typer.echo(f"{found.name}: address {found.listen or 'none'}, state in {found.state or 'memory only'}")
+        typer.echo(f"instances: {', '.join(spec.name for spec in found.instances)}")
+        return
     set_up_logging(log_level)
-    asyncio.run(supervisor.run(found))
+    try:
+        asyncio.run(program.run(found))
+    except configuration.ConfigError as problem:
+        typer.echo(f"onyxpass: {problem}", err=True)
+        raise typer.Exit(2) from problem
+    except LedgerError as problem:
+        typer.echo(f"onyxpass: {problem}", err=True)
+        raise typer.Exit(1) from problem
+
+
+@agent_app.command("key")
+def agent_key(path: Path) -> None:
+    """Make a key for an agent and its callers, in a new file that only you may read."""
+    from onyxpass.agent.keys import make_key
+
+    try:
+        make_key(path)
+    except OSError as problem:
+        typer.echo(f"onyxpass: {path}: {problem.strerror or problem}", err=True)
+        raise typer.Exit(2) from problem
 
 
 StoreUrl = Annotated[str, typer.Option("--store", help="The Redis that the agents tell.")]
--- /dev/null
+++ b/onyxpass/fleet/caller.py
@@ -0,0 +1,96 @@
+"""Calls to many agents at once. A silent one costs its own deadline and nobody else's."""
+
+import asyncio
+import resource
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from onyxpass.agent.keys import read_key
+from onyxpass.fleet.config import AgentRef, Member
+from onyxpass.fleet.conversation import AskAfter, Conversation, End, Pause, Tell
+from onyxpass.fleet.outcome import Outcome
+from onyxpass.net.ask import Answer, NoAnswer, NotSent, ask, at_address
+
+SPARE = 64  # descriptors for all else
+WAIT_MS = 1_000  # for which an agent may hold back an answer that is not final
+
+
+def room() -> int:
+    """Connections that this process may have open at once."""
+    return max(16, resource.getrlimit(resource.RLIMIT_NOFILE)[0] - SPARE)
+
+
+class Caller:
+    def __init__(self, agents: tuple[AgentRef, ...]) -> None:
+        """ConfigError where a key is no use: before anything is sent."""
+        self.keys = {path: read_key(path) for path in {agent.key for agent in agents}}
+        self.slots = asyncio.Semaphore(room())
+        self.open = self.most_open = 0
+
+    async def call(
+        self,
+        agent: AgentRef,
+        method: str,
+        target: str,
+        message: Mapping[str, Any] | None = None,
+        within_s: float = 2.0,
+    ) -> Answer:
+        """NotSent or NoAnswer, as ``ask``; the wait for a free descriptor counts as well."""
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + within_s
+        try:
+            async with asyncio.timeout(within_s):
+                await self.slots.acquire()
+        except TimeoutError as problem:
+            raise NotSent("no descriptor was free in time") from problem
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        try:
+            left_s = max(0.001, due_s - loop.time())
+            key = self.keys[agent.key]
+            return await ask(at_address(agent.address), method, target, message, key=key, timeout_s=left_s)
+        finally:
+            self.open -= 1
+            self.slots.release()
+
+    async def order(
+        self,
+        member: Member,
+        kind: str,
+        operation: str,
+        message: Mapping[str, Any],
+        deadline_s: float,
+        heard: Callable[[Mapping[str, Any]], None] = lambda _: None,
+    ) -> Outcome:
+        """Tell an instance's agent an order and ask after it till its end is known, or its time is over."""
+        loop = asyncio.get_running_loop()
+        talk = Conversation(loop.time(), deadline_s)
+        body = {"operation": operation, "deadline_ms": max(1, round(deadline_s * 1000)), **message}
+        while True:
+            match talk.next(loop.time()):
+                case End(outcome):
+                    return outcome
+                case Pause(for_s):
+                    await asyncio.sleep(for_s)
+                    continue
+                case Tell(within_s):
+                    asked = False
+                    call = self.call(
+                        member.agent, "POST", f"/v1/instances/{member.name}/{kind}", body, within_s
+                    )
+                case AskAfter(within_s):
+                    asked = True
+                    wait_ms = min(WAIT_MS, round(within_s * 500))
+                    target = f"/v1/operations/{operation}?wait_ms={wait_ms}"
+                    call = self.call(member.agent, "GET", target, None, within_s)
+            try:
+                answer = await call
+            except NotSent as problem:
+                talk.not_sent(str(problem))
+                continue
+            except NoAnswer as problem:
+                talk.no_answer(str(problem))
+                continue
+            heard(answer.body)
+            if (settled := talk.answered(asked, answer.status, answer.body)) is not None:
+                return settled
--- /dev/null
+++ b/onyxpass/fleet/runner.py
@@ -0,0 +1,238 @@
+"""Runs a rollout: carries out what ``rollout`` asks for, and keeps the record and the agents' holds."""
+
+import asyncio
+import secrets
+from collections.abc import Callable, Coroutine, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from onyxpass.fleet.caller import Caller
+from onyxpass.fleet.config import AgentRef, Fleet, Member, count_of
+from onyxpass.fleet.outcome import Kind, Outcome
+from onyxpass.fleet.planner import Limits, Unit
+from onyxpass.fleet.record import Held, Record, whoami
+from onyxpass.fleet.rollout import (
+    Action,
+    Apply,
+    Look,
+    Method,
+    Observation,
+    Pace,
+    Rollout,
+    Stage,
+    Target,
+    Wake,
+)
+from onyxpass.fleet.views import View, look
+from onyxpass.net.ask import NoAnswer, NotSent
+
+HOLD_MS = 60_000  # an agent is free again so long after the last word of a rollout's tool
+RENEW_S = 15.0
+LOOK_S = 3.0  # one look at an instance
+UNDER_WAY_PAUSE_S = 0.2
+ABORT_POLL_S = 0.5
+
+
+def limits_of(fleet: Fleet) -> Limits:
+    """The file's shares as numbers; a hall's share is of the smallest hall, so that it holds in each."""
+    by_hall: dict[str, int] = {}
+    for member in fleet.members:
+        by_hall[member.hall] = by_hall.get(member.hall, 0) + 1
+    return Limits(
+        out=count_of(fleet.limits.out, len(fleet.members)),
+        out_hall=count_of(fleet.limits.out_hall, min(by_hall.values(), default=1)),
+        out_host=fleet.limits.out_host,
+        keep=fleet.keep,
+    )
+
+
+def units_of(views: Mapping[str, View]) -> list[Unit]:
+    return [
+        Unit(name, view.member.hall, view.member.host, view.member.capacity, view.serving)
+        for name, view in views.items()
+    ]
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """How each instance is ordered to change."""
+
+    method: Method = Method.AUTO
+    deadline_s: float = 60.0
+    force: bool = False
+    drain: bool = True
+
+    def call(self, target: Target, rollout: str) -> tuple[str, dict[str, Any]]:
+        """The kind of operation, and what its call holds."""
+        body: dict[str, Any] = {
+            "rollout": rollout,
+            "expect": target.digest,
+            "force": self.force,
+            "drain": self.drain,
+        }
+        if self.method is Method.RESTART:
+            return "restart", body
+        return "reload", {**body, "restart": self.method is Method.AUTO}
+
+
+Told = Callable[[str, Mapping[str, Any]], None]
+
+
+class Runner:
+    """``told`` hears of each step: ``wave``, ``ordered``, ``settled``, ``stage``."""
+
+    def __init__(
+        self,
+        id: str,
+        rollout: Rollout,
+        order: Order,
+        members: Mapping[str, Member],
+        caller: Caller,
+        record: Record,
+        told: Told = lambda _what, _detail: None,
+    ) -> None:
+        self.id, self.rollout, self.order, self.members = id, rollout, order, members
+        self.caller, self.record, self.told = caller, record, told
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.changed = asyncio.Event()
+        self.known: dict[str, Outcome] = {}
+        self.operations: dict[str, str] = {}  # by name, as they stand on record
+
+    @property
+    def now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    # Holds
+
+    async def take_agents(self) -> None:
+        """Held, with nothing done, where an agent is another rollout's. A silent agent is no hindrance."""
+        agents = self._agents()
+        answers = await asyncio.gather(*(self._hold(agent) for agent in agents))
+        if reasons := [reason for reason in answers if reason]:
+            await self.give_agents_back()
+            raise Held(reasons[0])
+
+    def _agents(self) -> list[AgentRef]:
+        return list(
+            {m.host: m.agent for name, m in self.members.items() if name in self.rollout.targets}.values()
+        )
+
+    async def _hold(self, agent: AgentRef) -> str:
+        body = {"rollout": self.id, "holder": whoami(), "ttl_ms": HOLD_MS}
+        try:
+            answer = await self.caller.call(agent, "POST", "/v1/hold", body, LOOK_S)
+        except (NotSent, NoAnswer):
+            return ""
+        if answer.status != 409:
+            return ""
+        hold = answer.body.get("hold") or {}
+        return f"{agent.host}: rollout {hold.get('rollout')} is held by {hold.get('holder')}"
+
+    async def give_agents_back(self) -> None:
+        async def release(agent: AgentRef) -> None:
+            try:
+                await self.caller.call(agent, "POST", "/v1/release", {"rollout": self.id}, LOOK_S)
+            except (NotSent, NoAnswer) as problem:
+                self.told("release", {"host": agent.host, "problem": str(problem)})  # it ends by itself
+
+        await asyncio.gather(*(release(agent) for agent in self._agents()))
+
+    async def _keep_agents(self) -> None:
+        while True:
+            await asyncio.sleep(RENEW_S)
+            await asyncio.gather(*(self._hold(agent) for agent in self._agents()))
+
+    # The run
+
+    async def run(self, operations: Mapping[str, str] | None = None) -> Rollout:
+        """To the end. ``operations``: what a tool before this one ordered, by instance, from the record."""
+        self.operations.update(operations or {})
+        beside = [asyncio.create_task(self._keep_agents()), asyncio.create_task(self._watch_for_abort())]
+        try:
+            self._carry_out(self.rollout.begin(self.operations))
+            while self.rollout.stage is not Stage.ENDED:
+                self.changed.clear()
+                await self.changed.wait()
+        finally:
+            for task in (*beside, *self.tasks):
+                task.cancel()
+            await asyncio.gather(*beside, *self.tasks, return_exceptions=True)
+        self._settled()
+        return self.rollout
+
+    async def _watch_for_abort(self) -> None:
+        while True:
+            await asyncio.sleep(ABORT_POLL_S)
+            if reason := self.record.abort_asked(self.id):
+                self.abort(reason)
+                return
+
+    def abort(self, reason: str) -> None:
+        self._carry_out(self.rollout.abort(reason, self.now_s))
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        orders = [action.name for action in actions if isinstance(action, Apply)]
+        if orders:
+            self.told("wave", {"number": len(self.rollout.waves), "instances": orders})
+        for action in actions:
+            match action:
+                case Apply(name):
+                    self._beside(self._apply(name))
+                case Look(name):
+                    self._beside(self._look(name))
+                case Wake(after_s):
+                    self.told("pause", {"seconds": after_s})
+                    self._beside(self._wake(after_s))
+        self._settled()
+        self.changed.set()
+
+    def _settled(self) -> None:
+        """Put on record, and tell, what has become known."""
+        for name, outcome in self.rollout.tally.outcomes().items():
+            final = outcome.kind is not Kind.NOT_TRIED or self.rollout.stage in (Stage.VERIFYING, Stage.ENDED)
+            if final and self.known.get(name) != outcome:
+                self.known[name] = outcome
+                self.record.settled(self.id, name, outcome)
+                self.told("settled", {"instance": name, **outcome.told()})
+
+    def _beside(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._over)
+
+    def _over(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (problem := task.exception()) is not None:
+            # Guards against a rollout that waits for ever for a step that failed here.
+            self.rollout.abort(f"the tool's own fault: {problem!r}", self.now_s)
+            self.rollout.stage = Stage.ENDED
+            self.changed.set()
+
+    async def _wake(self, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        self._carry_out(self.rollout.tick(self.now_s))
+
+    async def _apply(self, name: str) -> None:
+        operation = secrets.token_hex(8)
+        self.record.ordered(self.id, name, operation)
+        self.operations[name] = operation
+        kind, body = self.order.call(self.rollout.targets[name], self.id)
+        self.told("ordered", {"instance": name, "kind": kind, "operation": operation})
+        outcome = await self.caller.order(self.members[name], kind, operation, body, self.order.deadline_s)
+        view = await look(self.caller, self.members[name], LOOK_S)
+        self._carry_out(self.rollout.ended(name, outcome, view.observation(), self.now_s))
+
+    async def _look(self, name: str) -> None:
+        """How it stands; what its agent is still carrying out is waited for, within the order's own time."""
+        due_s = self.now_s + self.order.deadline_s
+        while True:
+            view = await look(self.caller, self.members[name], LOOK_S)
+            observation: Observation = view.observation()
+            if not observation.under_way or self.now_s >= due_s:
+                break
+            await asyncio.sleep(UNDER_WAY_PAUSE_S)
+        self._carry_out(self.rollout.seen(name, observation, self.now_s))
+
+
+def pace_of(fleet: Fleet) -> Pace:
+    return Pace(fleet.limits.canaries, fleet.limits.pause_s, fleet.limits.abort_after)
--- /dev/null
+++ b/onyxpass/fleet/selector.py
@@ -0,0 +1,76 @@
+"""Which instances a command is for, without I/O.
+
+    hall=derby|boa-vista,name=*-1,label.front!=http
+
+Terms are joined by ``,`` (all must hold), values by ``|`` (one must); a value may hold ``*``, ``?`` and
+``[...]``. Keys are ``hall``, ``host``, ``name`` and ``label.KEY``.
+"""
+
+import re
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from fnmatch import fnmatchcase
+
+from onyxpass.fleet.config import Member
+from onyxpass.tomlfile import likely
+
+KEYS = ("hall", "host", "name")
+TERM = re.compile(r"\s*([A-Za-z0-9._-]+)\s*(!=|=)\s*(.*?)\s*$")
+
+
+class SelectorError(ValueError):
+    """The text is no selector, or selects nothing; the message says where."""
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    key: str
+    values: tuple[str, ...]
+    negated: bool = False
+
+    def holds(self, member: Member) -> bool:
+        if self.key.startswith("label."):
+            found = dict(member.labels).get(self.key.removeprefix("label."))
+        else:
+            found = {"hall": member.hall, "host": member.host, "name": member.name}[self.key]
+        fits = found is not None and any(fnmatchcase(found, value) for value in self.values)
+        return fits is not self.negated
+
+
+def parse(text: str) -> tuple[Term, ...]:
+    """SelectorError names the column, from 1 on."""
+    terms, column = [], 1
+    for part in text.split(","):
+        if (found := TERM.match(part)) is None:
+            raise SelectorError(f"column {column}: {part.strip()!r} is not KEY=VALUE")
+        key, operator, value = found.groups()
+        if key not in KEYS and not (key.startswith("label.") and len(key) > len("label.")):
+            raise SelectorError(f"column {column}: no key {key!r}{likely(key, (*KEYS, 'label.'))}")
+        values = tuple(v.strip() for v in value.split("|"))
+        if not all(values):
+            raise SelectorError(f"column {column}: {key} has an empty value")
+        terms.append(Term(key, values, operator == "!="))
+        column += len(part) + 1
+    return tuple(terms)
+
+
+def select(members: Sequence[Member], names: Iterable[str] = (), where: str = "") -> tuple[Member, ...]:
+    """Those that match one of ``names`` (all, if none is given) and every term, in the file's order.
+
+    Guards against a command for nobody that looks like success: a name or a selector without a match fails.
+    """
+    wanted = list(names)
+    known = [member.name for member in members]
+    for name in wanted:
+        if not any(fnmatchcase(found, name) for found in known):
+            raise SelectorError(f"no instance {name!r}{likely(name, known)}")
+    terms = parse(where) if where.strip() else ()
+    found = tuple(
+        member
+        for member in members
+        if (not wanted or any(fnmatchcase(member.name, name) for name in wanted))
+        and all(term.holds(member) for term in terms)
+    )
+    if not found:
+        raise SelectorError("no instance is selected")
+    return found
--- /dev/null
+++ b/onyxpass/standin/cli.py
@@ -0,0 +1,66 @@
+"""``onyxpass standin``: stand-ins as programs, and the demonstration."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Annotated, Any
+
+import typer
+
+standin_app = typer.Typer(no_args_is_help=True, help="Stand-ins for trials, on loopback addresses only.")
+Port = Annotated[int, typer.Option("--port", min=0, max=65535, help="0: a free one.")]
+
+
+async def _for_ever() -> None:
+    await asyncio.Event().wait()
+
+
+@standin_app.command("store")
+def store(port: Port = 6379) -> None:
+    """A stand-in for Redis: keys that expire, nothing kept beyond its end."""
+    from onyxpass.standin.store import RespStore
+
+    async def serve() -> None:
+        server = await RespStore(port).start()
+        typer.echo(f"redis://{server.address}/0")
+        await _for_ever()
+
+    _run(serve())
+
+
+@standin_app.command("fleet")
+def fleet(
+    readers: Annotated[int, typer.Option(min=1, max=1000)] = 2,
+    writers: Annotated[int, typer.Option(min=1, max=1000)] = 2,
+    port: Port = 8500,
+    token_ms: Annotated[float, typer.Option(min=0, max=1000, help="Time for each token.")] = 1.0,
+) -> None:
+    """Readers, writers and their discovery, for dispatchers to serve from."""
+    from onyxpass.standin.replicas import Speed, StandinFleet
+
+    async def serve() -> None:
+        made = StandinFleet(readers, writers, speed=Speed(token_s=token_ms / 1000), port=port)
+        await made.start()
+        typer.echo(f"discovery: {made.discovery.address}; {readers} readers, {writers} writers")
+        await _for_ever()
+
+    _run(serve())
+
+
+@standin_app.command("demo")
+def demo(
+    requests: Annotated[int, typer.Option(min=1, max=100_000)] = 300,
+) -> None:
+    """Two dispatchers under an agent, real requests of all classes, every answer counted."""
+    from onyxpass.standin.demo import demonstrate
+
+    raise typer.Exit(asyncio.run(demonstrate(requests)))
+
+
+def _run(work: Coroutine[Any, Any, None]) -> None:
+    try:
+        asyncio.run(work)
+    except KeyboardInterrupt:
+        raise typer.Exit(0) from None
+    except OSError as problem:
+        typer.echo(f"onyxpass: {problem.strerror or problem}", err=True)
+        raise typer.Exit(1) from problem
--- /dev/null
+++ b/onyxpass/standin/demo.py
@@ -0,0 +1,83 @@
+"""The demonstration: two dispatchers under an agent, real requests of all classes, every answer counted."""
+
+import asyncio
+import random
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+import typer
+
+from onyxpass.fleet import config as fleet_config
+from onyxpass.fleet import render
+from onyxpass.fleet.outcome import Exit
+from onyxpass.fleet.tool import Report, Tool
+from onyxpass.standin.client import CLASSES, ask
+from onyxpass.standin.replicas import Speed, StandinFleet
+from onyxpass.standin.site import Host, Site
+from onyxpass.standin.trace import breaches
+
+READY_S = 15.0
+AT_ONCE = 24
+
+
+async def ready(tool: Tool, limit_s: float = READY_S) -> Report:
+    """The first report in which every instance is seen and serves, or the last one."""
+    due_s = time.monotonic() + limit_s
+    while True:
+        report = await tool.survey(tool.fleet.members, 1.0)
+        if all(view.serving for view in report.views.values()) or time.monotonic() > due_s:
+            return report
+        await asyncio.sleep(0.1)
+
+
+async def load(site: Site, requests: int, seed: int = 1) -> Counter[tuple[str, str]]:
+    """So many requests of all classes, spread over all instances; counted by class and end."""
+    chance, places = random.Random(seed), asyncio.Semaphore(AT_ONCE)
+    ports = list(site.ports.values())
+
+    async def one(number: int, cls: str, port: int, max_out: int) -> tuple[str, str]:
+        async with places:
+            session = f"session-{number % 40}"
+            answer = await ask(site.fleet.trace, ("127.0.0.1", port), f"r{number:05}", cls, session, max_out)
+            return cls, answer.end
+
+    work = [
+        one(number, CLASSES[number % len(CLASSES)], ports[number % len(ports)], chance.randrange(20, 80))
+        for number in range(requests)
+    ]
+    return Counter(await asyncio.gather(*work))
+
+
+async def demonstrate(requests: int) -> int:
+    """The exit code: 0 only if each request had its one answer, all were served and no rule was broken."""
+    with tempfile.TemporaryDirectory(prefix="onyxpass-demo-") as folder:
+        fleet = await StandinFleet(readers=2, writers=3, speed=Speed(token_s=0.0005)).start()
+        site = Site(Path(folder), fleet, (Host("host-1", "boa-vista", ("dispatcher-1", "dispatcher-2")),))
+        site.write()
+        try:
+            await site.start(site.hosts[0])
+            tool = Tool(fleet_config.load(Path(folder) / "fleet.toml"))
+            first = await ready(tool)
+            if first.tally.exit() is not Exit.DONE or not all(v.serving for v in first.views.values()):
+                render.survey(first)
+                typer.echo((Path(folder) / "agent-host-1.log").read_text()[-2000:], err=True)
+                return 1
+            began_s = time.monotonic()
+            ends = await load(site, requests)
+            seconds = time.monotonic() - began_s
+            report = await tool.survey(tool.fleet.members)
+            render.survey(report)
+            for cls in CLASSES:
+                told = ", ".join(f"{n} {end}" for (c, end), n in sorted(ends.items()) if c == cls)
+                typer.echo(f"{cls}: {told}")
+            broken = breaches(fleet.trace)
+            for breach in broken:
+                typer.echo(f"rule broken: {breach}", err=True)
+            served = sum(n for (_, end), n in ends.items() if end == "served")
+            typer.echo(f"{served} of {requests} served in {seconds:.1f} s, {len(broken)} rules broken")
+            return 0 if served == requests and not broken else 1
+        finally:
+            await site.stop()
+            await fleet.stop()
--- /dev/null
+++ b/onyxpass/standin/site.py
@@ -0,0 +1,115 @@
+"""A small site in one folder: dispatchers under agents before a stand-in fleet, on free loopback ports."""
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from onyxpass.agent.keys import make_key
+from onyxpass.standin.replicas import StandinFleet
+from onyxpass.standin.settings import dispatcher_file
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return int(sock.getsockname()[1])
+
+
+@dataclass(slots=True)
+class Host:
+    """One agent with its instances. ``process``: the agent's, while it runs."""
+
+    name: str
+    hall: str
+    instances: tuple[str, ...]
+    port: int = 0
+    process: asyncio.subprocess.Process | None = None
+
+
+@dataclass(slots=True)
+class Site:
+    """``hosts``: by name, their halls and instances. ``text`` of limits: as in the fleet's file."""
+
+    folder: Path
+    fleet: StandinFleet
+    hosts: tuple[Host, ...]
+    limits: str = ""
+    restart: str = ""  # of the agents' files
+    ports: dict[str, int] = field(default_factory=dict)  # by instance
+
+    @property
+    def peers(self) -> int:
+        return sum(len(host.instances) for host in self.hosts)
+
+    def write(self) -> None:
+        """All files of the site. The ports are free ones, and stay what they are."""
+        make_key(self.folder / "fleet.key")
+        tables = []
+        for host in self.hosts:
+            host.port = free_port()
+            for name in host.instances:
+                self.ports[name] = free_port()
+                self.config(name)
+            self.agent_file(host)
+            entries = "".join(f'[[agents.instances]]\nname = "{name}"\n' for name in host.instances)
+            where = f'host = "{host.name}"\nhall = "{host.hall}"\naddress = "127.0.0.1:{host.port}"\n'
+            tables.append(f"[[agents]]\n{where}{entries}")
+        halls = dict.fromkeys(host.hall for host in self.hosts)
+        text = 'name = "trial"\nkey = "fleet.key"\nstate = "rollouts"\n\n'
+        text += f"[limits]\n{self.limits}\n" if self.limits else ""
+        text += "".join(f'[[halls]]\nname = "{hall}"\n' for hall in halls)
+        (self.folder / "fleet.toml").write_text(text + "".join(tables))
+
+    def agent_file(self, host: Host) -> None:
+        rows = [
+            f'name = "{host.name}"\nlisten = "127.0.0.1:{host.port}"',
+            f'key = "fleet.key"\nstate = "state-{host.name}"',
+            f"[restart]\n{self.restart}" if self.restart else "",
+        ]
+        for name in host.instances:
+            rows.append(
+                f'[[instances]]\nname = "{name}"\nkind = "serve"\nconfig = "{name}.json"\n'
+                f'check = "127.0.0.1:{self.ports[name]}"'
+            )
+        (self.folder / f"agent-{host.name}.toml").write_text("\n".join(rows) + "\n")
+
+    def config(self, name: str, change: Mapping[str, object] | None = None) -> None:
+        """Write an instance's file (again). ``change``: ``sockets`` or ``peers``."""
+        told = dict(change or {})
+        listen, peers = f"127.0.0.1:{self.ports[name]}", int(str(told.get("peers", self.peers)))
+        made = dispatcher_file(name, listen, self.fleet, peers)
+        if "sockets" in told:
+            made["limits"]["sockets"] = told["sockets"]
+        path = self.folder / f"{name}.json"
+        fresh = path.with_suffix(".new")
+        fresh.write_text(json.dumps(made))
+        fresh.replace(path)
+
+    async def start(self, host: Host) -> None:
+        log = (self.folder / f"agent-{host.name}.log").open("ab")
+        try:
+            host.process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "onyxpass", "agent", "run"),
+                *("--config", str(self.folder / f"agent-{host.name}.toml")),
+                stdout=log,
+                stderr=log,
+                env={key: value for key, value in os.environ.items() if not key.startswith("ROUTER_")},
+            )
+        finally:
+            log.close()
+
+    async def stop(self, limit_s: float = 20.0) -> None:
+        """SIGTERM to all agents, which end their instances in order; SIGKILL to one that does not end."""
+        running = [host.process for host in self.hosts if host.process and host.process.returncode is None]
+        for process in running:
+            process.terminate()
+        for process in running:
+            try:
+                await asyncio.wait_for(process.wait(), limit_s)
+            except TimeoutError:
+                process.kill()
+                await process.wait()
--- a/onyxpass/store/redis.py
+++ b/onyxpass/store/redis.py
@@ -83,5 +83,7 @@
         """What an operator asks of an instance; its agent follows."""
         await self._ask(self._redis.set(WANTED + name, json.dumps({"running": running})))
 
-    async def wanted(self, name: str) -> bool:
-        return (await self._get(WANTED + name) or {}).get("running") is not False
+    async def wanted(self, name: str) -> bool | None:
+        """None where no operator has asked for anything."""
+        asked = (await self._get(WANTED + name) or {}).get("running")
+        return asked if isinstance(asked, bool) else None
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,4 +1,4 @@
-"""Stand-ins written from the public specifications (RESP2, JSON-RPC 2.0), all on loopback ports of their own.
+"""Stand-ins for the JSON-RPC front, written from the public specification, on loopback ports of their own.
 
 Each counts what reaches it, so that tests can look for what came twice.
 """
@@ -8,107 +8,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-
-async def until(true: Callable[[], object], limit_s: float = 10.0) -> None:
-    """Wait for something that must come; the limit only ends a test that has failed already."""
-    async with asyncio.timeout(limit_s):
-        while not true():
-            await asyncio.sleep(0.002)
-
-
-class Server:
-    """A TCP server on a free loopback port that can be stopped with its connections and started again."""
-
-    def __init__(self) -> None:
-        self.port = 0
-        self.connections = 0
-        self.writers: dict[asyncio.StreamWriter, asyncio.Task[None]] = {}
-        self.server: asyncio.Server | None = None
-
-    async def start(self) -> "Server":
-        self.server = await asyncio.start_server(self._accept, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
-        for writer, task in list(self.writers.items()):
-            writer.transport.abort()
-            task.cancel()
-        await until(lambda: not self.writers)
-
-    @property
-    def address(self) -> str:
-        return f"127.0.0.1:{self.port}"
-
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        task = asyncio.current_task()
-        assert task is not None
-        self.writers[writer] = task
-        try:
-            await self.serve(reader, writer)
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            return
-        finally:
-            self.writers.pop(writer, None)
-            writer.close()
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        raise NotImplementedError
-
-
-class RespStore(Server):
-    """The part of Redis that the store uses: GET, SET with NX and EX, DEL, KEYS by a prefix."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.data: dict[str, str] = {}
-        self.ttl: dict[str, int] = {}
-        self.silent = False
-        self.commands: list[list[str]] = []
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while (head := await reader.readline()).startswith(b"*"):
-            words = []
-            for _ in range(int(head[1:])):
-                size = int((await reader.readline())[1:])
-                words.append((await reader.readexactly(size + 2))[:-2].decode())
-            self.commands.append(words)
-            if not self.silent:
-                writer.write(self.answer(words[0].upper(), words[1:]))
-
-    def answer(self, command: str, words: list[str]) -> bytes:
-        match command:
-            case "SET":
-                options = [w.upper() for w in words[2:]]
-                if "NX" in options and words[0] in self.data:
-                    return b"$-1\r\n"
-                self.data[words[0]] = words[1]
-                if "EX" in options:
-                    self.ttl[words[0]] = int(options[options.index("EX") + 1])
-                return b"+OK\r\n"
-            case "GET":
-                value = self.data.get(words[0])
-                return self.bulk(value) if value is not None else b"$-1\r\n"
-            case "DEL":
-                return b":%d\r\n" % sum(self.data.pop(w, None) is not None for w in words)
-            case "KEYS":
-                found = [k for k in self.data if k.startswith(words[0].rstrip("*"))]
-                return b"*%d\r\n" % len(found) + b"".join(map(self.bulk, found))
-            case "CLIENT" | "SELECT" | "PING":
-                return b"+OK\r\n"
-        return b"-ERR unknown command\r\n"
-
-    @staticmethod
-    def bulk(value: str) -> bytes:
-        text = value.encode()
-        return b"$%d\r\n%s\r\n" % (len(text), text)
-
-    def calls(self) -> dict[str, dict[str, Any]]:
-        prefix = "onyxpass:call:"
-        return {k.removeprefix(prefix): json.loads(v) for k, v in self.data.items() if k.startswith(prefix)}
+from onyxpass.standin.server import Server, until
+from onyxpass.standin.store import RespStore
 
 
 def put(writer: asyncio.StreamWriter, **message: Any) -> None:
@@ -300,3 +201,6 @@
     async def stop(self) -> None:
         self.writer.close()
         await asyncio.wait([self.task])
+
+
+__all__ = ["Client", "Ledger", "Reader", "RespStore", "Server", "Writer", "until"]
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -15,8 +15,9 @@
 from typer.testing import CliRunner
 
 from onyxpass.agent import config as agent_config
-from onyxpass.agent import supervisor
+from onyxpass.agent import program
 from onyxpass.agent.config import AgentConfig, InstanceSpec
+from onyxpass.agent.lifecycle import LaunchLater, Lifecycle, Pauses
 from onyxpass.agent.supervisor import Agent, Instance
 from onyxpass.cli import app
 from onyxpass.config import Address, ConfigError
@@ -71,8 +72,8 @@
         dies = InstanceSpec("dies", (sys.executable, "-c", "raise SystemExit(3)"))
         async with agent(dies, InstanceSpec("lives", SLEEPER)) as (store, made, url):
             first, second = made.instances
-            await until(lambda: first.restarts >= 3 and up(second), 30)
-            assert first.last_exit == 3 and first.failures >= 3 and second.restarts == 0
+            await until(lambda: first.life.restarts >= 3 and up(second), 30)
+            assert first.life.last_exit == 3 and first.life.failures >= 3 and second.life.restarts == 0
             key = "onyxpass:instance:dies"  # it may have gone past any one number by the time it is told
             await until(lambda: json.loads(store.data.get(key, '{"restarts": 0}'))["restarts"] >= 3, 30)
             told = await asyncio.to_thread(CliRunner().invoke, app, ["agent", "list", "--store", url])
@@ -85,18 +86,17 @@
 
 
 def test_the_pause_doubles_up_to_the_most_and_starts_over_after_a_steady_run() -> None:
-    async def go() -> None:
-        instance = Instance(InstanceSpec("x", ()), AgentConfig("a", "", (), first_s=1, most_s=5, steady_s=30))
-        pauses: list[float] = []
-        loop = asyncio.get_running_loop()
-        loop.call_later = lambda pause, *_: pauses.append(pause)  # type: ignore[method-assign,assignment]
-        for _ in range(4):
-            instance._exited(1)
-        instance.since -= 31
-        instance._exited(1)
-        assert pauses == [1, 2, 4, 5, 1]
-
-    run(go)
+    life = Lifecycle(Pauses(first_s=1, most_s=5, steady_s=30))
+    pauses: list[float] = []
+    now_s = 0.0
+    for ran_s in (0, 0, 0, 0, 31):
+        life.start(now_s)
+        life.launched(now_s)
+        now_s += ran_s
+        (action,) = life.exited(now_s, 1)
+        assert isinstance(action, LaunchLater)
+        pauses.append(action.pause_s)
+    assert pauses == [1, 2, 4, 5, 1] and life.restarts == 5
 
 
 def test_an_operator_stops_and_starts_an_instance() -> None:
@@ -108,7 +108,7 @@
             pid = one.process.pid
             await asyncio.to_thread(CliRunner().invoke, app, ["agent", "stop", "one", "--store", url])
             await until(lambda: one.state == "stopped", 30)
-            assert not alive(pid) and one.restarts == 0
+            assert not alive(pid) and one.life.restarts == 0
             await asyncio.to_thread(CliRunner().invoke, app, ["agent", "start", "one", "--store", url])
             await until(lambda: up(one), 30)
 
@@ -135,7 +135,7 @@
             await until(lambda: up(one), 30)
             made.store = Late(url)
             await asyncio.wait_for(asked.wait(), 30)
-        assert one.state == "stopped" and one.restarts == 0
+        assert one.state == "stopped" and one.life.restarts == 0
 
     run(go)
 
@@ -157,8 +157,8 @@
         await closed.stop()
         spec = InstanceSpec("hung", SLEEPER, check=Address("127.0.0.1", closed.port))
         async with agent(spec) as (_, made, _url):
-            await until(lambda: made.instances[0].restarts >= 1, 30)
-            assert made.instances[0].last_exit == -15
+            await until(lambda: made.instances[0].life.restarts >= 1, 30)
+            assert made.instances[0].life.last_exit == -15
 
     run(go)
 
@@ -184,7 +184,7 @@
                 assert b'"ready":true' in await reader.readline()
                 writer.close()
                 (one,) = made.instances
-            assert one.last_exit == 0 and one.restarts == 0, "SIGTERM ends it in good order"
+            assert one.life.last_exit == 0 and one.life.restarts == 0, "SIGTERM ends it in good order"
 
     run(go)
 
@@ -209,7 +209,7 @@
         store = RespStore()
         await store.start()
         config = AgentConfig("test", f"redis://{store.address}/0", (InstanceSpec("a", SLEEPER),), **PAUSES)
-        running = asyncio.create_task(supervisor.run(config))
+        running = asyncio.create_task(program.run(config))
         await until(lambda: any(json.loads(v).get("pid") for k, v in store.data.items() if k.endswith(":a")))
         os.kill(os.getpid(), signal.SIGHUP)
         await asyncio.sleep(0.05)
