--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What a developer needs, by name. The platform uses deploy/balancer.toml.
-.PHONY: build dev test lint run toolcalls agent ci clean
+.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet
 
 build:
 	test -d .venv || python3 -m venv .venv
@@ -22,10 +22,17 @@
 run: build
 	.venv/bin/python -m onyxpass serve
 
+demo: build
+	.venv/bin/python -m onyxpass standin demo
+
+bench-fleet: dev
+	.venv-dev/bin/python benchmarks/fleet.py
+
 toolcalls: build
 	.venv/bin/python -m onyxpass toolcalls --config deploy/toolcalls.toml
 
 agent: build
+	test -f deploy/fleet.key || .venv/bin/python -m onyxpass agent key deploy/fleet.key
 	.venv/bin/python -m onyxpass agent run --config deploy/agent.toml
 
 ci:
--- a/onyxpass/fleet/cli.py
+++ b/onyxpass/fleet/cli.py
@@ -104,7 +104,8 @@
     found, members = guarded(lambda: opened(path, names, where))
     tool = guarded(lambda: Tool(found))
     deadline_s = deadline or found.limits.deadline_s
-    report = run(tool.order(kind, members, deadline_s, options, regardless=regardless))
+    order = tool.order(kind, members, deadline_s, options, regardless=regardless)
+    report = run(order if json else render.watched(tool, members, order))
     finish(report, json, render.outcomes)
 
 
--- a/onyxpass/fleet/render.py
+++ b/onyxpass/fleet/render.py
@@ -1,18 +1,21 @@
 """Reports on a terminal, through rich. Nothing is decided or left out: each selected instance has a row."""
 
+import asyncio
 import json
 import time
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Coroutine, Iterable, Mapping, Sequence
 from typing import Any
 
 from rich.console import Console
+from rich.live import Live
 from rich.markup import escape
 from rich.table import Table
 
+from onyxpass.fleet.config import Member
 from onyxpass.fleet.outcome import Kind
 from onyxpass.fleet.planner import Plan
 from onyxpass.fleet.record import Recorded
-from onyxpass.fleet.tool import Report
+from onyxpass.fleet.tool import Report, Tool
 from onyxpass.fleet.views import View
 
 COLOURS = {Kind.DONE: "green", Kind.FAILED: "red", Kind.UNKNOWN: "yellow", Kind.NOT_TRIED: "magenta"}
@@ -20,6 +23,7 @@
     *("instance", "hall", "host", "state", "pid", "configuration"),
     *("open", "streams", "oldest", "drain", "restarts", "outcome"),
 )
+WATCH_S = 0.5  # between looks while an order runs
 SHORT = 12  # characters of a digest that are shown
 
 
@@ -101,6 +105,31 @@
     summary(report)
 
 
+async def watched(tool: Tool, members: Sequence[Member], order: Coroutine[Any, Any, Report]) -> Report:
+    """The order, and on a terminal meanwhile how each instance stands: what is open, how old, how long."""
+    out = console()
+    if not out.is_terminal:
+        return await order
+    running = asyncio.ensure_future(order)
+    with Live(console=out, transient=True, refresh_per_second=4) as live:
+        while not running.done():
+            report = await tool.survey(members, WATCH_S)
+            live.update(progress(report))
+            await asyncio.wait([running], timeout=WATCH_S)
+    return await running
+
+
+def progress(report: Report) -> Table:
+    table = Table("instance", "state", "open", "streams", "oldest", "drain")
+    for member in report.members:
+        view = report.views[member.name]
+        counts = [str(view.at("drain", key) if view.live else "?") for key in ("requests", "streams")]
+        oldest_s = (view.at("drain", "oldest_ms") or 0) / 1000
+        state = str((view.told or {}).get("state", "?"))
+        table.add_row(member.name, state, *counts, f"{oldest_s:.1f} s", escape(_drain(view)))
+    return table
+
+
 def summary(report: Report) -> None:
     counts = report.tally.counts()
     told = ", ".join(f"{count} {kind}" for kind, count in counts.items())
--- a/onyxpass/fleet/runner.py
+++ b/onyxpass/fleet/runner.py
@@ -29,6 +29,7 @@
 HOLD_MS = 60_000  # an agent is free again so long after the last word of a rollout's tool
 RENEW_S = 15.0
 LOOK_S = 3.0  # one look at an instance
+VERIFY_S = 5.0  # for one that can't be asked in the last look to be back
 UNDER_WAY_PAUSE_S = 0.2
 ABORT_POLL_S = 0.5
 
@@ -224,11 +225,16 @@
 
     async def _look(self, name: str) -> None:
         """How it stands; what its agent is still carrying out is waited for, within the order's own time."""
-        due_s = self.now_s + self.order.deadline_s
+        began_s = self.now_s
+        due_s = began_s + self.order.deadline_s
         while True:
             view = await look(self.caller, self.members[name], LOOK_S)
             observation: Observation = view.observation()
-            if not observation.under_way or self.now_s >= due_s:
+            waits = bool(observation.under_way)
+            if self.rollout.stage is Stage.VERIFYING and observation.digest is None:
+                # Guards against one that is just starting being called unknown: it soon says what it is.
+                waits, due_s = True, min(due_s, began_s + VERIFY_S)
+            if not waits or self.now_s >= due_s:
                 break
             await asyncio.sleep(UNDER_WAY_PAUSE_S)
         self._carry_out(self.rollout.seen(name, observation, self.now_s))
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,10 +1,12 @@
 """The agent with real processes and a stand-in for the store."""
 
 import asyncio
+import itertools
 import json
 import os
 import signal
 import sys
+import time
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -17,6 +19,7 @@
 from onyxpass.agent import config as agent_config
 from onyxpass.agent import program
 from onyxpass.agent.config import AgentConfig, InstanceSpec
+from onyxpass.agent.expected import expected_digest
 from onyxpass.agent.lifecycle import LaunchLater, Lifecycle, Pauses
 from onyxpass.agent.supervisor import Agent, Instance
 from onyxpass.cli import app
@@ -99,6 +102,20 @@
     assert pauses == [1, 2, 4, 5, 1] and life.restarts == 5
 
 
+def test_a_clock_that_jumps_changes_no_decision(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def go() -> None:
+        dies = InstanceSpec("dies", (sys.executable, "-c", "import time; time.sleep(0.02)"))
+        async with agent(dies, InstanceSpec("lives", SLEEPER)) as (_, made, _url):
+            first, second = made.instances
+            jumps = itertools.cycle((0.0, 4e9, -1.0, 1e6))
+            monkeypatch.setattr(time, "time", lambda: next(jumps))
+            await until(lambda: first.life.restarts >= 4 and up(second), 30)
+            assert first.life.failures >= 4, "no run counted as a steady one"
+            assert second.life.restarts == 0 and second.life.wanted
+
+    run(go)
+
+
 def test_an_operator_stops_and_starts_an_instance() -> None:
     async def go() -> None:
         async with agent(InstanceSpec("one", SLEEPER)) as (_, made, url):
@@ -182,8 +199,28 @@
                         await asyncio.sleep(0.05)
                 writer.write(b'{"jsonrpc":"2.0","id":1,"method":"ping"}\n')
                 assert b'"ready":true' in await reader.readline()
-                writer.close()
                 (one,) = made.instances
+                status = (await one.ask("GET", "/status")).body
+                assert status["kind"] == "toolcalls" and status["launch"] == one.kept.launch
+                assert status["config"]["digest"] == expected_digest(one.spec)
+                path = tmp_path / "t.toml"
+                path.write_text(path.read_text().replace("127.0.0.1:7440", "127.0.0.1:7441"))
+                await one.ask("POST", "/reload", {"generation": 4})
+                config = (await one.ask("GET", "/status")).body["config"]
+                assert config["digest"] == expected_digest(one.spec) and config["generation"] == 4
+                path.write_text("name = 3")
+                refused = await one.ask("POST", "/reload")
+                assert refused.status == 409 and refused.body["config"]["digest"] == config["digest"]
+                assert (await one.ask("POST", "/drain", {"deadline_ms": -1})).status == 400
+                await one.ask("POST", "/drain", {"notice_ms": 0})
+                while (await one.ask("GET", "/status")).body["drain"]["phase"] != "drained":
+                    await asyncio.sleep(0.02)
+                asked = {"class": "part-lookup", "session": "s", "prompt": "p"}
+                call = {"jsonrpc": "2.0", "id": 2, "method": "generate", "params": asked}
+                writer.write(json.dumps(call).encode() + b"\n")
+                assert b"refused" in await reader.readline()
+                assert (await one.ask("POST", "/undrain")).body["ready"] is True
+                writer.close()
             assert one.life.last_exit == 0 and one.life.restarts == 0, "SIGTERM ends it in good order"
 
     run(go)
