Forget requests that a tick answers, which were kept for ever

Cause: the core looks whether a request can go only for the one that an event is about; a tick of the module refuses others, and those stayed. Memory grew with each of them, and a dispatcher that had refused any of them never ended after SIGTERM.

Each event now looks at all that it answered.

--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -35,10 +35,12 @@
         self.fleet: Fleet | None = None
         self.figures = Figures(c.name for c in settings.classes)
         self.servers: dict[str, api.Server] = {}  # those on the list, as last told
+        self.view = 0  # the number of the view in force, where views are numbered
         self.excluded: frozenset[str] = frozenset()  # taken out by hand, on the list or not
         self.requests: dict[int, Request] = {}  # till they are over and no attempt is out
         self.live_ids: dict[str, Request] = {}  # the same: an id in use again would be a second copy
         self.to_release: list[Request] = []  # asked for by the event at hand
+        self.ended_now: list[Request] = []  # answered lately, and not yet looked at whether they can go
         self.closed = False  # nothing more is taken on
         self.on_idle: Callable[[], None] | None = None
 
@@ -181,6 +183,8 @@
         if status is Status.READ or request.interrupted:
             request.may_hold, request.holder = True, attempt.server
         told = {"id": request.id, "cls": request.arrival.cls, "n": attempt.number, "server": attempt.server}
+        if attempt.view:
+            told["view"] = attempt.view
         if status is Status.SERVED:
             wait_us = attempt.sent_us + attempt.first_us - request.arrived_us  # all that the client waited
             times = {"wait_us": wait_us, "first_us": attempt.first_us, "gap_us": attempt.gap_us}
@@ -258,8 +262,10 @@
             for held in letting_go:
                 if held.out is None and held.may_hold:
                     self._release(held)
-            if request is not None:
-                self._settle(request)
+            # Guards against requests kept for ever: a tick answers others than the one of the event.
+            ended, self.ended_now = self.ended_now, []
+            for over in ended if request is None else (*ended, request):
+                self._settle(over)
 
     def broken(self, message: api.Event) -> None:
         """Guards against a request left without an answer when the module fails on an event about it."""
@@ -309,6 +315,7 @@
         left_us = request.arrival.deadline_us - now_us
         attempt = Attempt(request, len(request.attempts), server, min(timeout_us, left_us), now_us)
         attempt.reads, attempt.writes = self.reads(server), self.writes(server)
+        attempt.view = self.view
         request.attempts.append(attempt)
         barred = request.over or request.committed or request.out or left_us <= 0 or self.fleet is None
         if barred or attempt.number >= self.settings.max_attempts or not self.may_send(server):
@@ -377,6 +384,7 @@
 
     def _close(self, request: Request) -> None:
         request.over = True
+        self.ended_now.append(request)
         if request.guard is not None:
             request.guard.drop()
 
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -43,6 +43,7 @@
     status: Status | None = None  # how it ended
     reads: bool = False  # whether its server reads prompts, by the list at the send
     writes: bool = True  # whether it may write answers
+    view: int = 0  # the number of the view that it was sent by, where views are numbered
     first_us: int = 0  # from the send to the first event
     parts: int = 0  # of its stream, so far
     part_us: int = 0  # when the last one came
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -339,3 +339,13 @@
     bed.step([])
     bed.ask(api.Send(7, "m0", 500_000), api.Refuse(7))
     assert bed.client.finals == ["fail"]
+
+
+def test_a_request_that_a_tick_answers_is_forgotten() -> None:
+    """Found by a dispatcher that did not end: what was refused while it waited was kept for ever."""
+    bed = Bed()
+    bed.ask()
+    bed.core.tell(api.TimerFired(0))
+    bed.step([api.Refuse(7)])
+    assert bed.client.finals == ["refuse"]
+    assert not bed.core.requests and not bed.core.live_ids
