--- a/onyxpass/admin/instances.py
+++ b/onyxpass/admin/instances.py
@@ -63,7 +63,9 @@
         self.dispatcher.front.close_idle()
 
     def figures(self) -> dict[str, Any]:
-        return {**self.core.rows(), "clients": len(self.dispatcher.front.open)}
+        files = self.dispatcher.files
+        told = {"sources": files.told()} if files is not None else {}
+        return {**self.core.rows(), "clients": len(self.dispatcher.front.open), **told}
 
 
 class ManagedToolcalls:
@@ -96,4 +98,6 @@
         self.core.close()
 
     def figures(self) -> dict[str, Any]:
-        return {**self.core.rows(), "clients": len(self.service.front.open)}
+        files = self.service.files
+        told = {"sources": files.told()} if files is not None else {}
+        return {**self.core.rows(), "clients": len(self.service.front.open), **told}
--- a/onyxpass/admin/values.py
+++ b/onyxpass/admin/values.py
@@ -25,6 +25,7 @@
         "sockets": config.sockets,
         "connect_timeout_us": config.connect_timeout_us,
         "conn_idle_us": config.conn_idle_us,
+        "servers_file": str(config.servers) if config.servers else None,
         **settings_values(config.settings),
     }
 
@@ -46,6 +47,7 @@
         "store_timeout_ms": config.store_timeout_ms,
         "claim_ttl_s": config.claim_ttl_s,
         "connections": config.connections,
+        "sources": str(config.sources) if config.sources else None,
         **settings_values(config.settings),
     }
 
--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -302,8 +302,9 @@
         # Guards against mixed servers that answer more than writers do: all that they read they also answer,
         # so their homes are as many as makes their share of the answers even with a writer's.
         readers, writers = len(self.up[Role.READER]), len(self.up[Role.WRITER])
-        for host in self.up[Role.MIXED]:
-            host.part = min(1.0, max(LEAST_PART, readers / writers)) if writers else 1.0
+        for host in (*self.up[Role.READER], *self.up[Role.MIXED]):  # homes by weight, and mixed ones fewer
+            share = readers / writers if writers and host.role is Role.MIXED else 1.0
+            host.part = min(1.0, max(LEAST_PART, share)) * max(LEAST_PART, host.spec.weight)
 
     def _pool(self, *roles: Role) -> list[Host]:
         """Servers that may be used now: up, well and within their cold budget, sorted by id in each role."""
@@ -370,7 +371,9 @@
             since = self.now_us - min(1.0, ages.get(h, 1.0)) * REPORT_OLD_US - REPORT_LAG_US if ages else -1
             steps = [tokens for sent, tokens in h.streams.values() if sent > since] if h.streams else []
             step = (stands_for(steps, n) if surely else n * sum(steps)) if steps else 0.0
-            found[h] = average + (h.share - average) * trust[h] + step / h.memory
+            found[h] = (
+                average + (h.share - average) * trust[h] + step / (h.memory * max(LEAST_PART, h.spec.weight))
+            )
         return found
 
     def _unseen(self, job: Job, writers: list[Host], near: api.Server) -> dict[Host, float]:
--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import os
 import sys
 from collections.abc import Awaitable, Callable
 from importlib.metadata import PackageNotFoundError
@@ -33,9 +34,11 @@
     """The whole command line; the operators' groups are loaded only where they are asked for."""
     if (sys.argv[1:2] or [""])[0] not in LIGHT:
         from onyxpass.fleet.cli import fleet_app
+        from onyxpass.sources.cli import servers_app
         from onyxpass.standin.cli import standin_app
 
         app.add_typer(fleet_app, name="fleet")
+        app.add_typer(servers_app, name="servers")
         app.add_typer(standin_app, name="standin")
     app(prog_name="onyxpass")
 
@@ -72,12 +75,24 @@
 
 
 @app.command()
-def serve(config: ConfigFile = None, log_level: str = "info") -> None:
+def serve(
+    config: ConfigFile = None,
+    servers: Annotated[
+        Path | None, typer.Option("--servers", help="Our TOML file of watched files; else $ONYXPASS_SERVERS.")
+    ] = None,
+    log_level: str = "info",
+) -> None:
     """Run one dispatcher in the foreground till SIGTERM; SIGHUP reads the configuration again."""
     from onyxpass.serve import serve as run
 
+    if servers is not None:
+        os.environ[configuration.SERVERS] = str(servers)
     set_up_logging(log_level)
-    asyncio.run(run(read(config), lambda: configuration.load(config, again=True)))
+    try:
+        asyncio.run(run(read(config), lambda: configuration.load(config, again=True)))
+    except configuration.ConfigError as problem:
+        typer.echo(f"onyxpass: {problem}", err=True)
+        raise typer.Exit(2) from problem
 
 
 @app.command("check-config")
--- a/onyxpass/config.py
+++ b/onyxpass/config.py
@@ -14,6 +14,7 @@
 SPARE, SPARE_PART = 64, 4  # descriptors for discovery, operators, the log, the loop; at most this part of all
 
 
+SERVERS = "ONYXPASS_SERVERS"  # names our own file of watched files
 ADMIN, GENERATION, LAUNCH = "ONYXPASS_ADMIN", "ONYXPASS_GENERATION", "ONYXPASS_LAUNCH"  # set by an agent
 
 
@@ -42,6 +43,9 @@
         return f"{self.host}:{self.port}"
 
 
+NOWHERE = Address("", 0)  # no discovery: watched files are the only source
+
+
 def share_of(sockets: int) -> int:
     """What one side, clients or replicas, may hold of so many descriptors."""
     return max(8, (sockets - min(SPARE, sockets // SPARE_PART)) // 2)
@@ -61,6 +65,7 @@
     control: Address | None = None  # the operators' address
     passed: int | None = None  # the descriptor of the clients' listening socket, where it is inherited
     folder: Path | None = None  # what the two processes of an upgrade share
+    servers: Path | None = None  # our own file of watched files, on top or in place of discovery
 
     @property
     def share(self) -> int:
@@ -86,6 +91,11 @@
         text = environ.get(PREFIX + "CONTROL") or raw.get("control")
         return Address.parse(str(text)) if text else None
 
+    def discovery() -> Address:
+        if environ.get(SERVERS) and not (raw.get("discovery") or environ.get(PREFIX + "DISCOVERY")):
+            return NOWHERE
+        return Address.parse(told("discovery"))
+
     number = environ.get(PREFIX + "PASSED_SOCKET") or ""
     if number and not (number.isascii() and number.isdigit()):
         raise ConfigError(f"{PREFIX}PASSED_SOCKET is no descriptor: {number!r}")
@@ -98,7 +108,7 @@
         return Config(
             name=told("name"),
             listen=Address.parse(told("listen")),
-            discovery=Address.parse(told("discovery")),
+            discovery=discovery(),
             seed=int(str(raw.get("seed") or "0"), 16),
             settings=settings,
             known=raw.get("known") or {},
@@ -108,6 +118,7 @@
             control=control(),
             passed=int(number) if number else None,
             folder=Path(environ["TMPDIR"]) if environ.get("TMPDIR") else None,
+            servers=Path(environ[SERVERS]) if environ.get(SERVERS) else None,
         )
     except ConfigError:
         raise
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -9,6 +9,7 @@
 import h11
 import structlog
 
+from onyxpass import interface as api
 from onyxpass.config import Address
 from onyxpass.connect import Shortage, connect
 from onyxpass.core.dispatcher import Core
@@ -269,6 +270,8 @@
             (b"x-timeout-ms", b"%d" % wait_ms),
             (b"content-length", b"%d" % len(payload.body)),
         ]
+        if attempt.view:
+            headers.append((b"x-onyxpass-view", b"%d" % attempt.view))
         head = h11.Request(method=payload.method, target=payload.target, headers=headers)
         wire.write(head, h11.Data(data=payload.body), h11.EndOfMessage())
 
@@ -442,6 +445,10 @@
         else:
             actor.tell(Moved(address, left))
 
+    def member(self, server: api.Server, address: Address, left: bool) -> None:
+        """What a source of membership says of a server."""
+        self.told(server.id, address, left)
+
     def _enter(self, name: str, address: Address) -> Replica:
         actor = Replica(name, address, self.core, self.budget, self.connect_us, self.idle_us)
         actor.heirs = lambda: self.heirs
--- a/onyxpass/net/watch.py
+++ b/onyxpass/net/watch.py
@@ -99,6 +99,10 @@
         self.era = 0  # how often discovery has moved
         self.ready = False
         self._watch: asyncio.Task[None] | None = None
+        self.overlay: Callable[[api.ListUpdate], api.ListUpdate] | None = (
+            None  # another source on top of this
+        )
+        self.raw: dict[str, api.Server] = {}  # with an overlay: what discovery said itself
         self.on_ready: Callable[[], None] | None = None
 
     def saved(self, known: Mapping[str, Any]) -> None:
@@ -119,7 +123,24 @@
             self.replicas.told(server.id, addresses[server.id], left)
         if update.form is not api.ListForm.DELTA:
             self.replicas.only(addresses)
-        self.core.listed(update)
+        self.core.listed(self._overlaid(update))
+
+    def _overlaid(self, update: api.ListUpdate) -> api.ListUpdate:
+        if self.overlay is None:
+            return update
+        if update.form is not api.ListForm.DELTA:
+            self.raw = {}
+        for server in update.servers:
+            if server.condition is api.Condition.REMOVED:
+                self.raw.pop(server.id, None)
+            else:
+                self.raw[server.id] = server
+        return self.overlay(update)
+
+    def relist(self) -> None:
+        """Tell the list anew, since what lies over it has changed."""
+        update = api.ListUpdate(api.ListForm.DELTA, tuple(self.raw.values()), self.seq or 0)
+        self.core.listed(self._overlaid(update))
 
     def receive(self, message: News) -> None:
         if message.message is None:
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from onyxpass.config import Config, ConfigError, managed, share_of
+from onyxpass.config import NOWHERE, Config, ConfigError, managed, share_of
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.wheel import Wheel
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:  # guards against start time spent on what only a managed instance needs
     from onyxpass.admin.running import Change
     from onyxpass.admin.server import Admin
+    from onyxpass.sources.membership import FileSource
 
 SWEEP_US = 1_000_000
 STATE_US = 10_000_000
@@ -39,8 +40,18 @@
         self.replicas = Replicas(self.core, config.share, config.connect_timeout_us, config.conn_idle_us)
         self.core.fleet = self.replicas
         self.list = ListActor(self.core, self.replicas, config.discovery, config.seed)
+        self.files: FileSource | None = None
+        if config.servers is not None:
+            from onyxpass.sources import membership
+
+            sources = membership.load(config.servers)
+            if sources.file.mode == "over" and config.discovery == NOWHERE:
+                raise ConfigError(f"{config.servers}: mode 'over' needs a discovery to lie over")
+            self.files = membership.FileSource(self.core, self.replicas, sources, relist=self.list.relist)
+            if not sources.whole:
+                self.list.overlay = self.files.over
         passed = passed_listener(config.passed)
-        self.front = Front(self.core, config.listen, lambda: self.list.ready, config.share, passed)
+        self.front = Front(self.core, config.listen, self.listed, config.share, passed)
         self.handover = Handover(config.folder, f"{config.name}|{config.listen}", config.sockets, self.wheel)
         self.handover.on_excluded = self.core.exclude
         self.handover.on_limit = self._share
@@ -56,16 +67,29 @@
         self.front.most = self.replicas.budget.most = share_of(sockets)
         self.replicas.budget.shrink()
 
+    @property
+    def watches_files_only(self) -> bool:
+        return self.files is not None and self.files.sources.whole
+
+    def listed(self) -> bool:
+        """Whether there is a whole list, from whichever source."""
+        return self.files.ready if self.files is not None and self.watches_files_only else self.list.ready
+
     def ready(self) -> bool:
         """Whether the list is whole and clients are taken."""
         accepting = self.front.accepting
-        return self.list.ready and not self.front.leaving and accepting is not None and not accepting.done()
+        return self.listed() and not self.front.leaving and accepting is not None and not accepting.done()
 
     async def start(self) -> None:
         self.handover.start()
-        for work in (self.core.run(), self.wheel.run(), self.list.run(), self.list.follow()):
+        for work in (self.core.run(), self.wheel.run()):
             self.tasks.append(asyncio.create_task(work))
-        self.list.saved(self.config.known)
+        if not self.watches_files_only:
+            for work in (self.list.run(), self.list.follow()):
+                self.tasks.append(asyncio.create_task(work))
+            self.list.saved(self.config.known)
+        if self.files is not None:
+            self.tasks.append(asyncio.create_task(self.files.run()))
         self.tasks.append(await self.front.start())
         if (path := self.handover.heir()) is not None:
             self.heir = Heir(path, self.core, self.front, self.replicas)
@@ -125,7 +149,8 @@
             conn_idle_us=fresh.conn_idle_us,
             settings=retuned(old.settings, fresh.settings),
         )
-        self.list.move(fresh.discovery)
+        if not self.watches_files_only:
+            self.list.move(fresh.discovery)
         if fresh.sockets != old.sockets:
             self.handover.resize(fresh.sockets)
         self.replicas.retime(fresh.connect_timeout_us, fresh.conn_idle_us)
--- /dev/null
+++ b/onyxpass/sources/form.py
@@ -0,0 +1,226 @@
+"""The form of watched files, and of our own file that says what is watched. Nothing here does I/O.
+
+A watched file names servers; several are read as one list. Every fault has a place and a likely intent.
+"""
+
+import ipaddress
+import re
+import tomllib
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from typing import Annotated, Literal
+
+from pydantic import Field, ValidationError
+
+from onyxpass import interface as api
+from onyxpass import tomlfile
+from onyxpass.agent.config import AddressText
+from onyxpass.config import Address
+from onyxpass.tomlfile import Step
+
+SIZE_MOST = 16 * 1024 * 1024  # bytes of one watched file
+Id = Annotated[str, Field(min_length=1, max_length=253)]
+Weight = Annotated[float, Field(ge=0, le=1000)]
+Part = Annotated[str, Field(pattern=r"^(100|[1-9]?[0-9])%$")]
+
+
+class ServerTable(tomlfile.Model):
+    """``weight``: against others of its kind; 0 for nothing new. ``born``: when it started, if lately."""
+
+    id: Id
+    kind: str | None = None  # needed where the files are the only source; so are hall and address
+    hall: str | None = None
+    cell: Annotated[int, Field(ge=0, le=1_000_000)] = 0
+    address: AddressText | None = None
+    weight: Weight = 1.0
+    state: Literal["active", "draining"] = "active"
+    born: datetime | None = None
+
+
+class ChangeTable(tomlfile.Model):
+    """What this version of the files does on purpose."""
+
+    removes: list[Id] = Field(default_factory=list)  # servers that may leave, whatever the guards say
+
+
+class WatchedFile(tomlfile.Model):
+    change: ChangeTable = Field(default_factory=ChangeTable)
+    servers: list[ServerTable] = Field(default_factory=list)
+
+
+class GuardsTable(tomlfile.Model):
+    """What no change may do. Parts are of what the view in force has."""
+
+    readers: Annotated[int, Field(ge=1)] = 1  # at least so many that take work, mixed ones among them
+    writers: Annotated[int, Field(ge=1)] = 1
+    removed: Part = "34%"  # of all servers, in one change
+    removed_role: Part = "50%"
+    removed_hall: Part = "50%"
+    halls: dict[str, Annotated[int, Field(ge=0)]] = Field(default_factory=dict)  # the fewest of each hall
+
+
+class SourcesFile(tomlfile.Model):
+    """Times are seconds."""
+
+    watch: Annotated[list[str], Field(min_length=1)]  # files, and folders whose *.toml are read by name
+    mode: Literal["only", "over"] = "only"  # the only source, or weights and drains on top of discovery
+    settle_s: Annotated[float, Field(ge=0, le=60)] = 0.1  # files must be still for so long
+    leave_s: Annotated[float, Field(ge=0, le=600)] = 1.0  # and for so long where a server leaves
+    poll_s: Annotated[float, Field(gt=0, le=600)] = 1.0  # files are looked at even if nothing was notified
+    ramp_s: Annotated[float, Field(ge=0, le=3600)] = 10.0  # in which a changed weight is reached
+    snapshot: str | None = None  # where the last good view is kept
+    guards: GuardsTable = Field(default_factory=GuardsTable)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing that is wrong, and where: line and column from 1 on, 0 where there are none."""
+
+    file: str
+    reason: str
+    line: int = 0
+    column: int = 0
+
+    def __str__(self) -> str:
+        place = f":{self.line}:{self.column}" if self.line else ""
+        return f"{self.file}{place}: {self.reason}"
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One server as a file names it. ``address`` None: as discovery tells it."""
+
+    server: api.Server
+    address: Address | None
+    file: str = ""
+    line: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Draft:
+    """All watched files read as one. Only one without faults may become a view."""
+
+    entries: tuple[Entry, ...]
+    removes: frozenset[str]
+    faults: tuple[Fault, ...]
+
+
+def _entry(file: str, text: str, number: int, table: ServerTable) -> Entry:
+    # A weight of 0 and a drain are one thing to the module: nothing new.
+    draining = table.state == "draining" or table.weight == 0
+    born = table.born
+    if born is not None and born.tzinfo is None:
+        born = born.replace(tzinfo=UTC)
+    server = api.Server(
+        id=table.id,
+        kind=table.kind or "",
+        zone=table.hall or "",
+        cell=table.cell,
+        started_us=round(born.timestamp() * 1e6) if born is not None else None,
+        condition=api.Condition.DRAINING if draining else api.Condition.UP,
+        weight=table.weight,
+    )
+    line = tomlfile.line_of(text, ("servers", number))
+    return Entry(server, Address.parse(table.address) if table.address else None, file, line)
+
+
+def _parse(file: str, data: bytes) -> tuple[WatchedFile | None, str, list[Fault]]:
+    if len(data) > SIZE_MOST:
+        return None, "", [Fault(file, f"larger than {SIZE_MOST} bytes")]
+    try:
+        text = data.decode("utf-8")
+        raw = tomllib.loads(text)
+    except UnicodeDecodeError as problem:
+        line = data[: problem.start].count(b"\n") + 1
+        return None, "", [Fault(file, "not UTF-8", line, problem.start - data.rfind(b"\n", 0, problem.start))]
+    except tomllib.TOMLDecodeError as problem:
+        place = re.search(r"\(at line (\d+), column (\d+)\)", str(problem))
+        reason = re.sub(r" \(at .*\)$", "", str(problem))
+        if place is not None:
+            return None, "", [Fault(file, reason, int(place[1]), int(place[2]))]
+        lines = text.split("\n")
+        return None, "", [Fault(file, f"{reason}: is it cut off?", len(lines), len(lines[-1]) + 1)]
+    except (RecursionError, ValueError) as problem:
+        return None, "", [Fault(file, f"it can't be read: {problem}")]
+    try:
+        return WatchedFile.model_validate(raw), text, []
+    except ValidationError as problem:
+        faults = []
+        for error in problem.errors():
+            loc = error["loc"]
+            reason = error["msg"].removeprefix("Value error, ")
+            if error["type"] == "extra_forbidden":
+                known = tomlfile.names_at(WatchedFile, loc[:-1])
+                reason = f"unknown key {loc[-1]!r}{tomlfile.likely(str(loc[-1]), known)}"
+            elif error["type"] == "missing":
+                reason = f"{loc[-1]} is absent"
+            elif loc:
+                reason = f"{loc[-1]}: {reason}"
+            faults.append(Fault(file, reason, *tomlfile.place_of(text, loc)))
+        return None, text, faults
+
+
+def read(
+    files: Mapping[str, bytes | OSError], kinds: Sequence[str], whole: bool, loopback: bool = False
+) -> Draft:
+    """All files, in their order, as one draft. ``kinds``: those that the settings name.
+
+    ``whole``: the files are the only source, so each server needs its kind, hall and address. ``loopback``:
+    addresses must lie on this machine.
+    """
+    entries: list[Entry] = []
+    removes: set[str] = set()
+    faults: list[Fault] = []
+    for file, data in files.items():
+        if isinstance(data, OSError):
+            faults.append(Fault(file, data.strerror or str(data)))
+            continue
+        found, text, wrong = _parse(file, data)
+        faults += wrong
+        if found is None:
+            continue
+        removes |= set(found.change.removes)
+        for number, table in enumerate(found.servers):
+            entries.append(_entry(file, text, number, table))
+            for key, reason in _lacks(table, kinds, whole, loopback):
+                faults.append(Fault(file, reason, *tomlfile.place_of(text, ("servers", number, key))))
+    faults += _doubles(entries)
+    return Draft(tuple(entries), frozenset(removes), tuple(faults))
+
+
+def _lacks(
+    table: ServerTable, kinds: Sequence[str], whole: bool, loopback: bool
+) -> Iterable[tuple[Step, str]]:
+    """What a server lacks, or names that nothing knows."""
+    if whole:
+        for key in ("kind", "hall", "address"):
+            if getattr(table, key) is None:
+                yield "id", f"server {table.id!r} has no {key}"
+    if table.kind is not None and table.kind not in kinds:
+        yield "kind", f"no kind {table.kind!r}{tomlfile.likely(table.kind, kinds)}"
+    if not table.id.isprintable() or table.id != table.id.strip():
+        yield "id", f"id {table.id!r} holds characters that can't be seen"
+    if loopback and table.address is not None:
+        try:
+            inside = ipaddress.ip_address(Address.parse(table.address).host).is_loopback
+        except ValueError:
+            inside = False
+        if not inside:
+            yield "address", f"not a loopback address: {table.address!r}"
+
+
+def _doubles(entries: Iterable[Entry]) -> Iterable[Fault]:
+    """The same id or the same address twice, in one file or in two."""
+    ids: dict[str, Entry] = {}
+    addresses: dict[Address, Entry] = {}
+    for entry in entries:
+        name = entry.server.id
+        if (first := ids.setdefault(name, entry)) is not entry:
+            where = f"{first.file}:{first.line}"
+            yield Fault(entry.file, f"server {name!r} stands here and at {where}", entry.line, 1)
+        elif entry.address is not None:
+            other = addresses.setdefault(entry.address, entry)
+            if other is not entry:
+                told = f"{name!r} has the address of {other.server.id!r} ({other.file}:{other.line})"
+                yield Fault(entry.file, told, entry.line, 1)
--- /dev/null
+++ b/onyxpass/sources/index.py
@@ -0,0 +1,71 @@
+"""An index of the servers in force by role, hall and cell: changes go in in place of a rebuild.
+
+A rebuild costs as much as there are servers, a change as much as it changes. `make bench-sources` has the
+figures of both.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from onyxpass import interface as api
+from onyxpass.sources.form import Entry
+from onyxpass.sources.view import Difference, serving
+
+Place = tuple[str, ...]  # (hall,) or (hall, cell)
+
+
+@dataclass(slots=True)
+class Index:
+    """Ids by role, and by role and place; only of those that take new work."""
+
+    roles: Mapping[str, api.Role]
+    entries: dict[str, Entry] = field(default_factory=dict)
+    by_role: dict[api.Role, set[str]] = field(default_factory=dict)
+    by_place: dict[tuple[api.Role, Place], set[str]] = field(default_factory=dict)
+
+    @classmethod
+    def built(cls, roles: Mapping[str, api.Role], entries: Iterable[Entry]) -> "Index":
+        """The plain way: all anew."""
+        index = cls(roles)
+        for entry in entries:
+            index.put(entry)
+        return index
+
+    def _keys(self, entry: Entry) -> tuple[api.Role, tuple[Place, Place]]:
+        server = entry.server
+        return self.roles[server.kind], ((server.zone,), (server.zone, str(server.cell)))
+
+    def put(self, entry: Entry) -> None:
+        """Add a server, or replace what was known of it."""
+        name = entry.server.id
+        if name in self.entries:
+            self.drop(name)
+        self.entries[name] = entry
+        if serving(entry):
+            role, places = self._keys(entry)
+            self.by_role.setdefault(role, set()).add(name)
+            for place in places:
+                self.by_place.setdefault((role, place), set()).add(name)
+
+    def drop(self, name: str) -> None:
+        entry = self.entries.pop(name)
+        if serving(entry):
+            role, places = self._keys(entry)
+            self.by_role[role].discard(name)
+            for place in places:
+                left = self.by_place[role, place]
+                left.discard(name)
+                if not left:  # guards against a table of all places that ever were
+                    del self.by_place[role, place]
+
+    def change(self, difference: Difference, entries: Mapping[str, Entry]) -> None:
+        """Take over what differs, and touch nothing else."""
+        for name in difference.removed:
+            self.drop(name)
+        for names in (difference.added, difference.moved, difference.weighed, difference.changed):
+            for name in names:
+                self.put(entries[name])
+
+    def count(self, role: api.Role, *place: str) -> int:
+        """How many of a role take new work, in all, in a hall, or in a hall's cell."""
+        return len(self.by_place.get((role, place), ()) if place else self.by_role.get(role, ()))
--- /dev/null
+++ b/onyxpass/sources/judge.py
@@ -0,0 +1,129 @@
+"""Whether a draft may become the next view: whole or not at all, without I/O."""
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+from onyxpass import interface as api
+from onyxpass.sources.form import Draft, Entry, GuardsTable
+from onyxpass.sources.view import Difference, View, born_again, compare, serving
+
+READS = (api.Role.READER, api.Role.MIXED)
+WRITES = (api.Role.WRITER, api.Role.MIXED)
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    view: View
+    difference: Difference
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The first reason says what to mend; the view in force serves on."""
+
+    reasons: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Same:
+    """What the files say is in force already."""
+
+
+Verdict = Accepted | Refused | Same
+
+
+def part_of(share: str, count: int) -> int:
+    """How many of ``count`` a part such as ``"34%"`` is; at least one, so that a fleet of two can change."""
+    return max(1, count * int(share.removesuffix("%")) // 100)
+
+
+def judge(
+    old: View,
+    draft: Draft,
+    roles: Mapping[str, api.Role],
+    guards: GuardsTable,
+    now_us: int,
+    whole: bool = True,
+) -> Verdict:
+    """``old``: the view in force; number 0 if there is none yet, to which nothing can be lost.
+
+    ``whole``: the files are the only source. Otherwise they hold only weights and drains on top of another
+    source, and the guards on what must be there do not apply: that source knows what is there.
+    """
+    if draft.faults:
+        return Refused(tuple(str(fault) for fault in draft.faults))
+    entries: dict[str, Entry] = {}
+    for entry in draft.entries:
+        before = old.entries.get(entry.server.id)
+        if before is not None:
+            entry = born_again(before, entry, now_us)
+        elif old.number and entry.server.started_us is None:
+            # Guards against a rush at a server that was just put in: it is taken for cold.
+            entry = replace(entry, server=replace(entry.server, started_us=now_us))
+        entries[entry.server.id] = entry
+    difference = compare(old.entries, entries)
+    if not difference and old.number:
+        return Same()
+    if whole:
+        reasons = [*_lacking(entries, roles, guards), *_losing(old, entries, draft, roles, guards)]
+        if reasons:
+            return Refused(tuple(reasons))
+    return Accepted(View.of(old.number + 1, entries.values()), difference)
+
+
+def _lacking(entries: Mapping[str, Entry], roles: Mapping[str, api.Role], guards: GuardsTable) -> list[str]:
+    """What must always be there, counted among those that take new work."""
+    up = [entry for entry in entries.values() if serving(entry)]
+    found = []
+    for what, least, wanted in (("reader", guards.readers, READS), ("writer", guards.writers, WRITES)):
+        count = sum(roles[entry.server.kind] in wanted for entry in up)
+        if count < least:
+            found.append(f"{count} {what}s would be left that take work; guards.{what}s is {least}")
+    halls = Counter(entry.server.zone for entry in up)
+    for hall, least in guards.halls.items():
+        if halls[hall] < least:
+            found.append(f"hall {hall!r} would have {halls[hall]} servers; guards.halls.{hall} is {least}")
+    return found
+
+
+def _losing(
+    old: View,
+    entries: Mapping[str, Entry],
+    draft: Draft,
+    roles: Mapping[str, api.Role],
+    guards: GuardsTable,
+) -> list[str]:
+    """The largest part that one change may take away, unless the files say expressly who leaves."""
+    before = [entry for entry in old.entries.values() if serving(entry)]
+    lost = [
+        entry
+        for entry in before
+        if entry.server.id not in draft.removes
+        and ((now := entries.get(entry.server.id)) is None or not serving(now))
+    ]
+    if not lost:
+        return []
+
+    def groups(some: list[Entry]) -> dict[str, Counter[str]]:
+        return {
+            "role": Counter(roles[entry.server.kind].value for entry in some if entry.server.kind in roles),
+            "hall": Counter(entry.server.zone for entry in some),
+        }
+
+    found = []
+    if len(lost) > (most := part_of(guards.removed, len(before))):
+        found.append(
+            f"{len(lost)} of {len(before)} servers would go at once; guards.removed allows {most}: "
+            f"name them in change.removes if that is meant"
+        )
+    had, loses = groups(before), groups(lost)
+    for what, share in (("role", guards.removed_role), ("hall", guards.removed_hall)):
+        for name, count in sorted(loses[what].items()):
+            most = part_of(share, had[what][name])
+            if count > most:
+                found.append(
+                    f"{count} of {had[what][name]} servers of {what} {name!r} would go at once; "
+                    f"guards.removed_{what} allows {most}: name them in change.removes if that is meant"
+                )
+    return found
--- /dev/null
+++ b/onyxpass/sources/membership.py
@@ -0,0 +1,257 @@
+"""The source of watched files as an actor: reads, judges, and brings whole views into force.
+
+A view reaches the core as one list event, with its number; addresses go to the fleet in the same turn of the
+loop. What is refused changes nothing, and is logged once with every reason.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Protocol
+
+import structlog
+
+from onyxpass import interface as api
+from onyxpass import tomlfile
+from onyxpass.config import Address
+from onyxpass.core.dispatcher import Core
+from onyxpass.sources import form, snapshot
+from onyxpass.sources.form import SourcesFile
+from onyxpass.sources.index import Index
+from onyxpass.sources.judge import Accepted, Refused, judge
+from onyxpass.sources.ramp import Ramp
+from onyxpass.sources.settle import Files, Settle, contents_of
+from onyxpass.sources.view import EMPTY, Difference, View, compare
+from onyxpass.sources.watcher import Watcher, read_all
+
+REASONS_SHOWN = 8
+log = structlog.get_logger("sources")
+
+
+class Members(Protocol):
+    """The fleet, as a source of membership sees it."""
+
+    def member(self, server: api.Server, address: Address, left: bool) -> None:
+        """Where a server listens; ``left``: it is on the list no more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Sources:
+    """Our own file, read and checked; paths start from its folder."""
+
+    file: SourcesFile
+    base: Path
+
+    @property
+    def paths(self) -> list[Path]:
+        return [self.base / name for name in self.file.watch]
+
+    @property
+    def snapshot(self) -> Path | None:
+        return self.base / self.file.snapshot if self.file.snapshot else None
+
+    @property
+    def whole(self) -> bool:
+        return self.file.mode == "only"
+
+
+def load(path: Path) -> Sources:
+    """ConfigError with file, line and reason where it is no use."""
+    return Sources(tomlfile.read(SourcesFile, path), path.parent)
+
+
+class FileSource:
+    """``loopback``: addresses must lie on this machine. ``ready`` once a view is in force."""
+
+    def __init__(
+        self,
+        core: Core,
+        members: Members,
+        sources: Sources,
+        loopback: bool = False,
+        relist: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.core, self.members, self.sources, self.loopback = core, members, sources, loopback
+        self.relist = relist  # mode "over": have the other source's list told anew
+        self.view: View = EMPTY
+        self.index = Index(core.roles)
+        self.settle = Settle(sources.file.settle_s, sources.file.leave_s)
+        self.ramp = Ramp(sources.file.ramp_s)
+        self.watcher = Watcher(sources.paths, sources.file.poll_s)
+        self.accepted = self.refused = 0
+        self.from_snapshot = False
+        self.on_view: Callable[[View], None] = lambda _: None
+
+    @property
+    def ready(self) -> bool:
+        return self.view.number > 0 or not self.sources.whole
+
+    async def run(self) -> None:
+        """Never ends."""
+        telling = asyncio.create_task(self.watcher.listen())
+        stepping = asyncio.create_task(self._ramp())
+        try:
+            await self._follow()
+        finally:
+            telling.cancel()
+            stepping.cancel()
+
+    async def _follow(self) -> None:
+        first = True
+        async for _ in self.watcher.looks():
+            wait_s: float | None = 0.0
+            while wait_s is not None:
+                if wait_s > 0:
+                    await asyncio.sleep(wait_s)
+                files = await asyncio.to_thread(read_all, self.sources.paths)
+                wait_s = self._look(files, first)
+            if first and not self.view.number and self.sources.whole:
+                self._from_snapshot()
+            first = False
+
+    def _look(self, files: Files, at_once: bool) -> float | None:
+        """Seconds until the files are to be read again, None if nothing is new."""
+        contents = contents_of(files)
+        now_s = time.monotonic()
+        if contents == self.settle.judged:
+            return self.settle.look(contents, now_s, False)
+        draft = form.read(files, list(self.core.roles), self.sources.whole, self.loopback)
+        loses = bool(self.view.entries.keys() - {entry.server.id for entry in draft.entries})
+        wait_s = self.settle.look(contents, now_s, loses)
+        if wait_s is None or (wait_s > 0 and not at_once):
+            return wait_s
+        self.settle.done(contents)
+        verdict = judge(
+            self.view,
+            draft,
+            self.core.roles,
+            self.sources.file.guards,
+            self.core.clock.now_us(),
+            self.sources.whole,
+        )
+        if isinstance(verdict, Accepted):
+            self._accept(verdict.view, verdict.difference)
+        elif isinstance(verdict, Refused):
+            self.refused += 1
+            log.error(
+                "refused",
+                view=self.view.number,
+                why=list(verdict.reasons[:REASONS_SHOWN]),
+                more=max(0, len(verdict.reasons) - REASONS_SHOWN),
+            )
+        return None
+
+    def _from_snapshot(self) -> None:
+        """Guards against a start that has nothing to serve with since a file is broken just now."""
+        path = self.sources.snapshot
+        if path is None:
+            log.error("no view is in force, and no snapshot is kept")
+            return
+        try:
+            view = snapshot.load(path)
+        except snapshot.SnapshotError as problem:
+            log.error("the snapshot is no use", path=str(path), why=str(problem))
+            return
+        if unknown := {e.server.kind for e in view.entries.values()} - set(self.core.roles):
+            log.error("the snapshot is no use", path=str(path), why=f"kinds not known: {sorted(unknown)}")
+            return
+        self.from_snapshot = True
+        log.error("THE FILES ARE NO USE: serving from the snapshot", path=str(path), view=view.number)
+        self._accept(view, compare({}, view.entries), keep=False)
+
+    def _number(self, view: View) -> View:
+        """Numbers go on over restarts: a view that is new must not have the number of an older one."""
+        path = self.sources.snapshot
+        if self.view.number or path is None:
+            return view
+        try:
+            before = snapshot.load(path)
+        except snapshot.SnapshotError:
+            return view
+        return before if before.digest == view.digest else replace(view, number=before.number + 1)
+
+    def _accept(self, view: View, difference: Difference, keep: bool = True) -> None:
+        if keep:
+            view = self._number(view)
+            self.from_snapshot = False
+        old, self.view = self.view, view
+        self.accepted += 1
+        if self.sources.whole:  # otherwise there is nothing to index: who is there, another source says
+            self.index.change(difference, view.entries)
+        weights = {name: entry.server.weight for name, entry in view.entries.items()}
+        fresh = {*difference.added, *difference.moved}
+        self.ramp.aim(weights, fresh, time.monotonic())
+        if self.sources.whole:
+            self._tell(old, view, difference)
+        else:
+            self.relist()
+        told = {name: len(names) for name, names in difference.told().items()}
+        log.info("view", number=view.number, servers=len(view.entries), digest=view.digest, **told)
+        self.on_view(view)
+        if keep and (path := self.sources.snapshot) is not None:
+            try:
+                snapshot.save(path, view)
+            except OSError as problem:  # in force all the same: it only won't outlive the process
+                log.error("the snapshot could not be kept", path=str(path), why=str(problem))
+
+    def _tell(self, old: View, view: View, difference: Difference) -> None:
+        """The whole view in one event, or what differs; nothing is awaited in between."""
+        for name in difference.removed:
+            address = old.entries[name].address
+            if address is not None:
+                self.members.member(old.entries[name].server, address, True)
+        for name in (*difference.added, *difference.moved, *difference.changed):
+            address = view.entries[name].address
+            if address is not None:
+                self.members.member(view.entries[name].server, address, False)
+        gone = [
+            replace(old.entries[name].server, condition=api.Condition.REMOVED) for name in difference.removed
+        ]
+        changed = (*difference.added, *difference.moved, *difference.weighed, *difference.changed)
+        now = [self._weighed(view.entries[name].server) for name in changed]
+        self.core.view = view.number
+        form_ = api.ListForm.DELTA if old.number else api.ListForm.FULL
+        self.core.listed(api.ListUpdate(form_, (*gone, *now), view.number))
+
+    def _weighed(self, server: api.Server) -> api.Server:
+        return replace(server, weight=self.ramp.now.get(server.id, server.weight))
+
+    async def _ramp(self) -> None:
+        """Tell weights on their way, for as long as some are."""
+        while True:
+            await asyncio.sleep(min(1.0, self.ramp.next_s or 0.2))
+            changed = self.ramp.step(time.monotonic())
+            if not changed:
+                continue
+            if not self.sources.whole:
+                self.relist()
+                continue
+            servers = tuple(self._weighed(self.view.entries[name].server) for name in changed)
+            self.core.listed(api.ListUpdate(api.ListForm.DELTA, servers, self.view.number))
+
+    def over(self, update: api.ListUpdate) -> api.ListUpdate:
+        """Mode "over": what another source tells, with the weights and drains of the files."""
+        return replace(update, servers=tuple(self._over(server) for server in update.servers))
+
+    def _over(self, server: api.Server) -> api.Server:
+        entry = self.view.entries.get(server.id)
+        if entry is None:
+            return server
+        drains = entry.server.condition is not api.Condition.UP
+        up = server.condition is api.Condition.UP
+        condition = api.Condition.DRAINING if drains and up else server.condition
+        return replace(server, weight=self.ramp.now.get(server.id, 1.0), condition=condition)
+
+    def told(self) -> Mapping[str, object]:
+        """For operators: the view in force, and what became of the versions seen."""
+        return {
+            "view": self.view.number,
+            "digest": self.view.digest,
+            "servers": len(self.view.entries),
+            "accepted": self.accepted,
+            "refused": self.refused,
+            "from_snapshot": self.from_snapshot,
+            "notified": self.watcher.notified,
+        }
--- a/onyxpass/tomlfile.py
+++ b/onyxpass/tomlfile.py
@@ -72,6 +72,16 @@
     return best
 
 
+def place_of(text: str, path: Sequence[Step]) -> tuple[int, int]:
+    """Line and column, from 1 on, of a value, or of its key's line where the value can't be told apart."""
+    number = line_of(text, path)
+    line = text.splitlines()[number - 1] if text else ""
+    key = KEY.match(line)
+    if key is not None and path and parts_of(key[1])[-1] == path[-1]:
+        return number, len(line) - len(line[key.end() :].lstrip()) + 1
+    return number, len(line) - len(line.lstrip()) + 1
+
+
 def likely(word: str, known: Sequence[str]) -> str:
     """What a misspelt word was probably meant to be, as the end of a sentence."""
     near = difflib.get_close_matches(word, known, 1, 0.6)
--- a/onyxpass/toolcalls/peers.py
+++ b/onyxpass/toolcalls/peers.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from onyxpass import interface as api
 from onyxpass.config import Address
 from onyxpass.connect import Shortage, connect
 from onyxpass.core.dispatcher import Core
@@ -94,6 +95,8 @@
             "max_tokens": payload.max_tokens,
             "timeout_ms": max(1, attempt.timeout_us // 1000),
         }
+        if attempt.view:
+            params["view"] = attempt.view
         writer.write(rpc.request(attempt.number, "read" if self.role is Role.READER else "write", params))
 
     async def _answer(
@@ -210,6 +213,7 @@
         super().__init__(core)
         self.desk, self.connect_us = desk, connect_us
         self.limit = asyncio.Semaphore(most)
+        self.gone: set[str] = set()  # left the list, and still at work
 
     def add(self, name: str, role: Role, address: Address) -> None:
         """A server of the operator's file, or what a newer file says of it."""
@@ -218,6 +222,20 @@
         else:
             self.join(Peer(name, role, address, self.core, self.desk, self.connect_us, self.limit))
 
+    def member(self, server: api.Server, address: Address, left: bool) -> None:
+        """What a source of membership says of a server. One that has left goes once nothing of it is out."""
+        if left:
+            self.gone.add(server.id)
+        else:
+            self.gone.discard(server.id)
+            self.add(server.id, self.core.roles[server.kind], address)
+        for name in list(self.gone):
+            actor = self.actors.get(name)
+            if actor is None or not (actor.tasks or actor.others or actor.mailbox.qsize()):
+                self.gone.discard(name)
+                if actor is not None:
+                    self.part(actor)
+
     def release(self, request: Request, settle: bool) -> None:
         self.releasing(self._release(request))
 
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
@@ -24,6 +24,9 @@
 from onyxpass.toolcalls.front import RpcFront
 from onyxpass.toolcalls.peers import STALL_US, Peers
 
+if TYPE_CHECKING:  # guards against start time spent on what only watched files need
+    from onyxpass.sources.membership import FileSource
+
 log = structlog.get_logger("rpc")
 
 
@@ -41,6 +44,7 @@
     store_timeout_ms: int = 300
     claim_ttl_s: int = 86_400
     connections: int = 256
+    sources: Path | None = None  # our own file of watched files, in place of ``servers``
 
 
 def loopback(text: str) -> Address:
@@ -55,12 +59,15 @@
     return address
 
 
-def parse(raw: Mapping[str, Any]) -> ToolcallsConfig:
+def parse(raw: Mapping[str, Any], base: Path = Path()) -> ToolcallsConfig:
+    """``base``: the folder that relative paths start from."""
     try:
         settings = read_settings(raw["settings"])
         kinds = {kind.name for kind in settings.kinds}
         servers = []
-        for entry in raw["servers"]:
+        if "sources" in raw and "servers" in raw:
+            raise ConfigError("sources and servers: only one of them can name the servers")
+        for entry in raw["servers"] if "sources" not in raw else ():
             if entry["kind"] not in kinds:
                 raise ConfigError(f"server {entry['id']!r} is of no kind that the settings name")
             zone, cell = str(entry.get("zone", "")), int(entry.get("cell", 0))
@@ -78,6 +85,7 @@
             store_timeout_ms=int(store.get("timeout_ms", 300)),
             claim_ttl_s=int(store.get("claim_ttl_s", 86_400)),
             connections=int(raw.get("connections", 256)),
+            sources=base / str(raw["sources"]) if "sources" in raw else None,
         )
     except ConfigError:
         raise
@@ -92,7 +100,7 @@
 
 def load(path: Path) -> ToolcallsConfig:
     try:
-        return parse(tomllib.loads(path.read_text()))
+        return parse(tomllib.loads(path.read_text()), path.parent)
     except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
         raise ConfigError(f"{path}: {problem}") from problem
 
@@ -114,11 +122,22 @@
         self.core.fleet = self.peers
         self.front = RpcFront(self.core, self.desk, config.listen, config.connections)
         self.tasks: list[asyncio.Task[None]] = []
+        self.files: FileSource | None = None
+        if config.sources is not None:
+            from onyxpass.sources import membership
+
+            sources = membership.load(config.sources)
+            if not sources.whole:
+                raise ConfigError(f"{config.sources}: this front has no discovery to lie over")
+            self.files = membership.FileSource(self.core, self.peers, sources, loopback=True)
 
     async def start(self) -> None:
         for work in (self.core.run(), self.wheel.run(), self.tools.run()):
             self.tasks.append(asyncio.create_task(work))
-        self._serve_with(self.config)
+        if self.files is not None:
+            self.tasks.append(asyncio.create_task(self.files.run()))
+        else:
+            self._serve_with(self.config)
         await self.front.start()
         if managed():
             from onyxpass.admin.instances import ManagedToolcalls
@@ -157,7 +176,8 @@
         self.desk.ttl_s = fresh.claim_ttl_s
         if self.config.settings != old.settings:
             self.core.retune(self.config.settings)
-        self._serve_with(fresh)
+        if self.files is None:
+            self._serve_with(fresh)
         log.info("reloaded", servers=len(fresh.servers), needs_a_restart=list(change.kept))
         return change
 
