Judge the first files of a start against the last good view; measure it all

Cause: a test of two processes found that the second one's first view took a cold server for warm and had another number; the same gap let a file through that is cut off between two tables, if the dispatcher was started just then.

Files are read, checked and compared in a thread, row by row.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What a developer needs, by name. The platform uses deploy/balancer.toml.
-.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet
+.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet bench-sources
 
 build:
 	test -d .venv || python3 -m venv .venv
@@ -28,6 +28,9 @@
 bench-fleet: dev
 	.venv-dev/bin/python benchmarks/fleet.py
 
+bench-sources: dev
+	.venv-dev/bin/python benchmarks/sources.py
+
 toolcalls: build
 	.venv/bin/python -m onyxpass toolcalls --config deploy/toolcalls.toml
 
--- a/onyxpass/sources/form.py
+++ b/onyxpass/sources/form.py
@@ -19,6 +19,8 @@
 from onyxpass.config import Address
 from onyxpass.tomlfile import Step
 
+FAULTS_MOST = 50  # of one version that are named
+ROW = re.compile(r"\s*\[\[\s*servers\s*\]\]")
 SIZE_MOST = 16 * 1024 * 1024  # bytes of one watched file
 Id = Annotated[str, Field(min_length=1, max_length=253)]
 Weight = Annotated[float, Field(ge=0, le=1000)]
@@ -106,7 +108,12 @@
     faults: tuple[Fault, ...]
 
 
-def _entry(file: str, text: str, number: int, table: ServerTable) -> Entry:
+def _rows(text: str) -> list[int]:
+    """The lines at which servers begin, found in one pass: there may be ten thousand of them."""
+    return [number for number, line in enumerate(text.splitlines(), 1) if ROW.match(line)]
+
+
+def _entry(file: str, line: int, table: ServerTable) -> Entry:
     # A weight of 0 and a drain are one thing to the module: nothing new.
     draining = table.state == "draining" or table.weight == 0
     born = table.born
@@ -121,7 +128,6 @@
         condition=api.Condition.DRAINING if draining else api.Condition.UP,
         weight=table.weight,
     )
-    line = tomlfile.line_of(text, ("servers", number))
     return Entry(server, Address.parse(table.address) if table.address else None, file, line)
 
 
@@ -143,22 +149,43 @@
         return None, "", [Fault(file, f"{reason}: is it cut off?", len(lines), len(lines[-1]) + 1)]
     except (RecursionError, ValueError) as problem:
         return None, "", [Fault(file, f"it can't be read: {problem}")]
+    rows = raw.get("servers")
+    faults: list[Fault] = []
+    tables: list[ServerTable] = []
+    if isinstance(rows, list):
+        # Row by row: one call for ten thousand would hold up everything else in the process meanwhile.
+        raw = {**raw, "servers": []}
+        for number, row in enumerate(rows):
+            try:
+                tables.append(ServerTable.model_validate(row))
+            except ValidationError as problem:
+                faults += _named(file, text, problem, ("servers", number))
+                if len(faults) >= FAULTS_MOST:
+                    break
     try:
-        return WatchedFile.model_validate(raw), text, []
+        found = WatchedFile.model_validate(raw)
     except ValidationError as problem:
-        faults = []
-        for error in problem.errors():
-            loc = error["loc"]
-            reason = error["msg"].removeprefix("Value error, ")
-            if error["type"] == "extra_forbidden":
-                known = tomlfile.names_at(WatchedFile, loc[:-1])
-                reason = f"unknown key {loc[-1]!r}{tomlfile.likely(str(loc[-1]), known)}"
-            elif error["type"] == "missing":
-                reason = f"{loc[-1]} is absent"
-            elif loc:
-                reason = f"{loc[-1]}: {reason}"
-            faults.append(Fault(file, reason, *tomlfile.place_of(text, loc)))
+        faults = [*_named(file, text, problem, ()), *faults]
+    if faults:
         return None, text, faults
+    return found.model_copy(update={"servers": tables}), text, []
+
+
+def _named(file: str, text: str, problem: ValidationError, base: tuple[Step, ...]) -> list[Fault]:
+    """What a model says of its values, with their places."""
+    faults = []
+    for error in problem.errors():
+        loc = (*base, *error["loc"])
+        reason = error["msg"].removeprefix("Value error, ")
+        if error["type"] == "extra_forbidden":
+            known = tomlfile.names_at(WatchedFile, loc[:-1])
+            reason = f"unknown key {loc[-1]!r}{tomlfile.likely(str(loc[-1]), known)}"
+        elif error["type"] == "missing":
+            reason = f"{loc[-1]} is absent"
+        elif loc:
+            reason = f"{loc[-1]}: {reason}"
+        faults.append(Fault(file, reason, *tomlfile.place_of(text, loc)))
+    return faults
 
 
 def read(
@@ -181,9 +208,12 @@
         if found is None:
             continue
         removes |= set(found.change.removes)
+        rows = _rows(text)
         for number, table in enumerate(found.servers):
-            entries.append(_entry(file, text, number, table))
+            entries.append(_entry(file, rows[number] if number < len(rows) else 1, table))
             for key, reason in _lacks(table, kinds, whole, loopback):
+                if len(faults) >= FAULTS_MOST:  # guards against a place looked up for each of ten thousand
+                    break
                 faults.append(Fault(file, reason, *tomlfile.place_of(text, ("servers", number, key))))
     faults += _doubles(entries)
     return Draft(tuple(entries), frozenset(removes), tuple(faults))
--- a/onyxpass/sources/membership.py
+++ b/onyxpass/sources/membership.py
@@ -18,15 +18,16 @@
 from onyxpass.config import Address
 from onyxpass.core.dispatcher import Core
 from onyxpass.sources import form, snapshot
-from onyxpass.sources.form import SourcesFile
+from onyxpass.sources.form import Draft, SourcesFile
 from onyxpass.sources.index import Index
-from onyxpass.sources.judge import Accepted, Refused, judge
+from onyxpass.sources.judge import Accepted, Refused, Same, Verdict, judge
 from onyxpass.sources.ramp import Ramp
 from onyxpass.sources.settle import Files, Settle, contents_of
 from onyxpass.sources.view import EMPTY, Difference, View, compare
 from onyxpass.sources.watcher import Watcher, read_all
 
 REASONS_SHOWN = 8
+EMPTY_DRAFT = Draft((), frozenset(), ())
 log = structlog.get_logger("sources")
 
 
@@ -76,10 +77,12 @@
         self.core, self.members, self.sources, self.loopback = core, members, sources, loopback
         self.relist = relist  # mode "over": have the other source's list told anew
         self.view: View = EMPTY
+        self.last: View = EMPTY  # of the process before this one
         self.index = Index(core.roles)
         self.settle = Settle(sources.file.settle_s, sources.file.leave_s)
         self.ramp = Ramp(sources.file.ramp_s)
         self.watcher = Watcher(sources.paths, sources.file.poll_s)
+        self._draft: tuple[bytes, Draft] = b"", EMPTY_DRAFT  # of the contents that were read last
         self.accepted = self.refused = 0
         self.from_snapshot = False
         self.on_view: Callable[[View], None] = lambda _: None
@@ -99,82 +102,94 @@
             stepping.cancel()
 
     async def _follow(self) -> None:
+        self.last = await asyncio.to_thread(self._load)
         first = True
         async for _ in self.watcher.looks():
             wait_s: float | None = 0.0
             while wait_s is not None:
                 if wait_s > 0:
                     await asyncio.sleep(wait_s)
-                files = await asyncio.to_thread(read_all, self.sources.paths)
-                wait_s = self._look(files, first)
+                wait_s = await self.look(first)
             if first and not self.view.number and self.sources.whole:
-                self._from_snapshot()
+                await self._from_snapshot()
             first = False
 
-    def _look(self, files: Files, at_once: bool) -> float | None:
-        """Seconds until the files are to be read again, None if nothing is new."""
-        contents = contents_of(files)
-        now_s = time.monotonic()
+    async def look(self, at_once: bool = False) -> float | None:
+        """Read the files: seconds until they are to be read again, None if nothing is new.
+
+        Reading, checking and comparing take seconds where servers are many, so a thread does that; nothing
+        of what is in force is touched there.
+        """
+        files, contents = await asyncio.to_thread(self._read)
         if contents == self.settle.judged:
-            return self.settle.look(contents, now_s, False)
-        draft = form.read(files, list(self.core.roles), self.sources.whole, self.loopback)
+            return self.settle.look(contents, time.monotonic(), False)
+        if contents != self._draft[0]:
+            self._draft = contents, await asyncio.to_thread(self._draft_of, files)
+        draft = self._draft[1]
         loses = bool(self.view.entries.keys() - {entry.server.id for entry in draft.entries})
-        wait_s = self.settle.look(contents, now_s, loses)
+        wait_s = self.settle.look(contents, time.monotonic(), loses)
         if wait_s is None or (wait_s > 0 and not at_once):
             return wait_s
         self.settle.done(contents)
-        verdict = judge(
-            self.view,
-            draft,
-            self.core.roles,
-            self.sources.file.guards,
-            self.core.clock.now_us(),
-            self.sources.whole,
-        )
+        old = self.view if self.view.number else self.last
+        verdict = await asyncio.to_thread(self._judged, old, draft)
+        self._draft = b"", EMPTY_DRAFT
         if isinstance(verdict, Accepted):
-            self._accept(verdict.view, verdict.difference)
+            await self._accept(verdict.view, compare(self.view.entries, verdict.view.entries))
+        elif isinstance(verdict, Same) and not self.view.number:
+            await self._accept(self.last, compare({}, self.last.entries), keep=False)
         elif isinstance(verdict, Refused):
-            self.refused += 1
-            log.error(
-                "refused",
-                view=self.view.number,
-                why=list(verdict.reasons[:REASONS_SHOWN]),
-                more=max(0, len(verdict.reasons) - REASONS_SHOWN),
-            )
+            self._refuse(verdict)
         return None
 
-    def _from_snapshot(self) -> None:
-        """Guards against a start that has nothing to serve with since a file is broken just now."""
+    def _read(self) -> tuple[Files, bytes]:
+        files = read_all(self.sources.paths)
+        return files, contents_of(files)
+
+    def _draft_of(self, files: Files) -> Draft:
+        return form.read(files, list(self.core.roles), self.sources.whole, self.loopback)
+
+    def _judged(self, view: View, draft: Draft) -> Verdict:
+        now_us, guards = self.core.clock.now_us(), self.sources.file.guards
+        return judge(view, draft, self.core.roles, guards, now_us, self.sources.whole)
+
+    def _refuse(self, verdict: Refused) -> None:
+        self.refused += 1
+        shown, more = verdict.reasons[:REASONS_SHOWN], len(verdict.reasons) - REASONS_SHOWN
+        log.error("refused", view=self.view.number, why=list(shown), more=max(0, more))
+
+    def _load(self) -> View:
+        """The last good view of the process before this one; an empty one where there is none of use.
+
+        The first files are judged against it as later ones are against the view in force: a restart makes
+        nobody warm, gives no second number to one view, and lets no file through that is cut off.
+        """
         path = self.sources.snapshot
-        if path is None:
-            log.error("no view is in force, and no snapshot is kept")
-            return
+        if path is None or not path.exists():
+            return EMPTY
         try:
             view = snapshot.load(path)
         except snapshot.SnapshotError as problem:
             log.error("the snapshot is no use", path=str(path), why=str(problem))
-            return
-        if unknown := {e.server.kind for e in view.entries.values()} - set(self.core.roles):
+            return EMPTY
+        unknown = {entry.server.kind for entry in view.entries.values()} - set(self.core.roles)
+        if unknown and self.sources.whole:
             log.error("the snapshot is no use", path=str(path), why=f"kinds not known: {sorted(unknown)}")
+            return EMPTY
+        return view
+
+    async def _from_snapshot(self) -> None:
+        """Guards against a start that has nothing to serve with since a file is broken just now."""
+        if not self.last.number:
+            log.error("no view is in force, and there is no snapshot of use")
             return
         self.from_snapshot = True
-        log.error("THE FILES ARE NO USE: serving from the snapshot", path=str(path), view=view.number)
-        self._accept(view, compare({}, view.entries), keep=False)
-
-    def _number(self, view: View) -> View:
-        """Numbers go on over restarts: a view that is new must not have the number of an older one."""
-        path = self.sources.snapshot
-        if self.view.number or path is None:
-            return view
-        try:
-            before = snapshot.load(path)
-        except snapshot.SnapshotError:
-            return view
-        return before if before.digest == view.digest else replace(view, number=before.number + 1)
+        path = str(self.sources.snapshot)
+        log.error("THE FILES ARE NO USE: serving from the snapshot", path=path, view=self.last.number)
+        await self._accept(self.last, compare({}, self.last.entries), keep=False)
 
-    def _accept(self, view: View, difference: Difference, keep: bool = True) -> None:
+    async def _accept(self, view: View, difference: Difference, keep: bool = True) -> None:
         if keep:
-            view = self._number(view)
             self.from_snapshot = False
         old, self.view = self.view, view
         self.accepted += 1
@@ -192,7 +207,7 @@
         self.on_view(view)
         if keep and (path := self.sources.snapshot) is not None:
             try:
-                snapshot.save(path, view)
+                await asyncio.to_thread(snapshot.save, path, view)
             except OSError as problem:  # in force all the same: it only won't outlive the process
                 log.error("the snapshot could not be kept", path=str(path), why=str(problem))
 
--- a/onyxpass/sources/snapshot.py
+++ b/onyxpass/sources/snapshot.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 import os
+import threading
 from pathlib import Path
 from typing import Any
 
@@ -82,7 +83,7 @@
 
 def save(path: Path, view: View) -> None:
     """Durable once this returns; OSError if it can't be, and then the one before is still there."""
-    fresh = path.with_name(path.name + ".new")
+    fresh = path.with_name(f"{path.name}.{os.getpid()}.{threading.get_ident()}.new")  # two processes may save
     path.parent.mkdir(parents=True, exist_ok=True)
     with fresh.open("wb") as file:
         file.write(text_of(view))
--- a/onyxpass/standin/replicas.py
+++ b/onyxpass/standin/replicas.py
@@ -213,8 +213,7 @@
         line = json.dumps({"seq": self.seq, "whole": False, "hosts": [row.told()]}).encode() + b"\n"
         for queue in self.watches:
             queue.put_nowait(line)
-        if health != "active":
-            self.trace.put(What.DRAIN_TOLD, server=name)
+        self.trace.put(What.DRAIN_TOLD, server=name, detail="up" if health == "active" else "")
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         wire = Wire(h11.SERVER, reader, writer)
--- a/onyxpass/standin/trace.py
+++ b/onyxpass/standin/trace.py
@@ -111,7 +111,9 @@
     """Nothing new to a server later than 1 s after its drain was told."""
     told: dict[str, float] = {}
     for event in trace.of(What.DRAIN_TOLD, What.RECEIVED):
-        if event.what is What.DRAIN_TOLD:
+        if event.what is What.DRAIN_TOLD and event.detail == "up":  # it takes work again
+            told.pop(event.server, None)
+        elif event.what is What.DRAIN_TOLD:
             told.setdefault(event.server, event.at_s)
         elif event.server in told and event.at_s - told[event.server] > DRAIN_S + slack_s:
             late_s = event.at_s - told[event.server]
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -244,6 +244,17 @@
     assert all(b in (a, "r0") for a, b in zip(even, heavy, strict=True)), "what moves, moves to the heavier"
 
 
+def test_a_server_that_is_new_again_and_again_is_spared_each_time() -> None:
+    servers = [api.Server(f"r{i}", "r") for i in range(4)] + [api.Server(f"w{i}", "w") for i in range(4)]
+    drive, got = Drive(servers), Counter[str]()
+    for n in range(400):
+        if n % 20 == 0:  # a storm of changes: the same id, born again each time
+            fresh = replace(servers[0], started_us=drive.now)
+            drive.give(api.ListUpdate(api.ListForm.DELTA, (fresh,), n + 2))
+        got[drive.serve(n, f"s{n}", f"p{n}")] += 1
+    assert 0 < got["r0"] < 0.5 * got["r1"], got
+
+
 # The snapshot
 
 
@@ -384,6 +395,7 @@
             w.write(GOOD + row("r3", port=5))
             await w.holds("r1", "r2", "r3", "w1", "w2")
             number = w.source.view.number
+            await until(lambda: snapshot.load(tmp_path / "snap").number == number)
         with structlog.testing.capture_logs() as lines:
             async with watched(tmp_path, GOOD[:-20]) as w:
                 await w.holds("r1", "r2", "r3", "w1", "w2")
@@ -401,6 +413,27 @@
     run(go)
 
 
+def test_two_processes_of_an_upgrade_have_the_same_view_under_the_same_number(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with watched(tmp_path) as old:
+            await old.holds("r1", "r2", "w1", "w2")
+            old.write(GOOD + row("r3", port=5))
+            await old.holds("r1", "r2", "r3", "w1", "w2")
+            await until(lambda: snapshot.load(tmp_path / "snap").number == 2)
+            async with watched(tmp_path, GOOD + row("r3", port=5)) as new:
+                await new.holds("r1", "r2", "r3", "w1", "w2")
+                assert new.source.view == old.source.view and new.source.view.number == 2
+                for number in range(4, 9):
+                    old.write(GOOD + row(f"r{number}", port=number + 10))
+                    names = ("r1", "r2", f"r{number}", "w1", "w2")
+                    await asyncio.gather(old.holds(*names), new.holds(*names))
+                assert old.source.view.number == new.source.view.number == 7
+            await until(lambda: snapshot.load(tmp_path / "snap").number == 7)
+            assert not list(tmp_path.glob("*.new"))
+
+    run(go)
+
+
 def test_files_over_discovery_weigh_and_drain_and_add_nobody() -> None:
     clock = HandClock()
     core = Core(read_settings(SETTINGS), 1, clock, Wheel(clock))
@@ -408,7 +441,9 @@
     source = membership.FileSource(core, Fleet(), membership.Sources(file, Path()))
     rows = ('"r1"\nweight = 2.5\n', '"r2"\nstate = "draining"\n', '"r9"\n')
     text = "".join(f"[[servers]]\nid = {told}" for told in rows)
-    assert source._look({"x.toml": text.encode()}, True) is None and source.accepted == 1
+    verdict = source._judged(source.view, source._draft_of({"x.toml": text.encode()}))
+    assert isinstance(verdict, Accepted)
+    asyncio.run(source._accept(verdict.view, verdict.difference))
     told = api.ListUpdate(
         api.ListForm.FULL, tuple(api.Server(n, "reader") for n in ("r1", "r2", "r3")), version=4
     )
@@ -446,6 +481,11 @@
             fresh.write_text(content)
             fresh.replace(folder / "a.toml")
 
+        def in_force(v: View) -> None:
+            views[v.number] = frozenset(v.entries)
+            for name in names:
+                fleet.trace.put(What.DRAIN_TOLD, server=name, detail="up" if name in v.entries else "")
+
         save(text(names))
         guards = '[guards]\nremoved = "100%"\nremoved_role = "100%"\nremoved_hall = "100%"\n'
         (tmp_path / "sources.toml").write_text(
@@ -457,7 +497,7 @@
         with structlog.testing.capture_logs() as lines:
             dispatcher = Dispatcher(config)
             assert dispatcher.files is not None
-            dispatcher.files.on_view = lambda v: views.update({v.number: frozenset(v.entries)})
+            dispatcher.files.on_view = in_force
             await dispatcher.start()
             await until(dispatcher.ready)
             stopping = asyncio.Event()
@@ -543,8 +583,28 @@
                 break
         assert client.texts == ["one", "two"]
         assert reader.asked[-1]["params"]["view"] == 2
+        places: dict[int, set[int]] = {}
+        front.files.on_view = lambda v: places.update(
+            {v.number: {e.address.port for e in v.entries.values() if e.address}}
+        )
+        before = [len(writer.asked) for writer in writers]
+        for number in range(100, 200):  # a storm, with a request for each version
+            text = row("reader-1", port=reader.port) + row("w-1", "writer", writers[0].port)
+            text += row("w-2", "writer", writers[1].port, weight=1 + number % 3) if number % 2 else ""
+            cut = len(text) if number % 5 else number % len(text)
+            (tmp_path / "w.toml").write_text(text[:cut])
+            client.generate(number, ("part-lookup", "stock-booking")[number % 2])
+            await asyncio.sleep(0.02)
+        for number in range(100, 200):
+            assert len([r for r in client.responses if r["id"] == (await client.response(number))["id"]]) == 1
+        for writer, count in zip(writers, before, strict=True):
+            for asked in writer.asked[count:]:
+                if "view" in asked["params"] and asked["method"] == "write":
+                    assert asked["params"]["view"] < 3 or writer.port in places[asked["params"]["view"]]
+        assert len(places) >= 2 and len(client.texts) > 5
+        refused = front.files.refused
         (tmp_path / "w.toml").write_text(row("reader-1", port=reader.port).replace("127.0.0.1", "10.0.0.1"))
-        await until(lambda: front.files is not None and front.files.refused == 1)
+        await until(lambda: front.files is not None and front.files.refused > refused)
         await client.stop()
         await front.stop()
         for part in (store, tools, reader, *writers):
