Emulate readers, writers, links, clients and troubles, with the module and plain policies

The repository had nothing of its own that tells a good rule from a bad one.

A queue with known service waits as theory says within 6%.

--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -40,6 +40,10 @@
         app.add_typer(fleet_app, name="fleet")
         app.add_typer(servers_app, name="servers")
         app.add_typer(standin_app, name="standin")
+    if (sys.argv[1:2] or [""])[0] == "lab":  # an extra: it needs numpy
+        from onyxpass.lab.cli import lab_app
+
+        app.add_typer(lab_app, name="lab")
     app(prog_name="onyxpass")
 
 
--- /dev/null
+++ b/onyxpass/lab/cli.py
@@ -0,0 +1,97 @@
+"""``onyxpass lab``: emulated days, one policy against others on the same traffic."""
+
+import json
+import time
+from dataclasses import asdict
+from typing import Annotated
+
+import typer
+
+from onyxpass.lab.policies import POLICIES
+from onyxpass.lab.site import Site, Trouble
+from onyxpass.lab.world import PolicyFault, World
+from onyxpass.rules.trace import breaches
+
+lab_app = typer.Typer(no_args_is_help=True, help="Emulated days, to hold designs against each other.")
+KNOWING = "full-knowledge"
+
+
+@lab_app.callback()
+def group() -> None:
+    """Keeps the group a group while it has one command."""
+
+
+def troubles_of(texts: list[str]) -> tuple[Trouble, ...]:
+    """``cut:derby@20+10`` or ``flush:0.5@30``: what, hall, server or size, seconds from the start, length."""
+    found = []
+    for text in texts:
+        try:
+            head, _, when = text.partition("@")
+            what, _, which = head.partition(":")
+            at, _, length = when.partition("+")
+            sized = what in ("lag", "flush", "hot")
+            if what not in ("lag", "flush", "hot", "cut", "flap", "crash", "slow"):
+                raise ValueError("no such trouble")
+            found.append(
+                Trouble(
+                    what,
+                    float(at),
+                    float(length or 0),
+                    size=float(which) if sized else 4.0 if what == "slow" else 0.0,
+                    hall=which if what in ("cut", "flap") else "",
+                    server=which if what in ("crash", "slow") else "",
+                )
+            )
+        except ValueError as problem:
+            typer.echo(f"onyxpass: trouble {text!r}: {problem}", err=True)
+            raise typer.Exit(2) from problem
+    return tuple(found)
+
+
+@lab_app.command("day")
+def day(
+    policies: Annotated[list[str] | None, typer.Argument(help="None: all.")] = None,
+    rate: Annotated[float, typer.Option(min=0.1, max=100_000, help="First tries a second.")] = 60.0,
+    seconds: Annotated[float, typer.Option(min=1, max=86_400)] = 60.0,
+    seed: int = 1,
+    readers: Annotated[int, typer.Option(min=1, max=100_000)] = 6,
+    writers: Annotated[int, typer.Option(min=1, max=100_000)] = 6,
+    mixed: Annotated[int, typer.Option(min=0, max=100_000)] = 2,
+    dispatchers: Annotated[int, typer.Option(min=1, max=10_000)] = 4,
+    trouble: Annotated[list[str] | None, typer.Option(help="As cut:derby@20+10 or flush:0.5@30.")] = None,
+    as_json: Annotated[bool, typer.Option("--json", help="For programs.")] = False,
+) -> None:
+    """One day for each policy, on the same traffic: worth answered, ends, rules broken, pace."""
+    known = [*POLICIES, KNOWING]
+    names = policies or known
+    if unknown := [name for name in names if name not in known]:
+        typer.echo(f"onyxpass: no policy {unknown[0]!r}; there are {', '.join(known)}", err=True)
+        raise typer.Exit(2)
+    planned = troubles_of(trouble or [])
+    site = Site(readers, writers, mixed, dispatchers, rate=rate, seconds=seconds, troubles=planned)
+    placed = {spec.id for _, spec in site.servers()}
+    for found in site.troubles:
+        if (found.server and found.server not in placed) or (found.hall and found.hall not in site.halls):
+            typer.echo(f"onyxpass: trouble {found.what}: no {found.server or found.hall!r} here", err=True)
+            raise typer.Exit(2)
+    worst = 0
+    for name in names:
+        began_s = time.perf_counter()
+        try:
+            world = World(site, POLICIES.get(name), seed)
+            tally = world.run()
+        except PolicyFault as problem:
+            typer.echo(f"{name}: its run ended: {problem}", err=True)
+            worst = 1
+            continue
+        took_s = time.perf_counter() - began_s
+        broken = breaches(world.trace)
+        told = {key: value for key, value in asdict(tally).items() if key != "by_second"}
+        if as_json:
+            row = {"policy": name, "g": tally.g, **told, "broken": len(broken), "seconds": took_s}
+            typer.echo(json.dumps(row))
+            continue
+        ends = ", ".join(f"{told[key]} {key}" for key in ("served", "refused", "failed", "gone", "late"))
+        pace = f"{seconds / took_s:.0f}x real time"
+        typer.echo(f"{name:16} G {tally.g:.3f}  {ends}, {len(broken)} rules broken; {pace}")
+    raise typer.Exit(worst)
--- a/onyxpass/standin/trace.py
+++ b/onyxpass/rules/trace.py
@@ -37,9 +37,10 @@
 
     events: list[Event] = field(default_factory=list)
     classes: dict[str, str] = field(default_factory=dict)
+    clock: Callable[[], float] = time.monotonic  # the emulator has its own
 
     def put(self, what: What, request: str = "", server: str = "", detail: str = "") -> None:
-        self.events.append(Event(time.monotonic(), what, request, server, detail))
+        self.events.append(Event(self.clock(), what, request, server, detail))
 
     def of(self, *whats: What) -> list[Event]:
         return [event for event in self.events if event.what in whats]
--- a/onyxpass/standin/client.py
+++ b/onyxpass/standin/client.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from onyxpass.standin.trace import Trace, What
+from onyxpass.rules.trace import Trace, What
 
 CLASSES = ("part-lookup", "shift-summary", "stock-booking")
 GIVE_UP_S = 20.0
--- a/onyxpass/standin/demo.py
+++ b/onyxpass/standin/demo.py
@@ -13,10 +13,10 @@
 from onyxpass.fleet import render
 from onyxpass.fleet.outcome import Exit
 from onyxpass.fleet.tool import Report, Tool
+from onyxpass.rules.trace import breaches
 from onyxpass.standin.client import CLASSES, ask
 from onyxpass.standin.replicas import Speed, StandinFleet
 from onyxpass.standin.site import Host, Site
-from onyxpass.standin.trace import breaches
 
 READY_S = 15.0
 AT_ONCE = 24
--- a/onyxpass/standin/front.py
+++ b/onyxpass/standin/front.py
@@ -3,8 +3,8 @@
 import asyncio
 import itertools
 
+from onyxpass.rules.trace import Trace
 from onyxpass.standin.client import Answer, ask
-from onyxpass.standin.trace import Trace
 
 ASK_EVERY_S = 0.05
 ASK_S = 0.5
--- a/onyxpass/standin/replicas.py
+++ b/onyxpass/standin/replicas.py
@@ -12,8 +12,8 @@
 import h11
 
 from onyxpass.net.http import Broken, Wire, body, header
+from onyxpass.rules.trace import Trace, What
 from onyxpass.standin.server import Server
-from onyxpass.standin.trace import Trace, What
 
 TOKENS_AN_EVENT = 4
 STREAM = [(b"content-type", b"text/event-stream"), (b"transfer-encoding", b"chunked")]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -25,12 +25,12 @@
 from onyxpass.fleet.rollout import Method
 from onyxpass.fleet.runner import Order
 from onyxpass.fleet.tool import Refused, Report, Tool
+from onyxpass.rules.trace import breaches
 from onyxpass.standin.client import CLASSES
 from onyxpass.standin.demo import ready
 from onyxpass.standin.front import FrontLayer
 from onyxpass.standin.replicas import Speed, StandinFleet
 from onyxpass.standin.site import Host, Site
-from onyxpass.standin.trace import breaches
 
 HOSTS = (("h1", "boa-vista"), ("h2", "santo-amaro"), ("h3", "derby"))
 LIMITS = (
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -22,7 +22,7 @@
 from onyxpass.fleet.conversation import AskAfter, Conversation, End, Pause, Tell
 from onyxpass.fleet.outcome import Exit, Kind, Tally, done, failed, not_tried, unknown
 from onyxpass.fleet.selector import SelectorError, parse, select
-from onyxpass.standin.trace import Trace, What, breaches
+from onyxpass.rules.trace import Trace, What, breaches
 from onyxpass.tomlfile import schema_text
 
 ROOT = Path(__file__).parent.parent
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,207 @@
+"""The emulator against theory, against itself, and with the real module in trouble."""
+
+import hashlib
+import os
+import subprocess
+import sys
+from dataclasses import replace
+
+import pytest
+from typer.testing import CliRunner
+
+from onyxpass import interface as api
+from onyxpass.interface import Status
+from onyxpass.lab.cli import lab_app
+from onyxpass.lab.events import Queue, Rank
+from onyxpass.lab.policies import POLICIES, Random
+from onyxpass.lab.servers import Ask, Server, State, Visit
+from onyxpass.lab.shared import Shared
+from onyxpass.lab.site import READER, WRITER, Site, Trouble
+from onyxpass.lab.traffic import Streams, draw
+from onyxpass.lab.world import PolicyFault, World
+from onyxpass.rules.trace import breaches
+
+SMALL = Site(rate=20.0, seconds=12.0)
+
+
+class Bench:
+    """One server of a kind, and what became of its visits."""
+
+    def __init__(self, **kind: object) -> None:
+        self.queue = Queue()
+        self.states: dict[str, State] = {}
+        base = kind.pop("base", READER)
+        self.kind = replace(base, **kind)  # type: ignore[type-var,arg-type]
+        spec = api.Server("x", "x", "derby", 0)
+        links = {0: Shared(self.queue, lambda n: 1e9)}
+        self.server = Server(self.queue, SMALL, self.kind, spec, self.states, links)  # type: ignore[arg-type]
+        self.ends: dict[str, tuple[Status, int]] = {}
+        self.firsts: dict[str, int] = {}
+
+    def visit(self, key: str, prompt: int = 1000, out: int = 100) -> Visit:
+        ask = Ask(key, key, None, prompt, 0, out, "c")
+        return Visit(
+            ask,
+            lambda status, _: self.ends.setdefault(key, (status, self.queue.now_us)) and None,
+            lambda: self.firsts.setdefault(key, self.queue.now_us) and None,
+        )
+
+
+def test_events_of_one_instant_come_by_rank_and_then_as_they_were_put() -> None:
+    queue, seen = Queue(), list[str]()
+    for rank, name in ((Rank.CLIENT, "d"), (Rank.SERVER, "b"), (Rank.TROUBLE, "a"), (Rank.SERVER, "c")):
+        queue.at(5, rank, lambda name=name: seen.append(name))  # type: ignore[misc]
+    queue.at(5, Rank.TIMER, lambda: seen.append("never")).cancel()
+    queue.run(5)
+    assert seen == ["a", "b", "c", "d"] and queue.count == 4
+
+
+def test_what_is_shared_is_shared_evenly() -> None:
+    queue, ends = Queue(), dict[str, int]()
+    link = Shared(queue, lambda n: 1000.0 / n)
+    link.add(1000, lambda: ends.setdefault("a", queue.now_us) and None)
+    queue.at(500_000, Rank.CLIENT, lambda: link.add(250, lambda: ends.setdefault("b", queue.now_us)) and None)
+    queue.run(10_000_000)
+    assert ends["b"] == pytest.approx(1_000_000, abs=2), "250 units at half the rate"
+    assert ends["a"] == pytest.approx(1_250_000, abs=2), "500 alone, 250 at half the rate, 250 alone"
+    fast = Shared(queue, lambda n: 3e5 / n)  # rests below a microsecond must not turn for ever
+    for size in (0.1, 0.11, 7.3):
+        fast.add(size, lambda: None)
+    queue.run(20_000_000)
+    assert fast.count == 0
+
+
+def test_a_reader_with_known_service_waits_as_theory_says() -> None:
+    """Poisson arrivals at one server with constant service: the mean wait is rho s / (2 (1 - rho))."""
+    bench = Bench(slots=10**6, step_us=0.0, read_rate=10_000.0, memory=10**12)
+    chance, now_us, starts, count = Streams(5).of("theory"), 0.0, dict[str, float](), 40_000
+    service_us, rho = 100_000.0, 0.7
+    for n in range(count):
+        now_us += float(chance.exponential(service_us / rho))
+        starts[f"q{n}"] = now_us
+        bench.queue.at(round(now_us), Rank.CLIENT, lambda n=n: bench.server.take(bench.visit(f"q{n}")))  # type: ignore[misc]
+    bench.queue.run(round(now_us) + 10**9)
+    waits = [bench.ends[key][1] - start - service_us for key, start in starts.items()]
+    assert sum(waits) / count == pytest.approx(rho * service_us / (2 * (1 - rho)), rel=0.06)
+    assert {status for status, _ in bench.ends.values()} == {Status.READ}
+
+
+def test_a_writer_that_runs_out_of_memory_reads_its_newest_answer_anew() -> None:
+    bench = Bench(base=WRITER, memory=2_300, each_us=0.0, context_us=0.0, step_us=10_000.0, read_rate=1e6)
+    reader = Bench().server
+    reader.port = Shared(bench.queue, lambda n: 1e6 / n)
+    for key in ("a", "b"):
+        bench.states[key] = State(reader, 1000)
+        reader.held += 1000
+        bench.server.take(bench.visit(key, 1000, 400))
+    bench.queue.run(60_000_000)
+    assert bench.server.rereads >= 1 and bench.server.tokens == 800
+    assert {status for status, _ in bench.ends.values()} == {Status.SERVED}
+    assert bench.ends["a"][1] < bench.ends["b"][1] and not bench.server.open
+    assert bench.server._used() == pytest.approx(0, abs=1), "all of its memory is free again"
+
+
+def test_a_state_whose_reader_dies_on_the_way_is_gone_and_a_call_off_frees_all() -> None:
+    bench, reader = Bench(base=WRITER), Bench().server
+    reader.port = Shared(bench.queue, lambda n: 100.0 / n)
+    bench.states["a"] = State(reader, 1000)
+    reader.states = bench.states
+    bench.server.take(bench.visit("a"))
+    bench.queue.run(1_000_000)
+    reader.crash()
+    bench.queue.run(30_000_000)
+    assert bench.ends["a"][0] is Status.FULL and not bench.server.coming
+    bench.states["b"] = State(bench.server, 10)
+    called_off = bench.visit("b", out=10_000)
+    bench.server.take(called_off)
+    bench.queue.run(31_000_000)
+    bench.server.cancel(called_off)
+    bench.queue.run(60_000_000)
+    assert "b" not in bench.ends and not bench.server.open and bench.server.answers.count == 0
+
+
+TROUBLES = (
+    Trouble("flush", 3.0, size=0.8),
+    Trouble("cut", 4.0, 2.0, hall="derby"),
+    Trouble("crash", 5.0, 2.0, server="writer-1"),
+    Trouble("crash", 5.5, 2.0, server="reader-0"),
+    Trouble("slow", 6.0, 3.0, 5.0, server="writer-2"),
+    Trouble("lag", 2.0, 6.0, 4.0),
+    Trouble("hot", 1.0, 5.0, 0.2),
+    Trouble("flap", 8.0, 3.0, hall="santo-amaro"),
+)
+
+
+@pytest.mark.parametrize("name", ["module", "least-in-flight", "prefix-hash"])
+def test_each_request_ends_once_and_the_rules_hold_through_all_troubles(name: str) -> None:
+    world = World(replace(SMALL, rate=40.0, troubles=TROUBLES), POLICIES[name], 4)
+    tally = world.run()
+    assert tally.asked == len(world.turns) > 200
+    assert tally.served + tally.refused + tally.failed + tally.gone == tally.asked + tally.retried
+    assert not any(dispatcher.open for dispatcher in world.dispatchers)
+    rules = [breach for breach in breaches(world.trace) if not breach.startswith("held")]
+    assert not rules, rules[:5]
+    assert 0 < tally.worth <= tally.worth_asked
+    for server in world.servers.values():
+        assert not server.open and not server.coming and server.answers.count == 0
+        assert server._used() == pytest.approx(0, abs=2)
+
+
+def test_the_same_seed_is_the_same_day_in_any_process() -> None:
+    code = (
+        "import hashlib; from onyxpass.lab.policies import POLICIES; from onyxpass.lab.site import Site\n"
+        "from onyxpass.lab.world import World\n"
+        "w = World(Site(rate=20.0, seconds=6.0), POLICIES['module'], 3); t = w.run()\n"
+        "print(hashlib.sha256(repr((t, w.trace.events)).encode()).hexdigest())"
+    )
+    runs = [
+        subprocess.run(
+            [sys.executable, "-c", code],
+            capture_output=True,
+            text=True,
+            check=True,
+            env={**os.environ, "PYTHONHASHSEED": salt},
+        ).stdout
+        for salt in ("1", "2")
+    ]
+    assert runs[0] == runs[1] and len(runs[0].strip()) == hashlib.sha256().digest_size * 2
+    assert draw(SMALL, 1) == draw(SMALL, 1) != draw(SMALL, 2)
+
+
+def test_a_policy_that_raises_or_asks_for_nonsense_ends_its_own_run_only() -> None:
+    class Raises(Random):
+        def reader(self, job: object, among: object) -> str:
+            raise KeyError("x")
+
+    class Lost(Random):
+        def reader(self, job: object, among: object) -> str:
+            return "nobody"
+
+    class Twice(Random):
+        def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
+            return [action for action in super().handle(now_us, event) for _ in range(2)]
+
+    for policy, why in ((Raises, "KeyError"), (Lost, "nobody"), (Twice, "may not go out")):
+        with pytest.raises(PolicyFault, match=why):
+            World(SMALL, policy, 1).run()
+    assert World(SMALL, Random, 1).run().served > 0
+
+
+def test_under_load_the_module_beats_chance_and_knowledge_bounds_both() -> None:
+    site = replace(SMALL, rate=110.0, seconds=20.0)
+    g = {name: World(site, POLICIES.get(name), 2, traced=False).run().g for name in ("module", "random", "")}
+    assert g[""] >= g["module"] - 0.02 and g["module"] > g["random"] + 0.1, g
+
+
+def test_the_lab_command_plays_policies_on_one_day_and_names_bad_input() -> None:
+    run = CliRunner()
+    good = run.invoke(lab_app, ["day", "module", "random", "--seconds", "4", "--rate", "10", "--json"])
+    assert good.exit_code == 0 and good.output.count('"g"') == 2 and '"broken": 0' in good.output
+    for words, why in (
+        (("day", "clever"), "no policy 'clever'"),
+        (("day", "random", "--trouble", "fire@3"), "no such trouble"),
+        (("day", "random", "--trouble", "cut:mars@3+1"), "no 'mars' here"),
+        (("day", "random", "--trouble", "flush:x@3"), "trouble 'flush:x@3'"),
+    ):
+        found = run.invoke(lab_app, list(words))
+        assert found.exit_code == 2 and why in found.output and found.output.count("\n") == 1
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -26,6 +26,7 @@
 from onyxpass.config import Address, Config, ConfigError, parse
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.wheel import Wheel
+from onyxpass.rules.trace import What, breaches
 from onyxpass.serve import Dispatcher
 from onyxpass.settings import read_settings
 from onyxpass.sources import form, membership, snapshot
@@ -40,7 +41,6 @@
 from onyxpass.standin.client import ask
 from onyxpass.standin.replicas import Speed, StandinFleet
 from onyxpass.standin.settings import SETTINGS, dispatcher_file
-from onyxpass.standin.trace import What, breaches
 from onyxpass.tomlfile import schema_text
 from onyxpass.toolcalls import service
 from onyxpass.toolcalls.service import ToolcallService
