Run experiments from files, compare policies by pairs, and report them

An experiment is checked before its first run, goes on where it was cut off, and is compared by pairs with bootstrap intervals; the report is one HTML file. Each program is its own side of the admin socket now, and imports run downwards only.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What a developer needs, by name. The platform uses deploy/balancer.toml.
-.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet bench-sources
+.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet bench-sources bench-lab
 
 build:
 	test -d .venv || python3 -m venv .venv
@@ -31,6 +31,9 @@
 bench-sources: dev
 	.venv-dev/bin/python benchmarks/sources.py
 
+bench-lab: dev
+	.venv-dev/bin/python benchmarks/lab.py
+
 toolcalls: build
 	.venv/bin/python -m onyxpass toolcalls --config deploy/toolcalls.toml
 
--- /dev/null
+++ b/benchmarks/lab.py
@@ -0,0 +1,88 @@
+"""Measures the emulator: `make bench-lab`. Writes docs/measurements/lab.md.
+
+Emulated seconds a second, memory, and what one decision costs, with the module and with a plain policy; each
+run in a process of its own.
+"""
+
+import json
+import os
+import platform
+import resource
+import statistics
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from onyxpass.lab.policies import POLICIES
+from onyxpass.lab.site import Site
+from onyxpass.lab.world import World
+
+ROOT = Path(__file__).parent.parent
+# servers, dispatchers, seconds
+SIZES = ((14, 4, 20.0), (14, 40, 20.0), (100, 4, 5.0), (100, 40, 5.0), (1000, 4, 1.0))
+    (14, 4, 20.0),
+    (14, 40, 20.0),
+    (100, 4, 5.0),
+    (100, 40, 5.0),
+    (1000, 4, 1.0),
+)  # servers, dispatchers, s
+REPEATS = 3
+
+
+def play(servers: int, dispatchers: int, seconds: float, policy: str) -> None:
+    scale = servers / 14
+    readers = round(6 * scale)
+    site = Site(readers, readers, servers - 2 * readers, dispatchers, rate=50 * scale, seconds=seconds)
+    world = World(site, POLICIES[policy], 1, traced=False)
+    began_s = time.perf_counter()
+    tally = world.run()
+    took_s = time.perf_counter() - began_s
+    mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    ran_s = seconds + 40  # ticks go on till the last second of the day's tail
+    told = {"pace": ran_s / took_s, "took": took_s, "mb": mb, "us": took_s / tally.decisions * 1e6}
+    print(json.dumps({**told, "asked": tally.asked, "g": tally.g}))
+
+
+def measured(*words: object) -> dict[str, float]:
+    runs = [
+        json.loads(
+            subprocess.run(
+                [sys.executable, __file__, *map(str, words)], stdout=subprocess.PIPE, check=True, text=True
+            ).stdout
+        )
+        for _ in range(REPEATS)
+    ]
+    return {key: statistics.median(run[key] for run in runs) for key in runs[0]}
+
+
+def main() -> None:
+    lines = [
+        "# The emulator, measured",
+        "",
+        f"`make bench-lab` on {platform.machine()}, {os.cpu_count()} cores, Python",
+        f"{platform.python_version()}; one core a run, medians of {REPEATS}. Load grows with the servers (50",
+        "first tries a second for 14); the emulated time has 40 s of tail, in which the module's ticks go on.",
+        "`us`: of wall time for each event told to a policy, the emulator's own work included. The ratio is",
+        "the module's time to the plain policy's.",
+        "",
+        "| servers | dispatchers | requests | module: s/s | MB | us | prefix hash: s/s | us | ratio |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for servers, dispatchers, seconds in SIZES:
+        mine = measured(servers, dispatchers, seconds, "module")
+        plain = measured(servers, dispatchers, seconds, "prefix-hash")
+        lines.append(
+            f"| {servers} | {dispatchers} | {mine['asked']:.0f} | {mine['pace']:.1f} | {mine['mb']:.0f} "
+            f"| {mine['us']:.0f} | {plain['pace']:.1f} | {plain['us']:.0f} "
+            f"| {mine['took'] / plain['took']:.1f} |"
+        )
+        print(lines[-1], flush=True)
+    (ROOT / "docs" / "measurements" / "lab.md").write_text("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        play(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), sys.argv[4])
+    else:
+        main()
--- a/onyxpass/admin/server.py
+++ b/onyxpass/admin/server.py
@@ -9,15 +9,15 @@
 import os
 import time
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import h11
 import structlog
 
-from onyxpass.admin.drain import DEADLINE_US, NOTICE_US, Drain, Step
-from onyxpass.admin.instances import CUT, Managed
-from onyxpass.admin.running import Running
+from onyxpass.admin.drain import DEADLINE_US, NOTICE_US, Drain, Load, Step
+from onyxpass.admin.running import Change, Running, Values
 from onyxpass.config import ADMIN, GENERATION, LAUNCH, ConfigError
+from onyxpass.core.dispatcher import Core
 from onyxpass.core.wheel import Wheel
 from onyxpass.net.calls import BACKLOG, JSON, CallServer, Refusal, Reply, flag, object_in, only, whole
 from onyxpass.net.listen import Listener
@@ -25,9 +25,38 @@
 
 LOOK_US = 20_000  # between looks at a drain
 MOST_MS = 24 * 3600 * 1000
+CUT = "cut short by an operator"
 log = structlog.get_logger("admin")
 
 
+class Managed(Protocol):
+    """What the admin socket needs of a program."""
+
+    kind: str
+    core: Core
+
+    def values(self) -> Values:
+        """What it runs on."""
+
+    def reload_now(self) -> Change:
+        """Read the file again and take over what can be; ConfigError where it is no use."""
+
+    def ready(self) -> bool:
+        """Whether it takes requests."""
+
+    def load(self) -> Load:
+        """What is open, up to the last byte of the last answer."""
+
+    def leave(self, leaving: bool) -> None:
+        """Tell the front layer that it is not ready, or serve again."""
+
+    def shut(self) -> None:
+        """Refuse new requests."""
+
+    def told(self) -> dict[str, Any]:
+        """Its figures."""
+
+
 class Admin(CallServer):
     kind = JSON
 
@@ -55,7 +84,7 @@
             "ready": self.managed.ready(),
             "config": self.running.told(),
             "drain": self.drain.told(now_us, self.managed.load()),
-            "figures": self.managed.figures(),
+            "figures": self.managed.told(),
         }
 
     async def answer(self, head: h11.Request, text: bytes) -> Reply:
@@ -84,7 +113,7 @@
 
     def _reload(self, generation: int) -> None:
         try:
-            change = self.managed.reload()
+            change = self.managed.reload_now()
         except ConfigError as problem:
             self.running.refused(str(problem))
             log.error("the new configuration is no use", why=str(problem))
--- a/onyxpass/agent/expected.py
+++ b/onyxpass/agent/expected.py
@@ -5,7 +5,7 @@
 
 from onyxpass import config as configuration
 from onyxpass.admin.running import digest_of
-from onyxpass.admin.values import serve_values, toolcalls_values
+from onyxpass.admin.values import serve_values
 from onyxpass.agent.config import InstanceSpec
 from onyxpass.config import ConfigError
 
@@ -21,4 +21,4 @@
         return digest_of(serve_values(configuration.load(spec.config, {**environ, **spec.env}, again)))
     from onyxpass.toolcalls import service
 
-    return digest_of(toolcalls_values(service.load(spec.config)))
+    return digest_of(service.toolcalls_values(service.load(spec.config)))
--- a/onyxpass/lab/cli.py
+++ b/onyxpass/lab/cli.py
@@ -1,24 +1,25 @@
 """``onyxpass lab``: emulated days, one policy against others on the same traffic."""
 
 import json
+import os
 import time
 from dataclasses import asdict
+from pathlib import Path
 from typing import Annotated
 
 import typer
+from rich.progress import Progress
 
+from onyxpass import tomlfile
+from onyxpass.config import ConfigError
+from onyxpass.lab.compare import compared, problems
+from onyxpass.lab.experiment import KNOWING, MEASURES, ExperimentFile, Rows, carry_out, runs_of
 from onyxpass.lab.policies import POLICIES
 from onyxpass.lab.site import Site, Trouble
 from onyxpass.lab.world import PolicyFault, World
 from onyxpass.rules.trace import breaches
 
 lab_app = typer.Typer(no_args_is_help=True, help="Emulated days, to hold designs against each other.")
-KNOWING = "full-knowledge"
-
-
-@lab_app.callback()
-def group() -> None:
-    """Keeps the group a group while it has one command."""
 
 
 def troubles_of(texts: list[str]) -> tuple[Trouble, ...]:
@@ -95,3 +96,68 @@
         pace = f"{seconds / took_s:.0f}x real time"
         typer.echo(f"{name:16} G {tally.g:.3f}  {ends}, {len(broken)} rules broken; {pace}")
     raise typer.Exit(worst)
+
+
+ExperimentPath = Annotated[Path, typer.Argument(help="The experiment's TOML file.")]
+RowsPath = Annotated[Path | None, typer.Option("--rows", help="The SQLite file of results; else beside it.")]
+
+
+def experiment(path: Path) -> ExperimentFile:
+    try:
+        return tomlfile.read(ExperimentFile, path)
+    except ConfigError as problem:
+        typer.echo(f"onyxpass: {problem}", err=True)
+        raise typer.Exit(2) from problem
+
+
+@lab_app.command("run")
+def run(
+    file: ExperimentPath,
+    rows: RowsPath = None,
+    workers: Annotated[int, typer.Option(min=1, max=256, help="Processes.")] = os.cpu_count() or 1,
+) -> None:
+    """Play all days of an experiment that have not been played; killed, it goes on where it was."""
+    found = experiment(file)
+    runs, kept = runs_of(found), Rows(rows or file.with_suffix(".db"))
+    with Progress(transient=True) as progress:
+        bar = progress.add_task(found.name, total=len(runs))
+        played = carry_out(runs, kept, workers, lambda _: progress.advance(bar))
+    typer.echo(f"{found.name}: {len(runs)} runs, {played} of them played now")
+    wrong = problems(runs, kept)
+    for text in wrong:
+        typer.echo(f"ended by its policy: {text}", err=True)
+    raise typer.Exit(1 if wrong else 0)
+
+
+@lab_app.command("compare")
+def compare(
+    file: ExperimentPath,
+    rows: RowsPath = None,
+    measure: Annotated[str, typer.Option(help=f"One of {', '.join(MEASURES)}.")] = "g",
+) -> None:
+    """Each policy against the baseline: the mean difference on the same days, its interval, or noise."""
+    found = experiment(file)
+    if measure not in MEASURES:
+        typer.echo(f"onyxpass: no measure {measure!r}; there are {', '.join(MEASURES)}", err=True)
+        raise typer.Exit(2)
+    for row in compared(found, Rows(rows or file.with_suffix(".db")), measure):
+        where = ", ".join(f"{key} {value:g}" for key, value in row.point) or "base"
+        verdict = "noise" if row.noise else "differs"
+        typer.echo(
+            f"{where:24} {row.policy:16} {measure} {row.value:.3f}  {row.mean:+.3f} to {found.baseline} "
+            f"[{row.low:+.3f}, {row.high:+.3f}] over {row.pairs}: {verdict}"
+        )
+
+
+@lab_app.command("report")
+def report(
+    file: ExperimentPath,
+    rows: RowsPath = None,
+    out: Annotated[Path | None, typer.Option("--out", help="The page; else beside the experiment.")] = None,
+) -> None:
+    """One self-contained HTML page of what has been played."""
+    from onyxpass.lab.report import write
+
+    found, path = experiment(file), out or file.with_suffix(".html")
+    write(found, Rows(rows or file.with_suffix(".db")), path)
+    typer.echo(f"{path}")
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -21,7 +21,10 @@
 from onyxpass.net.watch import ListActor
 
 if TYPE_CHECKING:  # guards against start time spent on what only a managed instance needs
-    from onyxpass.admin.running import Change
+    from typing import Any
+
+    from onyxpass.admin.drain import Load
+    from onyxpass.admin.running import Change, Values
     from onyxpass.admin.server import Admin
     from onyxpass.sources.membership import FileSource
     from onyxpass.sources.port import Source
@@ -32,6 +35,8 @@
 
 
 class Dispatcher:
+    kind = "serve"
+
     def __init__(self, config: Config, reread: Callable[[], Config] | None = None) -> None:
         self.config = config
         self.reread = reread or (lambda: self.config)
@@ -99,10 +104,9 @@
         if self.control is not None:
             self.tasks.append(asyncio.create_task(self.control.run()))
         if managed():
-            from onyxpass.admin.instances import ManagedDispatcher
             from onyxpass.admin.server import Admin
 
-            self.admin = Admin(ManagedDispatcher(self, self.reread), self.wheel)
+            self.admin = Admin(self, self.wheel)
             self.tasks.append(asyncio.create_task(self.admin.run()))
         self._sweep()
         self.wheel.after(STATE_US, self._tell_state)
@@ -166,6 +170,36 @@
         )
         return change
 
+    # As its agent manages it
+
+    def values(self) -> "Values":
+        from onyxpass.admin.values import serve_values
+
+        return serve_values(self.config)
+
+    def reload_now(self) -> "Change":
+        return self.take_over(self.reread)
+
+    def load(self) -> "Load":
+        """A request is open till its answer has left, so connections count as well."""
+        from onyxpass.admin.drain import Load
+
+        requests, streams, oldest_us = self.core.under_way()
+        return Load(max(requests, self.front.answering()), streams, oldest_us)
+
+    def leave(self, leaving: bool) -> None:
+        self.front.draining = leaving
+        if not leaving:
+            self.core.reopen()
+
+    def shut(self) -> None:
+        self.core.close()
+        self.front.close_idle()
+
+    def told(self) -> "dict[str, Any]":
+        sources = {"sources": self.files.told()} if self.files is not None else {}
+        return {**self.core.rows(), "clients": len(self.front.open), **sources}
+
     async def stop(self) -> None:
         self.handover.stopping = True
         self.handover.look()
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -12,8 +12,8 @@
 import structlog
 
 from onyxpass import interface as api
-from onyxpass.admin.running import Change, compare, retuned
-from onyxpass.admin.values import toolcalls_in_flight, toolcalls_values
+from onyxpass.admin.drain import Load
+from onyxpass.admin.running import Change, Values, compare, retuned, settings_in_flight, settings_values
 from onyxpass.config import Address, ConfigError, managed
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import Core
@@ -47,6 +47,31 @@
     sources: Path | None = None  # our own file of watched files, in place of ``servers``
 
 
+IN_FLIGHT = frozenset(("servers", "claim_ttl_s"))
+
+
+def toolcalls_values(config: ToolcallsConfig) -> dict[str, Any]:
+    servers = [[s.id, s.kind, s.zone, s.cell, str(address)] for s, address in config.servers]
+    return {
+        "name": config.name,
+        "listen": str(config.listen),
+        "servers": sorted(servers),
+        "tools": str(config.tools),
+        "store_url": config.store_url,
+        "connect_us": config.connect_us,
+        "tool_timeout_us": config.tool_timeout_us,
+        "store_timeout_ms": config.store_timeout_ms,
+        "claim_ttl_s": config.claim_ttl_s,
+        "connections": config.connections,
+        "sources": str(config.sources) if config.sources else None,
+        **settings_values(config.settings),
+    }
+
+
+def toolcalls_in_flight(key: str) -> bool:
+    return key in IN_FLIGHT or settings_in_flight(key)
+
+
 def loopback(text: str) -> Address:
     """An address on this machine: this front has no transport security, so it serves nothing beyond."""
     address = Address.parse(text)
@@ -106,6 +131,8 @@
 
 
 class ToolcallService:
+    kind = "toolcalls"
+
     def __init__(self, config: ToolcallsConfig, reread: Callable[[], ToolcallsConfig] | None = None) -> None:
         self.config = config
         self.reread = reread or (lambda: self.config)
@@ -140,10 +167,9 @@
             self._serve_with(self.config)
         await self.front.start()
         if managed():
-            from onyxpass.admin.instances import ManagedToolcalls
             from onyxpass.admin.server import Admin
 
-            admin = Admin(ManagedToolcalls(self, self.reread), self.wheel)
+            admin = Admin(self, self.wheel)
             self.tasks.append(asyncio.create_task(admin.run()))
         log.info("listening", name=self.config.name, listen=f"{self.config.listen.host}:{self.front.port}")
 
@@ -181,6 +207,33 @@
         log.info("reloaded", servers=len(fresh.servers), needs_a_restart=list(change.kept))
         return change
 
+    # As its agent manages it
+
+    def values(self) -> Values:
+        return toolcalls_values(self.config)
+
+    def reload_now(self) -> Change:
+        return self.take_over(self.reread)
+
+    def ready(self) -> bool:
+        return not (self.front.closing or self.core.closed)
+
+    def load(self) -> Load:
+        requests, streams, oldest_us = self.core.under_way()
+        return Load(max(requests, self.front.unsent()), streams, oldest_us)
+
+    def leave(self, leaving: bool) -> None:
+        """Its connections stay: on each of them more requests are refused by their own answers."""
+        if not leaving:
+            self.core.reopen()
+
+    def shut(self) -> None:
+        self.core.close()
+
+    def told(self) -> dict[str, Any]:
+        sources = {"sources": self.files.told()} if self.files is not None else {}
+        return {**self.core.rows(), "clients": len(self.front.open), **sources}
+
     async def stop(self) -> None:
         await self.front.stop()
         await self.close()
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -5,14 +5,18 @@
 import subprocess
 import sys
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 from typer.testing import CliRunner
 
 from onyxpass import interface as api
+from onyxpass import tomlfile
 from onyxpass.interface import Status
 from onyxpass.lab.cli import lab_app
+from onyxpass.lab.compare import compared, interval, problems
 from onyxpass.lab.events import Queue, Rank
+from onyxpass.lab.experiment import ExperimentFile, Rows, carry_out, runs_of
 from onyxpass.lab.policies import POLICIES, Random
 from onyxpass.lab.servers import Ask, Server, State, Visit
 from onyxpass.lab.shared import Shared
@@ -205,3 +209,74 @@
     ):
         found = run.invoke(lab_app, list(words))
         assert found.exit_code == 2 and why in found.output and found.output.count("\n") == 1
+
+
+EXPERIMENT = """name = "x"
+policies = ["module", "random"]
+baseline = "module"
+seeds = [1, 2, 3]
+[base]
+seconds = 3.0
+rate = 20.0
+[axes]
+writers = [2.0, 3.0]
+"""
+
+
+def test_an_experiment_that_was_cut_off_goes_on_and_any_number_of_processes_gives_the_same(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / "x.toml"
+    path.write_text(EXPERIMENT)
+    file = tomlfile.read(ExperimentFile, path)
+    runs = runs_of(file)
+    assert len(runs) == 12 and len({run.key for run in runs}) == 12
+    first = Rows(tmp_path / "one.db")
+    assert carry_out(runs[:5], first, 1) == 5  # killed here
+    assert carry_out(runs, first, 1) == 7 and carry_out(runs, first, 1) == 0
+    second = Rows(tmp_path / "two.db")
+    assert carry_out(runs, second, 2) == 12
+
+    def measures(rows: Rows) -> list[dict[str, float]]:
+        return [{k: v for k, v in (rows.get(run) or {}).items() if k != "seconds"} for run in runs]
+
+    assert measures(first) == measures(second)
+    found = compared(file, first)
+    assert [row.pairs for row in found] == [3, 3] and problems(runs, first) == []
+    page = tmp_path / "x.html"
+    made = ["report", str(path), "--rows", str(tmp_path / "one.db"), "--out", str(page)]
+    assert CliRunner().invoke(lab_app, made).exit_code == 0
+    text = page.read_text()
+    assert text.count("data:image/png;base64,") == 4 and "12 of 12 runs played" in text
+    assert "http" not in text, "it needs nothing else"
+    first.close()
+    second.close()
+
+
+def test_a_difference_is_called_noise_unless_the_interval_leaves_nothing_out() -> None:
+    low, high = interval([0.1, 0.12, 0.09, 0.11, 0.1])
+    assert 0.08 < low < high < 0.13
+    low, high = interval([0.3, -0.3, 0.2, -0.1])
+    assert low < 0 < high
+    assert interval([1.0]) == (float("-inf"), float("inf"))
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "line", "why"),
+    [
+        ('"random"]', '"randm"]', 2, "did you mean 'random'"),
+        ('baseline = "module"', 'baseline = "other"', 3, "none of the policies"),
+        ("[1, 2, 3]", "[1, 1]", 4, "twice"),
+        ("rate = 20.0", "rat = 20.0", 7, "did you mean 'rate'"),
+        ("rate = 20.0", "rate = -1", 7, "rate"),
+        ("[2.0, 3.0]", "[]", 9, "writers"),
+    ],
+)
+def test_experiments_are_checked_before_the_first_run(
+    tmp_path: Path, old: str, new: str, line: int, why: str
+) -> None:
+    path = tmp_path / "x.toml"
+    path.write_text(EXPERIMENT.replace(old, new))
+    run = CliRunner().invoke(lab_app, ["run", str(path), "--workers", "1"])
+    assert run.exit_code == 2 and f"{path}:{line}:" in run.output and why in run.output
+    assert not path.with_suffix(".db").exists()
