--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -21,12 +21,6 @@
 ROOT = Path(__file__).parent.parent
 # servers, dispatchers, seconds
 SIZES = ((14, 4, 20.0), (14, 40, 20.0), (100, 4, 5.0), (100, 40, 5.0), (1000, 4, 1.0))
-    (14, 4, 20.0),
-    (14, 40, 20.0),
-    (100, 4, 5.0),
-    (100, 40, 5.0),
-    (1000, 4, 1.0),
-)  # servers, dispatchers, s
 REPEATS = 3
 
 
@@ -61,8 +55,8 @@
         "# The emulator, measured",
         "",
         f"`make bench-lab` on {platform.machine()}, {os.cpu_count()} cores, Python",
-        f"{platform.python_version()}; one core a run, medians of {REPEATS}. Load grows with the servers (50",
-        "first tries a second for 14); the emulated time has 40 s of tail, in which the module's ticks go on.",
+        f"{platform.python_version()}; one core a run, medians of {REPEATS}. Load grows with the servers",
+        "(50 first tries a second for 14); the emulated time has a tail of 40 s, in which ticks go on.",
         "`us`: of wall time for each event told to a policy, the emulator's own work included. The ratio is",
         "the module's time to the plain policy's.",
         "",
