--- a/onyxpass/agent/operations.py
+++ b/onyxpass/agent/operations.py
@@ -43,10 +43,6 @@
         self.detail = detail
 
 
-class Unknown(Exception):
-    """The instance was told, and does not say how it went."""
-
-
 class Busy(Exception):
     """Another order on the same instance is under way."""
 
@@ -108,7 +104,7 @@
             operation.state, operation.reason, operation.detail = "failed", str(problem), problem.detail
         except ConfigError as problem:
             operation.state, operation.reason = "failed", str(problem)
-        except (Unknown, TimeoutError) as problem:
+        except TimeoutError as problem:
             operation.state, operation.reason = "unknown", str(problem) or "no end within its time"
         except NotSent as problem:
             operation.state, operation.reason = "failed", f"the instance can't be reached: {problem}"
--- a/onyxpass/fleet/rollout.py
+++ b/onyxpass/fleet/rollout.py
@@ -202,9 +202,7 @@
 
     def _judge(self) -> None:
         counts = self.tally.counts()
-        told = [o for o in self.tally.outcomes().values() if o.kind in (Kind.FAILED, Kind.UNKNOWN)]
-        bad = len(told)
-        if not self.aborted and bad >= self.pace.abort_after:
+        if not self.aborted and counts["failed"] + counts["unknown"] >= self.pace.abort_after:
             self.aborted = f"aborted after {counts['failed']} failed and {counts['unknown']} unknown"
 
     def _wave(self, now_s: float) -> list[Action]:
