Read the place of a TOML fault in one function

Our files and the watched files each took line and column out of the parser's message by the same two patterns; tomlfile has one function for both now.

--- a/onyxpass/sources/form.py
+++ b/onyxpass/sources/form.py
@@ -141,10 +141,9 @@
         line = data[: problem.start].count(b"\n") + 1
         return None, "", [Fault(file, "not UTF-8", line, problem.start - data.rfind(b"\n", 0, problem.start))]
     except tomllib.TOMLDecodeError as problem:
-        place = re.search(r"\(at line (\d+), column (\d+)\)", str(problem))
-        reason = re.sub(r" \(at .*\)$", "", str(problem))
-        if place is not None:
-            return None, "", [Fault(file, reason, int(place[1]), int(place[2]))]
+        reason, line, column = tomlfile.syntax_fault(problem)
+        if line:
+            return None, "", [Fault(file, reason, line, column)]
         lines = text.split("\n")
         return None, "", [Fault(file, f"{reason}: is it cut off?", len(lines), len(lines[-1]) + 1)]
     except (RecursionError, ValueError) as problem:
--- a/onyxpass/tomlfile.py
+++ b/onyxpass/tomlfile.py
@@ -126,15 +126,21 @@
         raise ConfigError(f"{where}{line}: {named + ': ' if named else ''}{reason}{more}") from problem
 
 
+def syntax_fault(problem: tomllib.TOMLDecodeError) -> tuple[str, int, int]:
+    """Reason, line and column; line 0 where the text ends too early."""
+    place = re.search(r"\(at line (\d+), column (\d+)\)", str(problem))
+    reason = re.sub(r" \(at .*\)$", "", str(problem))
+    return (reason, int(place[1]), int(place[2])) if place else (reason, 0, 0)
+
+
 def read(model: type[Found], path: Path) -> Found:
     """The file as a model; ConfigError with file, line and reason."""
     try:
         text = path.read_text(encoding="utf-8")
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as problem:
-        place = re.search(r"\(at line (\d+), column (\d+)\)", str(problem))
-        at = f":{place[1]}:{place[2]}" if place else ""
-        reason = re.sub(r" \(at .*\)$", "", str(problem))
+        reason, line, column = syntax_fault(problem)
+        at = f":{line}:{column}" if line else ""
         raise ConfigError(f"{path}{at}: {reason}") from problem
     except (OSError, UnicodeDecodeError, RecursionError) as problem:
         reason = problem.strerror if isinstance(problem, OSError) and problem.strerror else str(problem)
