--- a/onyxpass/fleet/caller.py
+++ b/onyxpass/fleet/caller.py
@@ -12,6 +12,7 @@
 from onyxpass.net.ask import Answer, NoAnswer, NotSent, ask, at_address
 
 SPARE = 64  # descriptors for all else
+RELEASE_S = 3.0  # for an agent to be given back
 WAIT_MS = 1_000  # for which an agent may hold back an answer that is not final
 
 
@@ -53,6 +54,14 @@
             self.open -= 1
             self.slots.release()
 
+    async def release(self, agent: AgentRef, rollout: str) -> str:
+        """Give an agent back; why that could not be told it, else nothing. Its hold then ends by itself."""
+        try:
+            await self.call(agent, "POST", "/v1/release", {"rollout": rollout}, RELEASE_S)
+        except (NotSent, NoAnswer) as problem:
+            return str(problem)
+        return ""
+
     async def order(
         self,
         member: Member,
--- a/onyxpass/fleet/runner.py
+++ b/onyxpass/fleet/runner.py
@@ -131,10 +131,8 @@
 
     async def give_agents_back(self) -> None:
         async def release(agent: AgentRef) -> None:
-            try:
-                await self.caller.call(agent, "POST", "/v1/release", {"rollout": self.id}, LOOK_S)
-            except (NotSent, NoAnswer) as problem:
-                self.told("release", {"host": agent.host, "problem": str(problem)})  # it ends by itself
+            if problem := await self.caller.release(agent, self.id):
+                self.told("release", {"host": agent.host, "problem": problem})
 
         await asyncio.gather(*(release(agent) for agent in self._agents()))
 
--- a/onyxpass/fleet/tool.py
+++ b/onyxpass/fleet/tool.py
@@ -260,11 +260,7 @@
                 return found.id, True
             record.hold(found.id)
             record.end(found.id, "aborted", why)
-            for agent in self.fleet.agents:
-                try:
-                    await self.caller.call(agent, "POST", "/v1/release", {"rollout": found.id}, LIST_S)
-                except (NotSent, NoAnswer):
-                    continue  # its hold ends by itself
+            await asyncio.gather(*(self.caller.release(agent, found.id) for agent in self.fleet.agents))
             return found.id, False
         finally:
             record.close()
--- a/onyxpass/sources/form.py
+++ b/onyxpass/sources/form.py
@@ -177,8 +177,7 @@
         loc = (*base, *error["loc"])
         reason = error["msg"].removeprefix("Value error, ")
         if error["type"] == "extra_forbidden":
-            known = tomlfile.names_at(WatchedFile, loc[:-1])
-            reason = f"unknown key {loc[-1]!r}{tomlfile.likely(str(loc[-1]), known)}"
+            reason = f"unknown key {loc[-1]!r}{tomlfile.meant(WatchedFile, loc)}"
         elif error["type"] == "missing":
             reason = f"{loc[-1]} is absent"
         elif loc:
--- a/onyxpass/tomlfile.py
+++ b/onyxpass/tomlfile.py
@@ -104,6 +104,11 @@
     return list(at.get("properties", ()))
 
 
+def meant(model: type[BaseModel], loc: Sequence[Step]) -> str:
+    """What an unknown key was probably meant to be, as the end of a sentence."""
+    return likely(str(loc[-1]), names_at(model, loc[:-1]))
+
+
 def check(model: type[Found], raw: Mapping[str, Any], text: str = "", where: str = "the file") -> Found:
     """``raw`` as a model; ConfigError names the first fault with its line in ``text``."""
     try:
@@ -118,7 +123,7 @@
         named = ".".join(str(part + 1) if isinstance(part, int) else part for part in loc)
         reason = first["msg"].removeprefix("Value error, ")
         if first["type"] == "extra_forbidden":
-            reason = "unknown key" + likely(str(loc[-1]), names_at(model, loc[:-1]))
+            reason = "unknown key" + meant(model, loc)
         elif first["type"] == "missing":
             reason = "is absent"
         more = f" (and {problem.error_count() - 1} more)" if problem.error_count() > 1 else ""
