--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What a developer needs, by name. The platform uses deploy/balancer.toml.
-.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet bench-sources bench-lab
+.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet bench-sources bench-lab bench-start
 
 build:
 	test -d .venv || python3 -m venv .venv
@@ -46,3 +46,7 @@
 
 clean:
 	rm -rf .venv .venv-dev .mypy_cache .ruff_cache .pytest_cache
+
+# EARLIER: a checkout of the build to compare with
+bench-start: dev
+	.venv-dev/bin/python benchmarks/start.py $(EARLIER)
--- /dev/null
+++ b/benchmarks/start.py
@@ -0,0 +1,119 @@
+"""Measures what a dispatcher costs that serves nothing: `make bench-start`; writes docs/measurements/.
+
+Two builds in turn, the present one and the one checked out in the folder that is given: the processor time
+and the memory of a start till its list is whole, and the processor time of a second in which nothing happens.
+
+    python benchmarks/start.py EARLIER [RUNS]     # EARLIER: a checkout, for example by `git worktree add`
+"""
+
+import asyncio
+import json
+import os
+import platform
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from onyxpass.standin.replicas import StandinFleet
+from onyxpass.standin.settings import dispatcher_file
+
+ROOT = Path(__file__).parent.parent
+READERS, WRITERS, PEERS = 45, 55, 200
+IDLE_S = 4.0
+MEASURES = {
+    "start, CPU in s": "start_cpu_s",
+    "start, time in s": "start_s",
+    "memory, RSS in MB": "mb",
+    "memory of its own, in MB": "own_mb",
+    "an idle second, CPU in ms": "idle_ms",
+}
+
+
+def cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def memory_mb(pid: int, key: str) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith(key + ":"):
+            return int(line.split()[1]) / 1024
+    raise KeyError(key)
+
+
+async def ready(port: int) -> None:
+    """Returns once the dispatcher has its whole list."""
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /health/ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+            told = await reader.read()
+            writer.close()
+            if told.startswith(b"HTTP/1.1 200"):
+                return
+        except OSError:
+            pass
+        await asyncio.sleep(0.005)
+
+
+async def one(build: Path, fleet: StandinFleet, folder: Path) -> dict[str, float]:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        port = sock.getsockname()[1]
+    told = dispatcher_file("n0", f"127.0.0.1:{port}", fleet, PEERS)
+    (folder / "config.json").write_text(json.dumps(told))
+    environ = {k: v for k, v in os.environ.items() if not k.startswith(("ROUTER_", "PYTHON"))}
+    environ |= {"ROUTER_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder), "PYTHONPATH": str(build)}
+    began_s = time.monotonic()
+    process = subprocess.Popen(
+        [sys.executable, "-m", "onyxpass", "serve"], cwd=build, env=environ, stdout=subprocess.DEVNULL
+    )
+    try:
+        await ready(port)
+        found = {"start_s": time.monotonic() - began_s, "start_cpu_s": cpu_s(process.pid)}
+        await asyncio.sleep(0.5)
+        before_s = cpu_s(process.pid)
+        await asyncio.sleep(IDLE_S)
+        found["idle_ms"] = (cpu_s(process.pid) - before_s) / IDLE_S * 1000
+        found["mb"], found["own_mb"] = memory_mb(process.pid, "VmRSS"), memory_mb(process.pid, "RssAnon")
+    finally:
+        process.terminate()
+        await asyncio.to_thread(process.wait)
+    return found
+
+
+async def main(earlier: Path, runs: int) -> None:
+    for build in (earlier, ROOT):
+        subprocess.run([sys.executable, "-m", "compileall", "-q", str(build / "onyxpass")], check=True)
+    fleet = await StandinFleet(READERS, WRITERS).start()
+    found: dict[Path, list[dict[str, float]]] = {earlier: [], ROOT: []}
+    with tempfile.TemporaryDirectory(prefix="onyxpass-start-") as folder:
+        for _ in range(runs):
+            for build, rows in found.items():
+                rows.append(await one(build, fleet, Path(folder)))
+    await fleet.stop()
+    what = subprocess.run(
+        ["git", "log", "-1", "--format=%h %s"], cwd=earlier, capture_output=True, text=True, check=True
+    )
+    lines = [
+        "# What a dispatcher costs before it serves anything",
+        "",
+        f"`make bench-start`, {runs} runs of each build in turn, medians. {os.cpu_count()} cores,",
+        f"{platform.machine()}, Python {platform.python_version()}. {READERS} readers and {WRITERS} writers",
+        f"on the list, {PEERS} dispatchers told. Earlier build: `{what.stdout.strip()}`.",
+        "",
+        "| measure | earlier | now | ratio |",
+        "| --- | --- | --- | --- |",
+    ]
+    for title, key in MEASURES.items():
+        old, new = (statistics.median(row[key] for row in rows) for rows in found.values())
+        lines.append(f"| {title} | {old:.3g} | {new:.3g} | {new / old:.2f} |")
+    print("\n".join(lines))
+    (ROOT / "docs" / "measurements" / "start.md").write_text("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    asyncio.run(main(Path(sys.argv[1]).resolve(), int(sys.argv[2]) if len(sys.argv) > 2 else 20))
--- a/onyxpass/__main__.py
+++ b/onyxpass/__main__.py
@@ -1,6 +1,8 @@
-"""``python -m onyxpass``: the command line."""
+"""``python -m onyxpass``."""
 
-from onyxpass.cli import main
+import sys
+
+from onyxpass.start import main
 
 if __name__ == "__main__":
-    main()
+    sys.exit(main())
--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -7,7 +7,6 @@
 import hashlib
 import math
 from collections import Counter, OrderedDict, deque
-from statistics import median
 
 from onyxpass import interface as api
 from onyxpass.interface import ListForm, Repeat, Role, Scope, Status
@@ -49,6 +48,11 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
 
 
+def median(values: "list[float]") -> float:  # without the 1.5 MB and the start time of ``statistics``
+    ordered, half = sorted(values), len(values) // 2
+    return (ordered[half] + ordered[~half]) / 2
+
+
 def ranked(key: str, servers: "list[Host]") -> "list[Host]":
     """Consistent (highest-weight) hashing over the sorted servers: who leaves moves its keys only."""
     draws = {h: (1 + stable(f"{key}|{h.id}")) / (2 + 2**64) for h in servers}
@@ -57,7 +61,7 @@
 
 def divert(matched: "Host", ready: "list[Host]") -> "Host":
     """The twice-median escape: a matched server that is clearly busier than its peers is passed by."""
-    middle, here = median(h.in_flight() for h in ready), matched.in_flight()
+    middle, here = median([h.in_flight() for h in ready]), matched.in_flight()
     if here > 2 * middle and here > middle + FLOOR:
         return min(ready, key=lambda h: (h.in_flight(), sum(h.flight.values()), h.id))
     return matched
@@ -250,11 +254,12 @@
                 self._retuned(settings)
             case api.Adopted(request, server, tokens) if host := self.hosts.get(server):
                 host.streams[request] = (now_us, tokens)  # it holds memory there all the same
+        if not (self.ticking or isinstance(event, api.TimerFired)):  # each event may bring what ticks look at
+            self.ticking = True
+            self.acts.append(api.SetTimer(0, TICK_US))
         return self.acts
 
     def _listed(self, event: api.ListUpdate) -> None:
-        if not self.ticking:
-            self.ticking, self.acts = True, [api.SetTimer(0, TICK_US)]
         if self.settings.subscribe and event.form in (ListForm.SAVED, ListForm.FAILED):
             self.acts.append(api.Subscribe() if event.form is ListForm.SAVED else api.FetchList())
             self.ask_again_us = self.now_us + self.settings.ask_within_us // 4
@@ -588,6 +593,10 @@
                 host.proved, host.out_until_us = True, min(host.out_until_us, self.now_us)
 
     def _tick(self) -> None:
+        ill = any(h.strikes and not h.proved for h in self.hosts.values())
+        if not (self.jobs or ill or self.ask_again_us >= 0):  # guards against hundreds that tick for nothing
+            self.ticking = False
+            return
         self.acts.append(api.SetTimer(0, TICK_US))
         if 0 <= self.ask_again_us <= self.now_us:
             self.ask_again_us = self.now_us + self.settings.ask_within_us // 2
--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -1,19 +1,16 @@
 """The command line."""
 
 import asyncio
-import logging
 import os
 import sys
 from collections.abc import Awaitable, Callable
-from importlib.metadata import PackageNotFoundError
-from importlib.metadata import version as installed
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
-import structlog
 import typer
 
 from onyxpass import config as configuration
+from onyxpass import logs
 
 app = typer.Typer(
     no_args_is_help=True, add_completion=False, help="A dispatcher for reader and writer replicas."
@@ -22,6 +19,7 @@
 app.add_typer(agent_app, name="agent")
 Answer = TypeVar("Answer")
 Found = TypeVar("Found")
+Level = Literal["debug", "info", "warning", "error", "critical"]
 ConfigFile = Annotated[
     Path | None, typer.Option("--config", help="The platform's JSON; else $ROUTER_CONFIG.")
 ]
@@ -47,21 +45,6 @@
     app(prog_name="onyxpass")
 
 
-def set_up_logging(level: str) -> None:
-    """One JSON object a line on standard output, which is what the platform keeps as the log."""
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.dict_tracebacks,
-            structlog.processors.JSONRenderer(),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelNamesMapping()[level.upper()]),
-        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
-        cache_logger_on_first_use=True,
-    )
-
-
 def read_toml(load: Callable[[Path], Found], path: Path) -> Found:
     try:
         return load(path)
@@ -84,19 +67,14 @@
     servers: Annotated[
         Path | None, typer.Option("--servers", help="Our TOML file of watched files; else $ONYXPASS_SERVERS.")
     ] = None,
-    log_level: str = "info",
+    log_level: Level = "info",
 ) -> None:
     """Run one dispatcher in the foreground till SIGTERM; SIGHUP reads the configuration again."""
-    from onyxpass.serve import serve as run
+    from onyxpass.start import run
 
     if servers is not None:
         os.environ[configuration.SERVERS] = str(servers)
-    set_up_logging(log_level)
-    try:
-        asyncio.run(run(read(config), lambda: configuration.load(config, again=True)))
-    except configuration.ConfigError as problem:
-        typer.echo(f"onyxpass: {problem}", err=True)
-        raise typer.Exit(2) from problem
+    raise typer.Exit(run(config, log_level))
 
 
 @app.command("check-config")
@@ -120,6 +98,9 @@
 
 
 def version_text() -> str:
+    from importlib.metadata import PackageNotFoundError
+    from importlib.metadata import version as installed
+
     try:
         return installed("onyxpass")
     except PackageNotFoundError:  # run from the source tree
@@ -138,7 +119,7 @@
 def toolcalls(
     config: Annotated[Path, typer.Option("--config", help="The operator's TOML file.")],
     check: Annotated[bool, typer.Option("--check", help="Only read the file and say what it holds.")] = False,
-    log_level: str = "info",
+    log_level: Level = "info",
 ) -> None:
     """Run the JSON-RPC front in the foreground till SIGTERM; SIGHUP reads its servers again."""
     from onyxpass.toolcalls import service
@@ -148,7 +129,7 @@
         typer.echo(f"{found.name}: listens on {found.listen}, tool server at {found.tools}")
         typer.echo(f"servers: {', '.join(server.id for server, _ in found.servers)}")
         return
-    set_up_logging(log_level)
+    logs.set_up(log_level)
     asyncio.run(service.serve(found, lambda: service.load(config)))
 
 
@@ -156,7 +137,7 @@
 def agent_run(
     config: Annotated[Path, typer.Option("--config", help="The operator's TOML file.")],
     check: Annotated[bool, typer.Option("--check", help="Only read the file and say what it holds.")] = False,
-    log_level: str = "info",
+    log_level: Level = "info",
 ) -> None:
     """Start, watch and restart the instances of a file till SIGTERM; then stop them all."""
     from onyxpass.agent import config as agent_config
@@ -168,7 +149,7 @@
         typer.echo(f"{found.name}: address {found.listen or 'none'}, state in {found.state or 'memory only'}")
         typer.echo(f"instances: {', '.join(spec.name for spec in found.instances)}")
         return
-    set_up_logging(log_level)
+    logs.set_up(log_level)
     try:
         asyncio.run(program.run(found))
     except configuration.ConfigError as problem:
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -16,6 +16,7 @@
 from onyxpass.core.figures import Figures
 from onyxpass.core.requests import Attempt, Client, Fleet, Request
 from onyxpass.core.wheel import Wheel
+from onyxpass.core.worth import judge, pace_us
 from onyxpass.interface import Status
 
 ANSWER_ROOM_US = 20_000  # the module's deadline lies so far before the client's: an answer has to travel
@@ -178,7 +179,7 @@
             attempt.timer.drop()
         if request.out is attempt:
             request.out = None
-        elapsed_us = self.clock.now_us() - attempt.sent_us
+        elapsed_us = attempt.took_us = self.clock.now_us() - attempt.sent_us
         request.interrupted = status in INTERRUPTED and attempt.reads
         if status is Status.READ or request.interrupted:
             request.may_hold, request.holder = True, attempt.server
@@ -186,9 +187,7 @@
         if attempt.view:
             told["view"] = attempt.view
         if status is Status.SERVED:
-            wait_us = attempt.sent_us + attempt.first_us - request.arrived_us  # all that the client waited
-            times = {"wait_us": wait_us, "first_us": attempt.first_us, "gap_us": attempt.gap_us}
-            log.info("served", **told, **times, us=elapsed_us, parts=attempt.parts)
+            log.info("served", **told, **self._timed(attempt))
         elif status is not Status.READ:
             log.info("attempt", **told, end=status.value, us=elapsed_us, why=reason)
         if request.committed is attempt and not request.over:
@@ -201,6 +200,24 @@
             api.Outcome(request.number, attempt.number, attempt.server, status, elapsed_us, final, note)
         )
 
+    def _timed(self, attempt: Attempt) -> dict[str, object]:
+        """Where the time of an answer went, whether it was in time, and the figures of that."""
+        request = attempt.request
+        wait_us = attempt.sent_us + attempt.first_us - request.arrived_us  # all that the client waited
+        pace = pace_us(attempt.took_us - attempt.first_us, attempt.tokens)
+        told: dict[str, object] = {"wait_us": wait_us, "first_us": attempt.first_us, "gap_us": attempt.gap_us}
+        told |= {"us": attempt.took_us, "parts": attempt.parts, "token_us": pace}
+        if (
+            read := next((a for a in reversed(request.attempts) if a.status is Status.READ), None)
+        ) is not None:
+            told |= {"reader": read.server, "read_us": read.took_us}
+        cls = next((c for c in self.settings.classes if c.name == request.arrival.cls), None)
+        if cls is not None:
+            judged = judge(cls, request.arrival.prompt_tokens, wait_us, pace)
+            told |= {"worth": judged.timing.value, "for": judged.cause} if judged.cause else {}
+            self.figures.timed(cls.name, judged.timing)
+        return told
+
     def listed(self, update: api.ListUpdate) -> None:
         """The list has changed; sends that still wait see it at once."""
         if update.form in (api.ListForm.FULL, api.ListForm.SAVED):
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -48,6 +48,8 @@
     parts: int = 0  # of its stream, so far
     part_us: int = 0  # when the last one came
     gap_us: int = 0  # the longest time between two of them
+    took_us: int = 0  # from the send to its end
+    tokens: int = 0  # of its answer, as its last events told; 0 if they did not
 
     @property
     def committed(self) -> bool:
--- a/onyxpass/core/wheel.py
+++ b/onyxpass/core/wheel.py
@@ -9,6 +9,7 @@
 from onyxpass.core.clock import Clock
 
 TICK_US = 5_000
+AHEAD = 64  # ticks that it sleeps at most with no timer in between
 SLOTS = 512  # one turn is 2.56 s; what lies further ahead waits some turns in its slot
 log = structlog.get_logger("wheel")
 
@@ -59,18 +60,28 @@
 
 
 class Wheel:
-    """Ticks while it runs. Timers that are due fire in the order of their ticks."""
+    """Ticks while it runs. Timers that are due fire in the order of their ticks.
+
+    It sleeps till the next tick that has a timer, so that a dispatcher with nothing to do costs next to
+    nothing: where hundreds share a machine, ticks that fire nothing were most of what they cost.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self._slots: list[set[Timer]] = [set() for _ in range(SLOTS)]
         self._tick = clock.now_us() // TICK_US
+        self._loop: asyncio.AbstractEventLoop | None = None  # while it runs
+        self._next: asyncio.TimerHandle | None = None
+        self._next_tick = 0
+        self._failed: asyncio.Future[None] | None = None
 
     def after(self, delay_us: int, call: Callable[[], None]) -> Timer:
         due = max(self._tick + 1, -(-(self.clock.now_us() + max(0, delay_us)) // TICK_US))
         slot = self._slots[due % SLOTS]
         timer = Timer(due, call, slot)
         slot.add(timer)
+        if self._loop is not None and due < self._next_tick:
+            self._sleep_till(self._loop, due)
         return timer
 
     def limit(self, delay_us: int) -> Limit:
@@ -103,6 +114,32 @@
                         log.exception("a timer's call failed")
 
     async def run(self) -> None:
-        while True:
-            await asyncio.sleep((TICK_US - self.clock.now_us() % TICK_US) / 1e6)
+        self._loop = asyncio.get_running_loop()
+        self._failed = self._loop.create_future()
+        self._turn()
+        try:
+            await self._failed  # never done but by an error, which ends the program
+        finally:
+            self._loop = None
+            if self._next is not None:
+                self._next.cancel()
+
+    def _turn(self) -> None:
+        loop, failed = self._loop, self._failed
+        if loop is None or failed is None or failed.done():
+            return
+        try:
+            self._next_tick = self._tick  # what is set meanwhile is found by the look at the slots
             self.advance()
+            # A slot may hold timers of a later turn only; then it is looked at once in vain.
+            ahead = next((n for n in range(1, AHEAD) if self._slots[(self._tick + n) % SLOTS]), AHEAD)
+            self._sleep_till(loop, self._tick + ahead)
+        except Exception as problem:  # guards against a dispatcher that lives on without its wheel
+            failed.set_exception(problem)
+
+    def _sleep_till(self, loop: asyncio.AbstractEventLoop, tick: int) -> None:
+        if self._next is not None:
+            self._next.cancel()
+        self._next_tick = tick
+        wait_us = tick * TICK_US - self.clock.now_us()
+        self._next = loop.call_later(max(0, wait_us) / 1e6, self._turn)
--- a/onyxpass/handover.py
+++ b/onyxpass/handover.py
@@ -20,6 +20,7 @@
 from onyxpass.core.wheel import Wheel
 
 LOOK_US = 50_000  # between looks at what the other process has left
+SKIP_MOST = 20  # looks left out in a row, alone in a folder whose time has not changed
 LOCK_TRY_US, LOCK_MOST_US = 5_000, 200_000
 AGREE_US = 400_000  # for the other process to take over a ban; an operator's call has 1 s in all
 FILE_MOST = 1024 * 1024
@@ -74,6 +75,7 @@
         self._name = ""
         self._told = b""
         self._stamp: tuple[int, int, int] | None = None
+        self._folder_ns = self._skipped = 0
 
     # The life of a process
 
@@ -98,10 +100,28 @@
 
     def _again(self) -> None:
         try:
-            self.look()
+            if self._changed():
+                self.look()
         finally:  # guards against a process that never looks again after one bad look
             self._turn()
 
+    def _changed(self) -> bool:
+        """Whether there is anything to look at: alone, with a folder as it was, there is not.
+
+        Guards against files listed and read twenty times a second all day, for the sake of an upgrade.
+        """
+        self._skipped += 1
+        if self.folder is None or self.others or self.stopping or self._skipped >= SKIP_MOST:
+            return True
+        try:
+            changed_ns = os.stat(self.folder).st_mtime_ns
+        except OSError:
+            return True
+        if changed_ns == self._folder_ns:
+            return False
+        self._folder_ns = changed_ns
+        return True
+
     def resize(self, sockets: int) -> None:
         """Another limit of descriptors, for all processes of this dispatcher together."""
         self.sockets = sockets
@@ -127,6 +147,7 @@
 
     def look(self) -> None:
         """Who else runs, what has been taken out, and what that means for this process."""
+        self._skipped = 0
         if self.folder is None:
             return
         try:
--- a/onyxpass/net/answers.py
+++ b/onyxpass/net/answers.py
@@ -1,6 +1,7 @@
 """What replicas send: heads, whole chunks, whole events. What does not fit is ``Broken``, never passed on."""
 
 import json
+import re
 
 import h11
 
@@ -8,6 +9,8 @@
 from onyxpass.net.http import BODY_LIMIT, Broken, Wire, header
 
 EVENT_MOST = BODY_LIMIT  # of one event, and of one chunk
+TAIL = 512  # bytes of the last events in which the usage may stand
+USAGE = re.compile(rb'"completion_tokens"\s*:\s*([0-9]{1,9})')
 PART_US = 1_000_000  # from the first bytes of a head, chunk or small body to its last
 BLANK_LINES = (b"\n\n", b"\n\r\n", b"\r\r")
 Part = h11.Event | type[h11.PAUSED] | bytes  # of an answer: its head, a whole chunk, its end
@@ -109,6 +112,7 @@
         """``rest``: of a stream whose first event has been seen elsewhere, what is there of the next one."""
         self._rest = bytearray(rest or b"")
         self._sound = rest is not None
+        self.tail = b""  # of what has been cut off so far
 
     def feed(self, data: bytes) -> bytes:
         """All events that are whole by now, once the first that carries data is among them."""
@@ -123,8 +127,14 @@
             return b""
         whole = bytes(self._rest[:end])
         del self._rest[:end]
+        self.tail = whole if len(whole) >= TAIL else (self.tail + whole)[-TAIL:]
         return whole
 
+    def tokens(self) -> int:
+        """Of the answer, as its last events tell; 0 if they do not."""
+        told = USAGE.findall(self.tail)
+        return min(BODY_LIMIT, int(told[-1])) if told else 0
+
     @property
     def held(self) -> bytes:
         """The part of the next event that has come."""
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -351,6 +351,7 @@
                 async with self.wheel.limit(TAKE_US):  # a client that takes nothing holds no replica for ever
                     await client.relay(whole)
             elif isinstance(part, h11.EndOfMessage):
+                attempt.tokens = events.tokens()
                 if attempt.committed and whole_at_end and not events.rest:
                     return Status.SERVED, 0, ""
                 raise Broken("the stream was not whole")
@@ -517,5 +518,5 @@
         for actor in list(self.actors.values()):
             if actor.finished:
                 self.part(actor)
-            else:
+            elif actor.idle:  # guards against waking a hundred actors each second for nothing
                 actor.tell(Sweep(everything))
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -230,6 +230,7 @@
         log.error("can't start", why=str(problem))
         raise SystemExit(1) from problem
     gc.collect()
+    gc.enable()  # off while the program was loaded
     gc.freeze()  # what lives as long as the process is not looked at again by the collector
     ended = asyncio.create_task(stopping.wait())
     await asyncio.wait([ended, *dispatcher.tasks], return_when=asyncio.FIRST_COMPLETED)
--- a/onyxpass/standin/replicas.py
+++ b/onyxpass/standin/replicas.py
@@ -145,7 +145,9 @@
         await asyncio.sleep(self.speed.first_s)
         count = max(1, min(self.speed.tokens, int(json.loads(text).get("max_tokens") or self.speed.tokens)))
         events = [self._event("word " * TOKENS_AN_EVENT) for _ in range(-(-count // TOKENS_AN_EVENT))]
-        events += [self._event("", "stop"), b"data: [DONE]\n\n"]
+        usage = {"choices": [], "usage": {"prompt_tokens": 0, "completion_tokens": count}}
+        events += [self._event("", "stop"), b"data: " + json.dumps(usage).encode() + b"\n\n"]
+        events.append(b"data: [DONE]\n\n")
         wire.write(h11.Response(status_code=200, headers=STREAM))
         for number, event in enumerate(events):
             if fault is not None and fault.after == number and fault.kind in ("break", "silent"):
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,201 @@
+"""A start: what is loaded and asked of the system, and what a dispatcher costs that has nothing to do."""
+
+import asyncio
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+from test_net import READ, STREAM, Discovery, Replica, ask
+from test_program import RAW, ROOT
+
+from onyxpass import interface as api
+from onyxpass.choice import Router
+from onyxpass.core.clock import Clock
+from onyxpass.core.wheel import Wheel
+from onyxpass.handover import Handover
+from onyxpass.start import UNUSED, without
+
+# What a host may refuse to a dispatcher. Starting programs ends it at once with exit code 97, so that no
+# handler of ours can hide it; a Unix socket by its path is refused as such a host does.
+GUARD = """
+import os, runpy, sys
+def guard(event, args):
+    if event in ("os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.system", "subprocess.Popen"):
+        os.write(2, f"refused: {event}\\n".encode())
+        os._exit(97)
+    if event in ("socket.bind", "socket.connect") and isinstance(args[1], (str, bytes)):
+        os.write(2, b"a Unix socket\\n")
+        raise OSError(97, "Address family not supported by protocol")
+sys.addaudithook(guard)
+sys.argv = ["onyxpass", *sys.argv[1:]]
+runpy.run_module("onyxpass", run_name="__main__")
+"""
+
+
+def test_run_ends_in_one_process_that_needs_no_shell() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    for key in ("run", "sim"):
+        assert re.fullmatch(r"exec \.venv/bin/python -m onyxpass[a-z. ]*", deploy[key]), key
+    assert deploy["run"].endswith(" serve"), "with nothing to parse: the short way in"
+    assert "compileall" in deploy["build"], "nothing can be written once it runs"
+
+
+def guarded(path: Path, folder: Path, script: str, *words: str) -> "subprocess.Popen[str]":
+    environ = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
+    environ |= {"ROUTER_CONFIG": str(path), "TMPDIR": str(folder)}
+    return subprocess.Popen(
+        [sys.executable, "-c", script, *words],
+        cwd=ROOT, env=environ, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+    )  # fmt: skip
+
+
+def test_serve_starts_no_program_and_needs_no_unix_socket(tmp_path: Path) -> None:
+    async def go() -> None:
+        discovery, reader, writer = Discovery(), Replica(READ), Replica(STREAM)
+        for part in (discovery, reader, writer):
+            await part.start()
+        discovery.hosts = [
+            discovery.entry("r0", "r", reader.address),
+            discovery.entry("w0", "w", writer.address),
+        ]
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({**RAW, "discovery": discovery.address, "listen": "127.0.0.1:0"}))
+        process = await asyncio.to_thread(guarded, path, tmp_path, GUARD, "serve")
+        assert process.stdout is not None
+        seen: dict[str, int] = {}
+        while not {"listening", "list"} <= seen.keys():
+            line = json.loads(await asyncio.to_thread(process.stdout.readline))
+            seen[line["event"]] = int(str(line.get("listen", "0")).rpartition(":")[2])
+        source, sink = await asyncio.open_connection("127.0.0.1", seen["listening"])
+        sink.write(ask("a1", "a"))
+        assert (await source.readuntil(b"0\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        process.send_signal(signal.SIGTERM)
+        _, told = await asyncio.to_thread(process.communicate)
+        assert process.returncode == 0, told
+        assert "a Unix socket" in told, "the guard is at work, and what it refused was not needed"
+        sink.close()
+        for part in (discovery, reader, writer):
+            await part.stop()
+
+    asyncio.run(asyncio.wait_for(go(), 60))
+
+
+def test_the_guard_sees_a_program_that_is_started(tmp_path: Path) -> None:
+    planted = GUARD.replace(
+        "runpy.run_module", "import subprocess; subprocess.run(['true']); runpy.run_module"
+    )
+    process = guarded(tmp_path / "none.json", tmp_path, planted, "serve")
+    _, told = process.communicate(timeout=30)
+    assert process.returncode == 97 and "subprocess.Popen" in told
+
+
+def test_serve_loads_nothing_that_it_does_not_use(tmp_path: Path) -> None:
+    script = GUARD.replace(
+        'runpy.run_module("onyxpass", run_name="__main__")',
+        "import atexit; atexit.register(lambda: print('\\n'.join(sys.modules)))\n"
+        'runpy.run_module("onyxpass", run_name="__main__")',
+    )
+    process = guarded(tmp_path / "none.json", tmp_path, script, "serve")
+    loaded, told = process.communicate(timeout=30)
+    assert process.returncode == 2 and told.startswith("onyxpass: ") and told.count("\n") == 1, told
+    loaded_now = set(loaded.split())
+    assert "onyxpass.serve" in loaded_now, "it got as far as its configuration"
+    heavy = {*UNUSED, "typer", "pydantic", "redis", "statistics", "importlib.metadata", "email", "tomllib"}
+    assert not heavy & loaded_now
+
+
+def test_what_was_left_out_can_be_loaded_later() -> None:
+    sys.modules.pop("symtable", None)
+    with without("symtable", "json"):
+        with pytest.raises(ImportError):
+            __import__("symtable")
+        assert __import__("json") is json, "what is there stays"
+    assert __import__("symtable").symtable
+
+
+def test_a_bad_level_is_told_in_one_line() -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "onyxpass", "serve", "--log-level", "loud"],
+        cwd=ROOT, capture_output=True, text=True, timeout=30,
+    )  # fmt: skip
+    assert done.returncode == 2 and "Traceback" not in done.stderr
+
+
+def test_the_wheel_sleeps_till_the_next_timer_and_wakes_for_an_earlier_one() -> None:
+    async def go() -> None:
+        wheel, fired = Wheel(Clock()), list[str]()
+        turns, turn = 0, wheel._turn
+
+        def counted() -> None:
+            nonlocal turns
+            turns += 1
+            turn()
+
+        wheel._turn = counted  # type: ignore[method-assign]
+        running = asyncio.create_task(wheel.run())
+        await asyncio.sleep(0)
+        late = wheel.after(3_000_000, lambda: fired.append("late"))
+        await wheel.sleep(150_000)
+        assert turns < 15, "it does not tick for nothing"
+        wheel.after(20_000, lambda: fired.append("soon"))
+        wheel.after(20_000, lambda: wheel.after(0, lambda: fired.append("from within")))
+        await wheel.sleep(60_000)
+        assert fired == ["soon", "from within"]
+        late.drop()
+        running.cancel()
+
+    asyncio.run(asyncio.wait_for(go(), 30))
+
+
+def test_a_wheel_that_fails_ends_its_task() -> None:
+    async def go() -> None:
+        wheel = Wheel(Clock())
+        running = asyncio.create_task(wheel.run())
+        await asyncio.sleep(0)
+        wheel.advance = lambda: 1 // 0  # type: ignore[method-assign, assignment, return-value]
+        wheel.after(0, lambda: None)
+        with pytest.raises(ZeroDivisionError):
+            await running
+
+    asyncio.run(asyncio.wait_for(go(), 30))
+
+
+def test_the_module_asks_for_no_ticks_while_there_is_nothing_to_look_at() -> None:
+    kinds = (api.ServerKind("r", api.Role.READER, 200_000), api.ServerKind("w", api.Role.WRITER, 150_000))
+    settings = api.Settings(classes=(api.TrafficClass("a", 1_500_000, 6_000_000),), kinds=kinds)
+    router = Router(settings)
+
+    def ticks(actions: list[api.Action]) -> int:
+        return sum(isinstance(action, api.SetTimer) for action in actions)
+
+    fleet = (api.Server("r1", "r"), api.Server("w1", "w"))
+    assert ticks(router.handle(0, api.ListUpdate(api.ListForm.SAVED, fleet))) == 1
+    assert ticks(router.handle(50_000, api.TimerFired(0))) == 0, "nothing to look at"
+    ask_one = api.Arrival(1, "a", "s", deadline_us=5_000_000, prompt_tokens=900, max_tokens=50)
+    assert ticks(router.handle(60_000, ask_one)) == 1
+    assert ticks(router.handle(110_000, api.TimerFired(0))) == 1, "a request is out"
+    assert ticks(router.handle(120_000, api.Outcome(1, 0, "r1", api.Status.TIMEOUT, 60_000, final=True))) == 0
+    assert ticks(router.handle(160_000, api.TimerFired(0))) == 1, "a server that is put aside is to come back"
+
+
+def test_alone_in_an_unchanged_folder_nothing_is_listed(tmp_path: Path) -> None:
+    clock = Clock()
+    wheel = Wheel(clock)
+    one, other = (Handover(tmp_path, "n0", 100, wheel) for _ in range(2))
+    looks: list[None] = []
+    one.start()
+    look, one.look = one.look, lambda: (looks.append(None), look())[1]  # type: ignore[method-assign, func-returns-value]
+    for _ in range(10):
+        one._again()
+    assert len(looks) <= 1, "its own file may still be news"
+    other.start()
+    one._again()
+    assert [o.name for o in one.others] == [other._name], "a newcomer is seen at the next look"
+    for handover in (one, other):
+        handover.end()
