Refuse port 0, read a byte order mark, and name the extra that a command lacks

Need: tried as a new user would, `servers check` took "127.0.0.1:0" for good, a file as some editors write it was refused with `Invalid statement`, and `onyxpass lab` in the plain build ended in a traceback.

Change: the types of addresses of our files stand in tomlfile.py, one for where one listens and one for where somebody else does, at which port 0 is a fault with file and line; agents' addresses and checks use the second as well. Files of ours are read with or without a byte order mark. A command whose extra is missing says which one, with exit code 2; any other missing module is a defect and stays a traceback.

--- a/onyxpass/agent/config.py
+++ b/onyxpass/agent/config.py
@@ -6,27 +6,16 @@
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
-from pydantic import AfterValidator, Field
+from pydantic import Field
 
 from onyxpass import tomlfile
-from onyxpass.config import Address, ConfigError
+from onyxpass.config import Address
 
 Kind = Literal["serve", "toolcalls"]
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 Positive = Annotated[float, Field(gt=0, le=86_400)]
 
 
-def address_text(text: str) -> str:
-    try:
-        Address.parse(text)
-    except ConfigError as problem:  # as pydantic wants it
-        raise ValueError(str(problem)) from problem
-    return text
-
-
-AddressText = Annotated[str, AfterValidator(address_text)]
-
-
 class StoreTable(tomlfile.Model):
     """Redis, where agents tell each other's tools of their instances. An agent needs none."""
 
@@ -49,13 +38,13 @@
     kind: Kind
     config: str  # relative to the agent's file
     env: dict[str, str] = Field(default_factory=dict)
-    check: AddressText | None = None  # where it must take connections while it runs
+    check: tomlfile.PlaceText | None = None  # where it must take connections while it runs
 
 
 class AgentFile(tomlfile.Model):
     name: Name
     state: str | None = None  # the folder that outlives the agent; without one, nothing does
-    listen: AddressText | None = None  # the agent's own address
+    listen: tomlfile.AddressText | None = None  # the agent's own address
     key: str | None = None  # the file with the key that callers must show
     store: StoreTable | None = None
     restart: RestartTable = Field(default_factory=RestartTable)
--- a/onyxpass/fleet/config.py
+++ b/onyxpass/fleet/config.py
@@ -8,7 +8,7 @@
 from pydantic import Field
 
 from onyxpass import tomlfile
-from onyxpass.agent.config import AddressText, Name
+from onyxpass.agent.config import Name
 from onyxpass.config import Address
 
 Share = Annotated[str, Field(pattern=r"^(100|[1-9]?[0-9])%$")]
@@ -32,7 +32,7 @@
 class AgentTable(tomlfile.Model):
     host: Name
     hall: Name
-    address: AddressText
+    address: tomlfile.PlaceText
     key: str | None = None  # else the fleet's
     instances: list[InstanceTable]
 
--- a/onyxpass/sources/cli.py
+++ b/onyxpass/sources/cli.py
@@ -181,7 +181,7 @@
             wrong = [fault for fault in draft.faults if "no kind" not in fault.reason]
             if wrong:
                 raise ConfigError(str(wrong[0]))
-            fresh = formatted(text.decode()).encode()
+            fresh = formatted(text.decode("utf-8-sig")).encode()
         except (OSError, ConfigError) as problem:
             raise stop(problem) from problem
         if fresh != text:
--- a/onyxpass/sources/form.py
+++ b/onyxpass/sources/form.py
@@ -15,7 +15,6 @@
 
 from onyxpass import interface as api
 from onyxpass import tomlfile
-from onyxpass.agent.config import AddressText
 from onyxpass.config import Address
 from onyxpass.tomlfile import Step
 
@@ -34,7 +33,7 @@
     kind: str | None = None  # needed where the files are the only source; so are hall and address
     hall: str | None = None
     cell: Annotated[int, Field(ge=0, le=1_000_000)] = 0
-    address: AddressText | None = None
+    address: tomlfile.PlaceText | None = None
     weight: Weight = 1.0
     state: Literal["active", "draining"] = "active"
     born: datetime | None = None
@@ -135,7 +134,7 @@
     if len(data) > SIZE_MOST:
         return None, "", [Fault(file, f"larger than {SIZE_MOST} bytes")]
     try:
-        text = data.decode("utf-8")
+        text = data.decode("utf-8-sig")  # some editors write a byte order mark
         raw = tomllib.loads(text)
     except UnicodeDecodeError as problem:
         line = data[: problem.start].count(b"\n") + 1
--- a/onyxpass/start.py
+++ b/onyxpass/start.py
@@ -43,6 +43,13 @@
         logs.set_up(level)
         with asyncio.Runner(loop_factory=loop.make) as runner:
             runner.run(serve.serve(config.load(path), lambda: config.load(path, again=True)))
+    except ModuleNotFoundError as problem:
+        from onyxpass.extras import lacking
+
+        if (told := lacking(problem)) is None:
+            raise
+        print(f"onyxpass: {told}", file=sys.stderr)
+        return 2
     except config.ConfigError as problem:
         print(f"onyxpass: {problem}", file=sys.stderr)
         return 2
--- a/onyxpass/tomlfile.py
+++ b/onyxpass/tomlfile.py
@@ -6,17 +6,36 @@
 import tomllib
 from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import AfterValidator, BaseModel, ConfigDict, ValidationError
 
-from onyxpass.config import ConfigError
+from onyxpass.config import Address, ConfigError
 
 HEADER = re.compile(r"\s*(\[\[?)\s*([^\[\]]+?)\s*\]\]?\s*(#.*)?$")
 KEY = re.compile(r"""\s*("[^"]*"|'[^']*'|[A-Za-z0-9_.-]+)\s*=""")
 Step = str | int
 
 
+def address_text(text: str) -> str:
+    try:
+        Address.parse(text)
+    except ConfigError as problem:  # as pydantic wants it
+        raise ValueError(str(problem)) from problem
+    return text
+
+
+def place_text(text: str) -> str:
+    """Guards against a server at port 0: that is for who listens, and nobody can be reached there."""
+    if Address.parse(address_text(text)).port == 0:
+        raise ValueError(f"port 0 can't be reached: {text!r}")
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(address_text)]  # where one may listen, so the port may be 0
+PlaceText = Annotated[str, AfterValidator(place_text)]  # where somebody else listens
+
+
 class Model(BaseModel):
     """Frozen, exact about types, and closed: a key that is unknown is a fault, not a remark."""
 
@@ -141,7 +160,7 @@
 def read(model: type[Found], path: Path) -> Found:
     """The file as a model; ConfigError with file, line and reason."""
     try:
-        text = path.read_text(encoding="utf-8")
+        text = path.read_text(encoding="utf-8-sig")  # some editors write a byte order mark
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as problem:
         reason, line, column = syntax_fault(problem)
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -87,6 +87,7 @@
         ('id = "r2"', 'id = "r\\u200b2"', "0.toml:9:6", "can't be seen"),
         ("[[servers]]", "[[servers]", "0.toml:1:", ""),
         ("127.0.0.1:2", "here", "0.toml:13:11", "not an address"),
+        ("127.0.0.1:2", "127.0.0.1:0", "0.toml:13:11", "port 0 can't be reached"),
     ],
 )
 def test_a_fault_is_named_with_its_place_and_likely_intent(old: str, new: str, place: str, why: str) -> None:
@@ -95,6 +96,10 @@
     assert any(place in reason and why in reason for reason in found.reasons), found.reasons
 
 
+def test_a_byte_order_mark_is_no_fault() -> None:
+    assert set(view(GOOD).entries) == set(verdict(b"\xef\xbb\xbf" + GOOD.encode()).view.entries)
+
+
 def test_names_of_other_alphabets_are_names_and_a_folder_is_one_list() -> None:
     assert set(view(GOOD, row("лектор-9.ресифи", port=9)).entries) == {
         "r1",
