Let sparse dispatchers try a read elsewhere in time, from one budget over all of them

`served` lines tell the reader since the last landing: the busiest of 35 readers had 505 reads with a median of 1.0 s, another 419 with 3.4 s, the quietest 57 with 0.1 s. Those are homes of popular beginnings; each dispatcher has a request in one to five seconds and can't see that a home is jammed.

Change: with 16 routers or more the budget of calls off is 0.2 a request, each router starts with a part of it drawn from its number, so that all together keep it, and a read counts as silent after 2 usual times or 0.4 of the aim.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -26,6 +26,7 @@
 FULL_US = 8_000_000  # so long a server that turned a class away is passed over by that class alone
 PATIENCE, PATIENCE_AIM = 5.0, 0.40  # usual times, or share of the aim if more, till it counts as silent
 CALL_SHARE = 0.03  # calls off a request: more speak of a jam, which reading anew elsewhere makes worse
+CALL_BLIND, PATIENCE_BLIND = 0.2, 2.0  # the same with so many routers that a jam is one home's, unseen
 OVERTAKEN = 3  # later sends answered first that tell of a lost connection rather than of a queue
 TIMEOUT_SHARE = 0.8  # of the time left may go into an attempt at a server that answers others meanwhile
 MEMORY_TOKENS = 150_000  # of a server whose memory is not told
@@ -219,7 +220,11 @@
         self.lean: dict[object, float] = {}  # what readers of a cell or zone send, over what its writers bear
         self.usual = dict.fromkeys(Role, 0.0)  # mean times of reads and first tokens
         self.quota = {t.name: (t.quota_per_s / settings.routers, 0) for t in settings.tenants}
-        self.probe_credit, self.call_credit, self.ask_again_us, self.now_us = 1.0, 0.0, -1, 0
+        self.probe_credit, self.ask_again_us, self.now_us = 1.0, -1, 0
+        # Guards against a budget that a few requests never fill: routers start spread out, as with credit.
+        blind = settings.routers >= BLIND
+        self.call_credit = stable(f"calls|{settings.ordinal}") / 2**64 if blind else 0.0
+        self.call_share, self.patience = (CALL_BLIND, PATIENCE_BLIND) if blind else (CALL_SHARE, PATIENCE)
         self.ticking = False
         self.acts: list[api.Action] = []
 
@@ -341,7 +346,7 @@
                 worth *= self.settings.over_share_worth
         job = self.jobs[ask.id] = Job(ask, cls, self.now_us, worth)
         self._earn()
-        self.call_credit = min(2.0, self.call_credit + CALL_SHARE)
+        self.call_credit = min(2.0, self.call_credit + self.call_share)
         earned = PROBE_SPEND / max(PROBE_SPEND, self.settings.probe_price)
         self.probe_credit = min(3.0, self.probe_credit + earned)
         if stable(f"fate|{ask.id}") / 2**64 < self.fates[cls.name].too_much(self.now_us, worth):
@@ -472,7 +477,8 @@
 
     def _send(self, job: Job, host: Host, tokens: int) -> None:
         left = job.ask.deadline_us - self.now_us - 2 * self.settings.tick_us
-        job.quiet_us = self.now_us + round(max(PATIENCE * self.usual[host.role], PATIENCE_AIM * job.aim_us))
+        silent_us = max(self.patience * self.usual[host.role], PATIENCE_AIM * job.aim_us)
+        job.quiet_us = self.now_us + round(silent_us)
         patience = left if job.attempts + 2 >= self.settings.max_attempts else round(TIMEOUT_SHARE * left)
         job.out, job.sent_us, job.attempts, job.passed = host, self.now_us, job.attempts + 1, 0
         job.work = BASE_TOKENS + tokens + sum(host.flight.values())
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -4,7 +4,9 @@
 import json
 import os
 import re
+import selectors
 import signal
+import socket
 import subprocess
 import sys
 import tomllib
@@ -16,6 +18,7 @@
 
 from onyxpass import interface as api
 from onyxpass.choice import Router
+from onyxpass.core import loop
 from onyxpass.core.clock import Clock
 from onyxpass.core.wheel import Wheel
 from onyxpass.handover import Handover
@@ -153,6 +156,19 @@
     asyncio.run(asyncio.wait_for(go(), 30))
 
 
+def test_the_loop_asks_the_kernel_less_and_misses_nothing() -> None:
+    selector = loop.CalmSelector()
+    ours, theirs = socket.socketpair()
+    selector.register(ours, selectors.EVENT_READ)
+    theirs.send(b"x")
+    found = [bool(selector.select(0)) for _ in range(2 * (loop.SKIPS + 1))]
+    assert found == [False] * loop.SKIPS + [True] + [False] * loop.SKIPS + [True]
+    assert selector.select(0.5), "with nothing ready it always looks"
+    selector.close()
+    for sock in (ours, theirs):
+        sock.close()
+
+
 def test_a_wheel_that_fails_ends_its_task() -> None:
     async def go() -> None:
         wheel = Wheel(Clock())
--- /dev/null
+++ b/tests/test_worth.py
@@ -0,0 +1,132 @@
+"""What a served answer was worth, how it is counted, and the budgets that many routers share."""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from helpers import CLASSES, Drive, fleet
+from test_core import Bed
+from test_program import ROOT
+
+from onyxpass import choice, tomlfile
+from onyxpass import interface as api
+from onyxpass.config import ConfigError
+from onyxpass.core.worth import Judged, Timing, judge, pace_us
+from onyxpass.extras import EXTRAS
+from onyxpass.interface import Status
+from onyxpass.net.answers import Events
+
+CLS = api.TrafficClass("a", 1_000_000, 4_000_000, token_us=60_000, aim_per_k_us=100_000)
+
+
+@pytest.mark.parametrize(
+    ("prompt", "first_us", "token_us", "timing", "cause"),
+    [
+        (0, 1_000_000, 60_000, Timing.IN_TIME, ""),
+        (0, 1_000_001, 60_000, Timing.LATE, "first"),
+        (2_000, 1_200_000, 60_000, Timing.IN_TIME, ""),
+        (2_000, 1_200_001, 60_000, Timing.LATE, "first"),
+        (0, 4_000_001, 0, Timing.WORTHLESS, "first"),
+        (2_000, 4_400_000, 0, Timing.LATE, "first"),
+        (2_000, 4_400_001, 0, Timing.WORTHLESS, "first"),
+        (0, 0, 60_001, Timing.LATE, "pace"),
+        (0, 0, 120_001, Timing.WORTHLESS, "pace"),
+        (0, 2_000_000, 120_001, Timing.WORTHLESS, "pace"),
+    ],
+)
+def test_aims_and_deadlines_grow_with_the_prompt(
+    prompt: int, first_us: int, token_us: int, timing: Timing, cause: str
+) -> None:
+    assert judge(CLS, prompt, first_us, token_us) == Judged(timing, cause)
+
+
+def test_where_no_pace_is_wanted_none_is_missed() -> None:
+    assert judge(api.TrafficClass("a", 1, 2), 0, 0, 10**9).timing is Timing.IN_TIME
+    assert (pace_us(900_000, 10), pace_us(900_000, 1), pace_us(900_000, 0)) == (100_000, 0, 0)
+
+
+def test_the_usage_is_found_wherever_the_chunks_are_cut() -> None:
+    events = [
+        b'data: {"choices":[{"delta":{"content":"' + b"x" * 600 + b'"}}]}\n\n',
+        b'data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":40}}\n\n',
+        b"data: [DONE]\n\n",
+    ]
+    text = b"".join(events)
+    for size in (1, 7, 100, len(text)):
+        cut = Events()
+        for at in range(0, len(text), size):
+            cut.feed(text[at : at + size])
+        assert cut.tokens() == 40
+    assert Events().tokens() == 0
+
+
+def test_a_served_answer_that_came_too_slowly_is_told_and_counted() -> None:
+    bed = Bed()
+    request = bed.ask(api.Send(7, "r0", 500_000), cls="light", wait_us=5_000_000)
+    bed.clock.us += 300_000
+    bed.core.ended(bed.fleet.started[-1], Status.READ)
+    bed.step([api.Send(7, "w0", 2_000_000)])
+    attempt = bed.fleet.started[-1]
+    bed.clock.us += 200_000
+    assert bed.core.started(attempt)
+    attempt.tokens = 11
+    bed.clock.us += 10 * 2 * CLASSES[0].token_us + 10
+    told: dict[str, object] = {}
+    timed = bed.core._timed
+    bed.core._timed = lambda a: told.update(timed(a)) or told  # type: ignore[method-assign, func-returns-value]
+    bed.core.ended(attempt, Status.SERVED)
+    assert request.over and told["wait_us"] == 500_000 and told["first_us"] == 200_000
+    assert (told["reader"], told["read_us"]) == ("r0", 300_000)
+    assert (told["worth"], told["for"]) == ("worthless", "pace")
+    rows = bed.core.figures.rows(0, 0)
+    assert rows["svc.served.light.worthless"] == 1 and rows["svc.served.light.late"] == 0
+    assert rows["svc.downstream_requests.light.completed"] == 1, "it is served all the same"
+
+
+def calls_off(routers: int, each: int) -> int:
+    """How many calls off a fleet of routers makes that hear nothing from any server."""
+    called = 0
+    for ordinal in range(routers):
+        drive = Drive(fleet(4, 8), ordinal=ordinal, routers=routers)
+        for i in range(each):
+            drive.ask(i, f"s{i}", f"p{i}", prompt_tokens=9, max_tokens=9)
+        for _ in range(40):
+            drive.tick()
+            called += sum(isinstance(a, api.Cancel) for a in drive.last)
+    return called
+
+
+def test_a_budget_of_calls_off_holds_over_many_routers_with_a_few_requests_each() -> None:
+    """Found on a calm day with 200 routers: no router's budget for calls off was ever full, so reads that
+    waited 3 s at a jammed home were never tried elsewhere."""
+    routers, each = 100, 4
+    most = routers * each * choice.CALL_BLIND
+    assert 0.6 * most <= calls_off(routers, each) <= 1.5 * most
+
+
+def test_a_file_may_begin_with_a_byte_order_mark(tmp_path: Path) -> None:
+    class File(tomlfile.Model):
+        a: int
+        at: tomlfile.PlaceText = "127.0.0.1:1"
+
+    path = tmp_path / "f.toml"
+    path.write_bytes(b"\xef\xbb\xbfa = 1\n")
+    assert tomlfile.read(File, path).a == 1
+    path.write_text('a = 1\nat = "127.0.0.1:0"\n')
+    with pytest.raises(ConfigError, match=r"f\.toml:2: at: port 0 can't be reached"):
+        tomlfile.read(File, path)
+
+
+def test_a_command_without_its_extra_ends_with_one_line() -> None:
+    blocked = "import runpy, sys; sys.modules.update(dict.fromkeys({names!r})); sys.argv[0] = 'onyxpass'; "
+    script = blocked.format(names=sorted(EXTRAS)) + "runpy.run_module('onyxpass', run_name='__main__')"
+    for words in (["lab", "day", "module"], ["servers", "fmt", "none.toml"]):
+        done = subprocess.run(
+            [sys.executable, "-c", script, *words],
+            cwd=ROOT, capture_output=True, text=True, timeout=60, env={**os.environ, "COLUMNS": "200"},
+        )  # fmt: skip
+        assert done.returncode == 2, json.dumps([words, done.stderr[-500:]])
+        assert done.stderr.startswith("onyxpass: this needs ") and done.stderr.count("\n") == 1, done.stderr
