--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -196,17 +196,23 @@
     assert done.returncode == 1 and "can't start" in done.stdout and "Traceback" not in done.stderr
 
 
+async def small_site(folder: Path) -> tuple[Discovery, Replica, Replica, Path]:
+    """Discovery with one reader and one writer, and the file of a dispatcher before them."""
+    discovery, reader, writer = Discovery(), Replica(READ), Replica(STREAM)
+    for part in (discovery, reader, writer):
+        await part.start()
+    discovery.hosts = [
+        discovery.entry("r0", "r", reader.address),
+        discovery.entry("w0", "w", writer.address),
+    ]
+    path = folder / "config.json"
+    path.write_text(json.dumps({**RAW, "discovery": discovery.address, "listen": "127.0.0.1:0"}))
+    return discovery, reader, writer, path
+
+
 def test_serve_from_start_to_sigterm(tmp_path: Path) -> None:
     async def go() -> None:
-        discovery, reader, writer = Discovery(), Replica(READ), Replica(STREAM)
-        for part in (discovery, reader, writer):
-            await part.start()
-        discovery.hosts = [
-            discovery.entry("r0", "r", reader.address),
-            discovery.entry("w0", "w", writer.address),
-        ]
-        path = tmp_path / "config.json"
-        path.write_text(json.dumps({**RAW, "discovery": discovery.address, "listen": "127.0.0.1:0"}))
+        discovery, reader, writer, path = await small_site(tmp_path)
         process, ports = await started(path)
         assert process.stdout is not None
         source, sink = await asyncio.open_connection("127.0.0.1", ports["listening"])
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -13,8 +13,8 @@
 from pathlib import Path
 
 import pytest
-from test_net import READ, STREAM, Discovery, Replica, ask
-from test_program import RAW, ROOT
+from test_net import ask
+from test_program import ROOT, small_site
 
 from onyxpass import interface as api
 from onyxpass.choice import Router
@@ -60,15 +60,7 @@
 
 def test_serve_starts_no_program_and_needs_no_unix_socket(tmp_path: Path) -> None:
     async def go() -> None:
-        discovery, reader, writer = Discovery(), Replica(READ), Replica(STREAM)
-        for part in (discovery, reader, writer):
-            await part.start()
-        discovery.hosts = [
-            discovery.entry("r0", "r", reader.address),
-            discovery.entry("w0", "w", writer.address),
-        ]
-        path = tmp_path / "config.json"
-        path.write_text(json.dumps({**RAW, "discovery": discovery.address, "listen": "127.0.0.1:0"}))
+        discovery, reader, writer, path = await small_site(tmp_path)
         process = await asyncio.to_thread(guarded, path, tmp_path, GUARD, "serve")
         assert process.stdout is not None
         seen: dict[str, int] = {}
