Say what to do about a damaged record of an agent

Need: an agent whose agent.db was damaged ended with 'file is not a database' and nothing else. Change: the line says that the file is left as it is, and what to do. Measured: the test of damaged states asks for it and for the file's bytes.

--- a/onyxpass/agent/ledger.py
+++ b/onyxpass/agent/ledger.py
@@ -18,6 +18,7 @@
 
 VERSION = 1
 EVENTS_MOST, OPERATIONS_MOST, EXITS_MOST = 10_000, 2_000, 2_000
+DAMAGED = "; agent.db is left as it is: stop the instances that still run, move it aside and start again"
 TABLES = """
 CREATE TABLE instances (name TEXT PRIMARY KEY, wanted INTEGER NOT NULL, generation INTEGER NOT NULL,
     digest TEXT NOT NULL, launch TEXT NOT NULL, pid INTEGER, ticks INTEGER, boot TEXT,
@@ -94,7 +95,10 @@
             self._open()
         except (OSError, sqlite3.Error) as problem:
             self._release()
-            raise LedgerError(f"{folder}: {problem}") from problem
+            damaged = isinstance(problem, sqlite3.DatabaseError) and not isinstance(
+                problem, sqlite3.OperationalError
+            )
+            raise LedgerError(f"{folder}: {problem}{DAMAGED if damaged else ''}") from problem
         except LedgerError:
             self._release()
             raise
@@ -119,7 +123,7 @@
         db.execute("PRAGMA journal_mode=WAL")
         db.execute("PRAGMA synchronous=FULL")
         if (found := db.execute("PRAGMA quick_check").fetchone()[0]) != "ok":
-            raise LedgerError(f"{self.folder}: the state is damaged: {found}")
+            raise LedgerError(f"{self.folder}: the state is damaged: {found}{DAMAGED}")
         version = int(db.execute("PRAGMA user_version").fetchone()[0])
         if version == 0:
             db.executescript(f"BEGIN; {TABLES} PRAGMA user_version={VERSION}; COMMIT;")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -446,8 +446,9 @@
         path.write_bytes(text)
         for extra in ("agent.db-wal", "agent.db-shm"):
             (tmp_path / "s" / extra).unlink(missing_ok=True)
-        with pytest.raises(LedgerError):
+        with pytest.raises(LedgerError, match="move it aside and start again"):
             Ledger(tmp_path / "s")
+        assert path.read_bytes() == text, "it is left as it is"
     record = Record(tmp_path / "r")
     record.hold("x")
     with pytest.raises(Held, match="x is held by"):
