Tell of a missing extra in one place, and look a request's class up in one

Need: the handler of a missing extra stood in cli.py and in start.py, and two methods of the core each went through the classes by name. Change: start.main, which both ways in go through, has the handler; _class_of serves both methods. No behaviour changes.

--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -11,7 +11,6 @@
 
 from onyxpass import config as configuration
 from onyxpass import logs
-from onyxpass.extras import lacking
 
 app = typer.Typer(
     no_args_is_help=True, add_completion=False, help="A dispatcher for reader and writer replicas."
@@ -30,18 +29,7 @@
 
 
 def main() -> None:
-    """The whole command line; a command whose extra is not there ends with one line and exit code 2."""
-    try:
-        _main()
-    except ModuleNotFoundError as problem:
-        if (told := lacking(problem)) is None:
-            raise
-        typer.echo(f"onyxpass: {told}", err=True)
-        sys.exit(2)
-
-
-def _main() -> None:
-    """The operators' groups are loaded only where they are asked for."""
+    """The whole command line; the operators' groups are loaded only where they are asked for."""
     if (sys.argv[1:2] or [""])[0] not in LIGHT:
         from onyxpass.fleet.cli import fleet_app
         from onyxpass.sources.cli import servers_app
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -211,8 +211,7 @@
             read := next((a for a in reversed(request.attempts) if a.status is Status.READ), None)
         ) is not None:
             told |= {"reader": read.server, "read_us": read.took_us}
-        cls = next((c for c in self.settings.classes if c.name == request.arrival.cls), None)
-        if cls is not None:
+        if (cls := self._class_of(request)) is not None:
             judged = judge(cls, request.arrival.prompt_tokens, wait_us, pace)
             told |= {"worth": judged.timing.value, "for": judged.cause} if judged.cause else {}
             self.figures.timed(cls.name, judged.timing)
@@ -381,10 +380,11 @@
             log.exception("a final answer could not be given", id=request.id)
 
     def repeat_of(self, request: Request) -> api.Repeat:
-        for cls in self.settings.classes:
-            if cls.name == request.arrival.cls:
-                return cls.repeat
-        return api.Repeat.UNSAFE
+        cls = self._class_of(request)
+        return cls.repeat if cls is not None else api.Repeat.UNSAFE
+
+    def _class_of(self, request: Request) -> api.TrafficClass | None:
+        return next((c for c in self.settings.classes if c.name == request.arrival.cls), None)
 
     def _overdue(self, request: Request) -> None:
         """Guards against a request that nobody answers in its time, whatever has failed."""
--- a/onyxpass/start.py
+++ b/onyxpass/start.py
@@ -43,13 +43,6 @@
         logs.set_up(level)
         with asyncio.Runner(loop_factory=loop.make) as runner:
             runner.run(serve.serve(config.load(path), lambda: config.load(path, again=True)))
-    except ModuleNotFoundError as problem:
-        from onyxpass.extras import lacking
-
-        if (told := lacking(problem)) is None:
-            raise
-        print(f"onyxpass: {told}", file=sys.stderr)
-        return 2
     except config.ConfigError as problem:
         print(f"onyxpass: {problem}", file=sys.stderr)
         return 2
@@ -57,13 +50,24 @@
 
 
 def main() -> int:
-    """The program ``onyxpass``: the short way if there is nothing to parse, else the command line."""
-    if sys.argv[1:] == ["serve"]:
-        return run()
-    from onyxpass.cli import main as command_line
+    """The program ``onyxpass``: the short way if there is nothing to parse, else the command line.
 
-    command_line()
-    return 0
+    A command whose extra is not there ends with one line and exit code 2.
+    """
+    try:
+        if sys.argv[1:] == ["serve"]:
+            return run()
+        from onyxpass.cli import main as command_line
+
+        command_line()
+        return 0
+    except ModuleNotFoundError as problem:
+        from onyxpass.extras import lacking
+
+        if (told := lacking(problem)) is None:
+            raise
+        print(f"onyxpass: {told}", file=sys.stderr)
+        return 2
 
 
 __all__ = ["UNUSED", "main", "run", "without"]
