Leave a server out only briefly for what a router called off itself, among many routers

Seen: a probe that logs each read and why it left its session's home (module's choice, 10 s each): in a steady stretch long after the release 110 to 165 of some 530 reads per 10 s left it because this dispatcher had put the home aside, 75 to 90 calls off per 5 s being the cause; turns that came to another reader read 3,000 to 4,400 tokens anew, those at their home 1,100, and the former are 70% of all that is read. One dispatcher's call for a queue costs it one home for 12 s; forty of them keep every session moving, which makes the queues that they call reads off for.

At fault: `Host.put_aside`, whose first pause is ASIDE_MAX_US from 16 routers on, whatever the evidence. Now what was called off by us counts for ASIDE_US, the pause of few routers, and a probe (its budget is the probes' price, as before) decides on the return. What timed out or could not be reached is left out for long as before.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -131,8 +131,7 @@
         self.fail = self.pace = 0.0
         self.samples = self.strikes = 0  # two more strikes at each fall, one less at each good outcome
         self.silent = self.proved = False
-        self.back_us = -1  # when operators took it in again
-        self.due = False  # and whether it is still to get its first work since
+        self.back_us, self.due = -1, False  # operators took it in again: when; its first work is to come
 
     def in_flight(self) -> float:
         return len(self.flight) if self.reported is None else self.reported
@@ -153,21 +152,21 @@
         self.pace += (BLEND if self.samples > 1 else 1.0) * (pace - self.pace)
         self.strikes -= self.strikes > 0 and now_us >= self.out_until_us
 
-    def bad(self, now_us: int, sent_us: int, quiet: bool, broke: bool = False) -> None:
+    def bad(self, now_us: int, sent_us: int, quiet: bool, broke: bool = False, ours: bool = False) -> None:
         """A failed attempt. No answer of any kind since it was sent: silent, so put aside at once.
 
         Guards against healthy servers left out for what breaks a share of all connections alike: one that
-        broke or was no use weighs less, and is no failed return.
+        broke weighs less, and is no failed return; and for a queue: one called off leaves it out but briefly.
         """
         self.fail += (RESET_BLEND if broke else BLEND) * (1 - self.fail)
         silent, back = quiet and self.answered_us < sent_us, self.strikes and not broke
         if silent or back or self.fail >= FAIL_LIMIT:
-            self.put_aside(now_us, silent)
+            self.put_aside(now_us, silent, ours)
 
-    def put_aside(self, now_us: int, silent: bool) -> None:
+    def put_aside(self, now_us: int, silent: bool, ours: bool = False) -> None:
         """Guards against whatever makes a server fail, stall or lag; longer each time its return fails."""
         if now_us >= self.out_until_us:
-            first_us = ASIDE_US if self.settings.routers < BLIND else ASIDE_MAX_US
+            first_us = ASIDE_US if ours or self.settings.routers < BLIND else ASIDE_MAX_US
             self.out_until_us = now_us + min(ASIDE_MAX_US, first_us << min(self.strikes // 2, 5))
             self.strikes, self.silent, self.proved = self.strikes + 2, silent, False
             self.fail, self.samples, self.reported = 0.0, 0, None
@@ -381,9 +380,8 @@
             since = self.now_us - min(1.0, ages.get(h, 1.0)) * REPORT_OLD_US - REPORT_LAG_US if ages else -1
             steps = [tokens for sent, tokens in h.streams.values() if sent > since] if h.streams else []
             step = (stands_for(steps, n) if surely else n * sum(steps)) if steps else 0.0
-            found[h] = (
-                average + (h.share - average) * trust[h] + step / (h.memory * max(LEAST_PART, h.spec.weight))
-            )
+            bears = h.memory * max(LEAST_PART, h.spec.weight)
+            found[h] = average + (h.share - average) * trust[h] + step / bears
         return found
 
     def _unseen(self, job: Job, writers: list[Host], near: api.Server) -> dict[Host, float]:
@@ -529,9 +527,10 @@
             self._good(job, event.elapsed_us, event.note)
         elif host and event.status not in (Status.FULL, Status.NOT_SENT, Status.UNFIT):
             broke = event.status is Status.RESET
-            lost = event.status is Status.CANCELLED and job.passed >= OVERTAKEN  # no fault of the server
+            ours, quiet = event.status is Status.CANCELLED, not broke and event.status is not Status.ERROR
+            lost = ours and job.passed >= OVERTAKEN  # no fault of the server
             if not lost and not (broke and event.note == api.KEPT_BROKE):
-                host.bad(self.now_us, job.sent_us, not broke and event.status is not Status.ERROR, broke)
+                host.bad(self.now_us, job.sent_us, quiet, broke, ours)
         if host and event.status is Status.FULL and event.note != 1:
             host.full_us[job.cls.name] = self.now_us
         job.out = None
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -474,3 +474,22 @@
             drive.tick()
             called += [a.id for a in drive.last if isinstance(a, api.Cancel)]
         assert called == ([100] if expected else []), (usual_ms, later)
+
+
+def test_what_was_called_off_leaves_a_server_out_only_briefly_among_many_routers() -> None:
+    """Many routers call reads off for queues mostly: left out for long, homes lose their sessions' texts."""
+    drive = Drive(routers=40, may_probe=True)
+    home = drive.serve(1)
+    drive.ask(2)
+    drive.end(2, Status.CANCELLED, 600 * MS)
+    host = drive.router.hosts[home]
+    assert host.strikes and not host.well(drive.now)
+    drive.now += choice.ASIDE_US
+    drive.tick()
+    assert api.Probe(home) in drive.last
+    drive.give(api.ProbeResult(home, True, 1 * MS))
+    assert host.well(drive.now) and drive.ask(3) == home
+    drive.end(3, Status.TIMEOUT, 600 * MS)
+    assert not host.well(drive.now + choice.ASIDE_MAX_US - 1 * S), (
+        "what timed out may be gone: left out for long"
+    )
