Let the same sessions come to a cold home at all routers, more of them as it warms

At fault: `_match` ranked homes over what had credit at that moment. Now homes are ranked over all servers that are well, and a cold one is open to those sessions whose hash lies under its warmth over the mean warmth: the same at all routers, more as it warms, and about what credit allows. Credit stays as the guard: without it the next home is taken.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -126,8 +126,7 @@
         # sends it may get while cold: routers start spread out, or their first ones come all at once
         self.credit = (settings.ordinal / settings.routers + stable(spec.id) / 2**64) % 1.0
         self.reported: float | None = None  # in flight, where reports tell it
-        self.share, self.share_us, self.probed_us = 0.0, -1, -1
-        self.answered_us = self.out_until_us = -1
+        self.share, self.share_us, self.probed_us, self.answered_us, self.out_until_us = 0.0, -1, -1, -1, -1
         self.fail = self.pace = 0.0
         self.samples = self.strikes = 0  # two more strikes at each fall, one less at each good outcome
         self.silent = self.proved = False
@@ -224,8 +223,7 @@
         blind = settings.routers >= BLIND
         self.call_credit = stable(f"calls|{settings.ordinal}") / 2**64 if blind else 0.0
         self.call_share, self.patience = (CALL_BLIND, PATIENCE_BLIND) if blind else (CALL_SHARE, PATIENCE)
-        self.ticking = False
-        self.acts: list[api.Action] = []
+        self.ticking, self.acts = False, list[api.Action]()
 
     def _retuned(self, settings: api.Settings) -> None:  # requests under way keep the class they came with
         self.settings, self.classes = settings, {c.name: c for c in settings.classes}
@@ -450,13 +448,17 @@
 
     def _match(self, job: Job, ready: list[Host]) -> tuple[Host, int]:
         """Deepest known prefix wins, else the home of the shared beginning (the session if there is none)."""
-        begins, count = job.ask.prefix or job.ask.session, 1
+        begins, count, open_now = job.ask.prefix or job.ask.session, 1, ready
         if self.settings.routers >= BLIND:  # surely popular: more homes, by twos, so that routers agree
             seen, among = self.heard.count(begins), max(HEARD / 3, len(self.heard))
             part = (seen - math.sqrt(seen)) / among * len(ready)
             count = HOMES << max(0, round(math.log2(max(1.0, part / SPREAD))) - 1)
-        homes = ranked(begins, ready)[:count]
-        mine = ranked(job.ask.session, homes)[0]  # the same at all routers, to which a session's turns come
+            # Guards against turns now at a cold home, now elsewhere: some sessions, more of them as it warms.
+            warm = {h: h.warmth(self.now_us) for h in self._well(Role.READER, Role.MIXED)}
+            turn = stable(f"cold|{job.ask.session}") / 2**64 * sum(warm.values()) / max(1, len(warm))
+            open_now = [h for h, share in warm.items() if turn < share]
+        homes = ranked(begins, open_now)[:count]
+        mine = ranked(job.ask.session, [h for h in homes if h in ready] or ranked(begins, ready)[:count])[0]
         for key in job.keys:
             host, stored_us, tokens = self.table.get(key, (None, 0, 0))
             if host and (self.now_us - stored_us > EXPIRY_US or self.hosts.get(host.id) is not host):
