Give each beginning four homes where nobody sees its load, so that routers agree

Seen: the number of homes is drawn from the 30 requests that a dispatcher heard last; a beginning with a tenth of all traffic was given 2, 4, 8 or 16 homes, now this now that (the popular one's 117 reads in 16 s were at 12 readers), and with each doubling half of its sessions go elsewhere.

At fault: `_match` and its constants HOMES = 2 and SPREAD = 0.3 (a third of an even share a home). The settings leave room for more: a reader's memory is 200,000 tokens and more, four homes' part of all beginnings some 25,000. Now every beginning has four, and more only where one would bring each of them over half of an even share, so that six counts out of six agree for a beginning of a tenth (test; it fails before). A third of all traffic still gets eight of 26, each an even share.

All tests pass.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -13,10 +13,10 @@
 
 TABLE_CAP = 20_000  # keys; some minutes of sessions at hundreds of requests a second
 EXPIRY_US = 30_000_000  # the design's start value: a prefix unread for so long has likely been evicted
-HEARD, SPREAD = 30, 0.3  # requests that tell what is popular; load, of an even one, it may bring a home
+HEARD, SPREAD = 30, 0.5  # requests that tell what is popular; load, of an even one, it may bring a home
 CROWDED = 0.05  # projected memory by which a mixed server may be fuller than writers and still read
 LEAST_PART = 0.2  # of a reader's share of homes that a mixed server has at least
-HOMES, BLIND = 2, 16  # from so many routers on, own sends show no queue: a beginning has homes by session
+HOMES, BLIND = 4, 16  # from so many routers on, own sends show no queue: a beginning has homes by session
 FLOOR = 2.0  # own sends beyond the median before a match is passed by; 4 and 4/N measured worse overall
 MARGIN = 0.10  # memory share by which a near writer may be fuller: more than the noise of reports
 REPORT_LAG_US, REPORT_OLD_US = 400_000, 4_000_000  # sends it does not show yet; age of half its worth
@@ -452,7 +452,7 @@
         if self.settings.routers >= BLIND:  # surely popular: more homes, by twos, so that routers agree
             seen, among = self.heard.count(begins), max(HEARD / 3, len(self.heard))
             part = (seen - math.sqrt(seen)) / among * len(ready)
-            count = HOMES << max(0, round(math.log2(max(1.0, part / SPREAD))) - 1)
+            count = max(HOMES, 1 << round(math.log2(max(1.0, part / SPREAD))))
             # Guards against turns now at a cold home, now elsewhere: some sessions, more of them as it warms.
             warm = {h: h.warmth(self.now_us) for h in self._well(Role.READER, Role.MIXED)}
             turn = stable(f"cold|{job.ask.session}") / 2**64 * sum(warm.values()) / max(1, len(warm))
