Call fewer reads off among many routers where good answers are slow

`Fate` already tells how slow good answers are (a quarter of the aim is no queue, half of it is one): the budget now fills by what that leaves, in all fleets alike.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -31,15 +31,13 @@
 TIMEOUT_SHARE = 0.8  # of the time left may go into an attempt at a server that answers others meanwhile
 MEMORY_TOKENS = 150_000  # of a server whose memory is not told
 BLEND, USUAL_BLEND = 0.3, 0.05  # weight of the newest sample: a server's mean, the pool's usual times
-FAIL_LIMIT = 0.45  # running share of bad outcomes at which a server is put aside: two in a row
-RESET_BLEND = 0.2  # weight of a connection that broke or was no use: three in a row
+FAIL_LIMIT, RESET_BLEND = 0.45, 0.2  # bad outcomes that put a server aside: two in a row; three broken off
 SLOW_LIMIT = 3.0  # times the median pace of its peers at which a server is put aside
 SAMPLES = 3  # outcomes needed before a pace is believed
 ASIDE_US, ASIDE_MAX_US = 1_500_000, 12_000_000  # first pause with few routers, and the longest
 BASE_TOKENS = 1_500  # what a read or fetch costs besides its tokens, so that short ones compare with long
 FATE_HALVES_US, FATE_DOUBT, FATE_MOST = 4_000_000, 0.25, 0.9  # memory; requests of doubt; most to refuse
-PROBE_SPEND = 0.003  # part of the result to spend on probes, whatever one costs
-NEAR_ASKED = 2  # writers near the reader that are asked for their load; one more is asked anywhere
+PROBE_SPEND, NEAR_ASKED = 0.003, 2  # part of the result for probes; near writers asked, one more anywhere
 UNKNOWN = api.TrafficClass("unknown", 1_000_000, 5_000_000, repeat=Repeat.UNSAFE)
 TICK_US = 50_000  # how often waiting requests and servers put aside are looked at
 
@@ -93,9 +91,8 @@
 class Fate:
     """How a class's requests fare, fading: those that ended and those whose answer began in time.
 
-    Guards against overload that no report shows, whatever makes answers late: as in adaptive throttling, what
-    is beyond a multiple of those in time is refused at once. It holds a jam down till it clears and lets go.
-    It does harm where a few servers spoil what others could answer: those are to be put aside before.
+    Guards against overload that no report shows: as in adaptive throttling, what is beyond a multiple of
+    those in time is refused at once. Harms where few servers spoil it all: those are to be put aside before.
     """
 
     def __init__(self) -> None:
@@ -106,11 +103,14 @@
         kept, self.seen_us = 0.5 ** ((now_us - self.seen_us) / FATE_HALVES_US), now_us
         self.ended, self.in_time = self.ended * kept + ended, self.in_time * kept + in_time
 
+    def jam(self) -> float:
+        return min(1.0, max(0.0, 4 * self.slow - 1))  # a quarter of the aim is no queue, half of it is one
+
     def too_much(self, now_us: int, worth: float) -> float:
         """The part to refuse, none while good attempts are quick: then answers are lost, not too many."""
         self.met(now_us, 0, 0)
-        jam = min(1.0, max(0.0, 4 * self.slow - 1))  # a quarter of the aim is no queue, half of it is one
-        return min(FATE_MOST, jam * (self.ended - (1 + worth) * self.in_time) / (self.ended + FATE_DOUBT))
+        over = (self.ended - (1 + worth) * self.in_time) / (self.ended + FATE_DOUBT)
+        return min(FATE_MOST, self.jam() * over)
 
 
 class Host:
@@ -162,10 +162,10 @@
         if silent or back or self.fail >= FAIL_LIMIT:
             self.put_aside(now_us, silent, ours)
 
-    def put_aside(self, now_us: int, silent: bool, ours: bool = False) -> None:
+    def put_aside(self, now_us: int, silent: bool, brief: bool = False) -> None:
         """Guards against whatever makes a server fail, stall or lag; longer each time its return fails."""
         if now_us >= self.out_until_us:
-            first_us = ASIDE_US if ours or self.settings.routers < BLIND else ASIDE_MAX_US
+            first_us = ASIDE_US if brief or self.settings.routers < BLIND else ASIDE_MAX_US
             self.out_until_us = now_us + min(ASIDE_MAX_US, first_us << min(self.strikes // 2, 5))
             self.strikes, self.silent, self.proved = self.strikes + 2, silent, False
             self.fail, self.samples, self.reported = 0.0, 0, None
@@ -326,11 +326,10 @@
 
     def _earn(self) -> None:
         """Slow start: a request earns each cold server its part of an even share, however many routers."""
-        for hosts in self.up.values():
-            for h in hosts:
-                if (warmth := h.warmth(self.now_us)) < 1:
-                    part = warmth * min(1.0, self.settings.fall_multiple / 2)
-                    h.credit = min(1.0, h.credit + part / len(hosts))
+        for h, peers in [(h, len(hosts)) for hosts in self.up.values() for h in hosts]:
+            if (warmth := h.warmth(self.now_us)) < 1:
+                part = warmth * min(1.0, self.settings.fall_multiple / 2)
+                h.credit = min(1.0, h.credit + part / peers)
 
     def _arrive(self, ask: api.Arrival) -> None:
         cls = self.classes.get(ask.cls, UNKNOWN)
@@ -343,7 +342,7 @@
                 worth *= self.settings.over_share_worth
         job = self.jobs[ask.id] = Job(ask, cls, self.now_us, worth)
         self._earn()
-        self.call_credit = min(2.0, self.call_credit + self.call_share)
+        self.call_credit = min(2.0, self.call_credit + self.call_share * (1 - self.fates[cls.name].jam()))
         earned = PROBE_SPEND / max(PROBE_SPEND, self.settings.probe_price)
         self.probe_credit = min(3.0, self.probe_credit + earned)
         if stable(f"fate|{ask.id}") / 2**64 < self.fates[cls.name].too_much(self.now_us, worth):
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -527,3 +527,15 @@
     assert all(len(of) == 1 for rows in went.values() for of in rows.values())
     cold, half, warm = ({s for s, of in rows.items() if of == {"r0"}} for rows in went.values())
     assert cold < half < warm and 2 * len(cold) < len(warm) >= 10
+
+
+def test_fewer_reads_are_called_off_where_good_answers_are_slow() -> None:
+    """In a jam of all readers what is read anew elsewhere makes it worse."""
+    earned = []
+    for slow in (0.1, 0.4, 1.0):
+        drive = Drive(routers=40)
+        drive.router.call_credit, drive.router.fates["light"].slow = 0.0, slow
+        for i in range(4):
+            drive.ask(i, f"s{i}")
+        earned.append(drive.router.call_credit)
+    assert abs(earned[0] - 4 * choice.CALL_BLIND) < 1e-9 and 0 < earned[1] < earned[0] and earned[2] == 0
