Tell an attempt's end at a stand-in before its answer goes out, for a busy machine

Beside eight busy processes the suite failed: the rollout under traffic told `no overlap: t000017: at writer-2 while it was out at reader-2` for dozens of requests.

Seen: the same test alone on one busy core at nice 10: failed three times of three, passes on a quiet machine. Ruled out: a second attempt by the dispatcher (it sends on only after the reader's 202 has come, and the trace had the state HELD before). At fault: `StandinReplica._answer` noted CLOSED after its task had had several more turns of the loop, while the dispatcher, a process of its own, had long read the answer and sent the next attempt. The end is now noted before the last byte goes out. A real overlap is still told: what is broken off or silent ends as before. The new test reads an answer and finds the end noted; it fails without the mend.

--- a/onyxpass/standin/replicas.py
+++ b/onyxpass/standin/replicas.py
@@ -53,6 +53,7 @@
         self.name, self.role, self.trace, self.states, self.speed = name, role, trace, states, speed
         self.faults: list[Fault] = []
         self.served = 0
+        self.out: set[str] = set()  # attempts that are not over
         self.hold = asyncio.Event()  # cleared: streams wait after their first event
         self.hold.set()
 
@@ -88,6 +89,7 @@
             self._short(wire, 404)
             return True
         self.trace.put(What.RECEIVED, request, self.name, self.role)
+        self.out.add(request)
         gone = asyncio.ensure_future(wire.reader.read(1))
         work = asyncio.ensure_future(self._work(wire, request, text))
         try:
@@ -100,6 +102,16 @@
             for task in (gone, work):
                 task.cancel()
             await asyncio.gather(gone, work, return_exceptions=True)
+            self._over(request)
+
+    def _over(self, request: str) -> None:
+        """The attempt is over, told before the last byte of its answer goes out.
+
+        Guards against an overlap seen where there is none: on a busy machine the dispatcher's next attempt
+        comes in before this task has had its turn again.
+        """
+        if request in self.out:
+            self.out.discard(request)
             self.trace.put(What.CLOSED, request, self.name)
 
     def _short(self, wire: Wire, status: int, *headers: tuple[bytes, bytes], text: bytes = b"") -> None:
@@ -113,6 +125,7 @@
     async def _work(self, wire: Wire, request: str, text: bytes) -> bool:
         fault = self.faults.pop(0) if self.faults else None
         if fault is not None and fault.kind == "full":
+            self._over(request)
             self._short(wire, 503, (b"x-not-processed", b"1"))
             return True
         if fault is not None and fault.kind == "silent" and fault.after == 0:
@@ -126,20 +139,24 @@
     async def _read(self, wire: Wire, request: str, fault: Fault | None) -> bool:
         await asyncio.sleep(self.speed.read_s)
         if fault is not None and fault.kind == "error":
+            self._over(request)
             self._short(wire, 500)
             return True
         self.states.holder[request] = self.name
         self.trace.put(What.HELD, request, self.name)
+        self._over(request)
         self._short(wire, 202, text=b'{"cached_tokens":0}')
         return True
 
     async def _write(self, wire: Wire, request: str, text: bytes, fault: Fault | None) -> bool:
         if request not in self.states.holder:
+            self._over(request)
             wire.write(h11.Response(status_code=410, headers=NOT_RUN), h11.EndOfMessage())
             return True
         self._free(request)
         self.trace.put(What.RAN, request, self.name, self.role)
         if fault is not None and fault.kind == "error":
+            self._over(request)
             self._short(wire, 500)
             return True
         await asyncio.sleep(self.speed.first_s)
@@ -159,6 +176,7 @@
             await wire.writer.drain()
             await self.hold.wait()
             await asyncio.sleep(self.speed.token_s * TOKENS_AN_EVENT)
+        self._over(request)
         wire.write(h11.EndOfMessage())
         self.served += 1
         return True
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -1,5 +1,6 @@
 """The fleet tool's decisions one by one: orders, selectors, files, drains, lives, digests, rules."""
 
+import asyncio
 import json
 from dataclasses import replace
 from pathlib import Path
@@ -23,6 +24,7 @@
 from onyxpass.fleet.outcome import Exit, Kind, Tally, done, failed, not_tried, unknown
 from onyxpass.fleet.selector import SelectorError, parse, select
 from onyxpass.rules.trace import Trace, What, breaches
+from onyxpass.standin.replicas import Speed, StandinReplica, States
 from onyxpass.tomlfile import schema_text
 
 ROOT = Path(__file__).parent.parent
@@ -375,3 +377,23 @@
     refused = good_trace()
     refused.events[-1] = replace(refused.events[-1], detail="refused")
     assert [breach.partition(":")[0] for breach in breaches(refused)] == ["refusals"]
+
+
+def test_a_standin_tells_that_an_attempt_is_over_before_its_answer_can_be_read() -> None:
+    """Found beside eight busy processes: the next attempt was counted while this one was still out."""
+
+    async def go() -> None:
+        trace, states = Trace(), States()
+        for role, ends in (("read", b"}"), ("write", b"0\r\n\r\n")):
+            replica = StandinReplica(f"{role}r", role, trace, states, Speed(0.0, 0.0, 0.0))
+            await replica.start()
+            reader, writer = await asyncio.open_connection("127.0.0.1", replica.port)
+            head = "POST / HTTP/1.1\r\nhost: x\r\nx-request-id: a1\r\ncontent-length: 2\r\n\r\n{}"
+            writer.write(head.encode())
+            await reader.readuntil(ends)
+            assert [e.what for e in trace.events if e.server == replica.name][-1] is What.CLOSED
+            writer.close()
+            await replica.stop()
+        assert len(trace.of(What.RECEIVED)) == len(trace.of(What.CLOSED)) == 2
+
+    asyncio.run(asyncio.wait_for(go(), 20))
