--- a/onyxpass/lab/cli.py
+++ b/onyxpass/lab/cli.py
@@ -161,3 +161,20 @@
     found, path = experiment(file), out or file.with_suffix(".html")
     write(found, Rows(rows or file.with_suffix(".db")), path)
     typer.echo(f"{path}")
+
+
+@lab_app.command("logs")
+def logs(
+    folder: Annotated[Path, typer.Argument(help="Holds one *.log file for each dispatcher.")],
+    step: Annotated[float, typer.Option(min=0.1, max=86_400, help="Seconds a column.")] = 5.0,
+) -> None:
+    """Count what all dispatchers of a fleet logged, together, by reason and time; and reads by reader."""
+    from onyxpass.lab.tables import gather
+
+    tables = gather(folder, step)
+    if not tables.files:
+        typer.echo(f"onyxpass: {folder}: no *.log file there", err=True)
+        raise typer.Exit(2)
+    for row in tables.rows():
+        typer.echo(row)
+    typer.echo(f"{tables.files} files, {tables.skipped} lines that are no log lines")
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,6 +1,7 @@
 """The emulator against theory, against itself, and with the real module in trouble."""
 
 import hashlib
+import json
 import os
 import subprocess
 import sys
@@ -280,3 +281,31 @@
     run = CliRunner().invoke(lab_app, ["run", str(path), "--workers", "1"])
     assert run.exit_code == 2 and f"{path}:{line}:" in run.output and why in run.output
     assert not path.with_suffix(".db").exists()
+
+
+def test_logs_of_all_dispatchers_are_counted_together_by_reason_and_time(tmp_path: Path) -> None:
+    def line(at: str, event: str, clock: str = "07", **more: object) -> str:
+        return at + json.dumps({"event": event, "timestamp": f"2026-01-01T00:00:{clock}Z", **more}) + "\n"
+
+    def rows_of(name: str, *files: str) -> dict[str, list[str]]:
+        (tmp_path / name).mkdir()
+        for number, text in enumerate(files):
+            (tmp_path / name / f"n{number}.log").write_text(text)
+        shown = CliRunner().invoke(lab_app, ["logs", str(tmp_path / name), "--step", "5"])
+        assert shown.exit_code == 0
+        assert f"{len(files)} files, 2 lines that are no log lines" in shown.stdout
+        return {row[:60].strip(): row[60:].split() for row in shown.stdout.splitlines()}
+
+    lost = line("6.1 ", "attempt", end="unreachable", why="refused ('10.1.0.3', 8443) (kept for 7 ms)")
+    first = line("1.0 ", "served", reader="r1", read_us=4_000) + lost + "no line\n[1, 2]\n"
+    late = line("6.2 ", "served", reader="r1", read_us=8_000, worth="late")
+    second = lost.replace("10.1.0.3", "10.1.0.9") + late + line("7.0 ", "refused", attempts=2)
+    rows = rows_of("numbered", first, second)
+    assert rows["attempts, from s"] == ["5"] and rows["unreachable refused"] == ["2"]
+    assert rows["final answers, from s"] == ["0", "5"] and rows["served"] == ["1", "."]
+    assert rows["served late"] == [".", "1"] and rows["refused after 2"] == [".", "1"]
+    assert rows["r1"] == ["2", "6.0"]
+    clocks = line("", "list") + line("", "list", "09") + line("", "list", "13") + "{\n{}\n"
+    assert rows_of("by the clock", clocks)["list"] == ["2", "1"]
+    nothing = CliRunner().invoke(lab_app, ["logs", str(tmp_path / "none")])
+    assert nothing.exit_code == 2 and "no *.log file" in nothing.output
