Note an attempt's end in one place of the stand-in, and count clocks without a needless check

Read again: four answers of `StandinReplica` each called `_over` before `_short`, so that a fifth could forget it; `_short` now does it for the request that it is given. `lab/tables.gather` looked for a first clock inside the loop over clocks.

--- a/onyxpass/lab/tables.py
+++ b/onyxpass/lab/tables.py
@@ -81,8 +81,8 @@
                 by_clock.append((line[1], line[2]))
             elif line[0] is not None:
                 tables.add(line[0], line[2])
-    first = min((clock for clock, _ in by_clock), default=None)
-    for clock, told in by_clock:
-        if first is not None:
+    if by_clock:
+        first = min(clock for clock, _ in by_clock)
+        for clock, told in by_clock:
             tables.add((clock - first).total_seconds(), told)
     return tables
--- a/onyxpass/standin/replicas.py
+++ b/onyxpass/standin/replicas.py
@@ -114,7 +114,11 @@
             self.out.discard(request)
             self.trace.put(What.CLOSED, request, self.name)
 
-    def _short(self, wire: Wire, status: int, *headers: tuple[bytes, bytes], text: bytes = b"") -> None:
+    def _short(
+        self, wire: Wire, status: int, *headers: tuple[bytes, bytes], text: bytes = b"", request: str = ""
+    ) -> None:
+        """A whole answer; ``request``: the attempt that ends with it."""
+        self._over(request)
         sized = [*headers, (b"content-length", b"%d" % len(text))]
         wire.write(h11.Response(status_code=status, headers=sized), h11.Data(data=text), h11.EndOfMessage())
 
@@ -125,8 +129,7 @@
     async def _work(self, wire: Wire, request: str, text: bytes) -> bool:
         fault = self.faults.pop(0) if self.faults else None
         if fault is not None and fault.kind == "full":
-            self._over(request)
-            self._short(wire, 503, (b"x-not-processed", b"1"))
+            self._short(wire, 503, (b"x-not-processed", b"1"), request=request)
             return True
         if fault is not None and fault.kind == "silent" and fault.after == 0:
             await asyncio.Event().wait()
@@ -139,13 +142,11 @@
     async def _read(self, wire: Wire, request: str, fault: Fault | None) -> bool:
         await asyncio.sleep(self.speed.read_s)
         if fault is not None and fault.kind == "error":
-            self._over(request)
-            self._short(wire, 500)
+            self._short(wire, 500, request=request)
             return True
         self.states.holder[request] = self.name
         self.trace.put(What.HELD, request, self.name)
-        self._over(request)
-        self._short(wire, 202, text=b'{"cached_tokens":0}')
+        self._short(wire, 202, text=b'{"cached_tokens":0}', request=request)
         return True
 
     async def _write(self, wire: Wire, request: str, text: bytes, fault: Fault | None) -> bool:
@@ -156,8 +157,7 @@
         self._free(request)
         self.trace.put(What.RAN, request, self.name, self.role)
         if fault is not None and fault.kind == "error":
-            self._over(request)
-            self._short(wire, 500)
+            self._short(wire, 500, request=request)
             return True
         await asyncio.sleep(self.speed.first_s)
         count = max(1, min(self.speed.tokens, int(json.loads(text).get("max_tokens") or self.speed.tokens)))
