Wait for discovery's turn on one timer instead of fifty wake-ups a second

That was meant for pauses of at most 2 s; with the pace of a shared discovery a pause lasts up to 24 s, and a dispatcher with nothing else to do woke 50 times a second for it, beside a wheel that was made to sleep.

Changed: `move` sets an event, the pause is a wait for it under one limit of the wheel. Pauses and what ends them are as before. The new test moves discovery during a pause of an hour and sees the new one asked at once; it fails if `move` does not tell.

The tests of the network code, the pace and the program pass.

--- a/onyxpass/net/watch.py
+++ b/onyxpass/net/watch.py
@@ -1,6 +1,7 @@
 """The list's actor: keeps a watch on discovery and tells the core and the replicas what it says."""
 
 import asyncio
+import contextlib
 import json
 import random
 from collections.abc import Callable, Mapping
@@ -23,7 +24,6 @@
 CONNECT_US = 500_000
 WHOLE_US, WHOLE_MOST_US = 1_000_000, 6_000_000  # for the whole list; twice as long each time, up to this
 LINE_LIMIT = 4 * 1024 * 1024
-STEP_MS = 20
 CONDITIONS = {
     "active": api.Condition.UP,
     "leaving": api.Condition.DRAINING,
@@ -98,6 +98,7 @@
         self.core, self.replicas, self.discovery = core, replicas, discovery
         self.seq: int | None = None
         self.era = 0  # how often discovery has moved
+        self._moved = asyncio.Event()  # since it was asked last
         self.ready = False
         self._watch: asyncio.Task[None] | None = None
         self.overlay: Callable[[api.ListUpdate], api.ListUpdate] | None = (
@@ -180,6 +181,7 @@
             return
         self.discovery, self.seq, self.era = discovery, None, self.era + 1
         self.pace.failures = 0
+        self._moved.set()
         if self._watch is not None:
             self._watch.cancel()
 
@@ -188,7 +190,8 @@
         if self.seq is not None:
             await self._sleep(self.pace.first_ms())
         while True:
-            era, began_us = self.era, self.core.clock.now_us()
+            self._moved.clear()
+            began_us = self.core.clock.now_us()
             watch = self._watch = asyncio.create_task(self._once())
             try:
                 await asyncio.wait([watch])
@@ -199,14 +202,15 @@
                 log.warning("watch lost", why=str(problem) or type(problem).__name__, seq=self.seq)
             elif problem is not None:
                 log.error("the watch failed", exc_info=problem)
-            if era == self.era:  # no pause where discovery has moved
+            if not self._moved.is_set():
                 await self._sleep(self.pace.lost_ms((self.core.clock.now_us() - began_us) / 1000))
 
     async def _sleep(self, wait_ms: float) -> None:
-        era, waited_ms = self.era, 0
-        while era == self.era and waited_ms < wait_ms:
-            await self.core.wheel.sleep(STEP_MS * 1000)
-            waited_ms += STEP_MS
+        """No longer than till discovery moves."""
+        if wait_ms > 0:
+            with contextlib.suppress(TimeoutError):
+                async with self.core.wheel.limit(round(wait_ms * 1000)):
+                    await self._moved.wait()
 
     async def _once(self) -> None:
         wheel = self.core.wheel
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -456,6 +456,28 @@
     run(go)
 
 
+def test_a_discovery_that_moves_during_a_pause_is_asked_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def go() -> None:
+        paused = asyncio.Event()
+
+        def an_hour(pace: pacing.Pace, lasted_ms: float) -> float:
+            paused.set()
+            return 3_600_000.0
+
+        monkeypatch.setattr(pacing.Pace, "lost_ms", an_hour)
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            new = Discovery()
+            await new.start()
+            new.hosts, new.seq = w.discovery.hosts, 7
+            await w.discovery.stop()
+            await paused.wait()
+            w.dispatcher.list.move(Address("127.0.0.1", new.port))
+            await until(lambda: w.dispatcher.list.seq == 7)
+            await new.stop()
+
+    run(go)
+
+
 def test_discovery_moves_under_a_request_and_its_older_versions_count() -> None:
     async def go() -> None:
         hold = asyncio.Event()
