Take in what came during a stall before time-outs fire

Cause or need: a process that stands still for longer than a limit wakes to its timers and to sockets that are ready; the timers fired first, so a connection that was up counted as unreachable and an answer that lay there as timed out. Seen in the suite beside a busy machine once dials became shorter: a dial on the loopback failed after 150 ms of stall.

Change: Wheel._turn lets six rounds of the loop go first when it is four ticks behind (a dial needs five).

--- a/onyxpass/core/wheel.py
+++ b/onyxpass/core/wheel.py
@@ -10,6 +10,7 @@
 
 TICK_US = 5_000
 AHEAD = 64  # ticks that it sleeps at most with no timer in between
+STALLED, ROUNDS = 4, 6  # ticks behind that tell of a stall; rounds of the loop that then go first
 SLOTS = 512  # one turn is 2.56 s; what lies further ahead waits some turns in its slot
 log = structlog.get_logger("wheel")
 
@@ -71,7 +72,8 @@
         self._slots: list[set[Timer]] = [set() for _ in range(SLOTS)]
         self._tick = clock.now_us() // TICK_US
         self._loop: asyncio.AbstractEventLoop | None = None  # while it runs
-        self._next: asyncio.TimerHandle | None = None
+        self._next: asyncio.Handle | None = None
+        self._rounds = 0  # of the loop that have gone first, after a stall
         self._next_tick = 0
         self._failed: asyncio.Future[None] | None = None
 
@@ -128,6 +130,13 @@
         loop, failed = self._loop, self._failed
         if loop is None or failed is None or failed.done():
             return
+        # Guards against time-outs of what came while this process stood still or was kept from running: a
+        # connection that is up, an answer that lies there are taken in before the timers fire.
+        if self._rounds < ROUNDS and self.clock.now_us() // TICK_US >= self._next_tick + STALLED:
+            self._rounds += 1
+            self._next = loop.call_soon(self._turn)
+            return
+        self._rounds = 0
         try:
             self._next_tick = self._tick  # what is set meanwhile is found by the look at the slots
             self.advance()
