Keep readers' queues short for the shortest aim of as much worth; forget a passed jam

And the mean time of first tokens, which _read takes off what is left of the aim, was learnt from answers only: once a jam had made it longer than the aim nothing was sent, so nothing could tell that the jam had passed. Checked: stage times of every request by 5 s; reports of writers (memory 0.5 to 0.6, so no lack there).

Change: Router._read lets a read wait unless it is in time for the shortest aim among classes of as much worth; the jam fades by half a second-long half-life since the last answer began (begun_us). Jobs that wait are those without an attempt, so their list went (it made room for this).

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -32,8 +32,7 @@
 MEMORY_TOKENS = 150_000  # of a server whose memory is not told
 BLEND, USUAL_BLEND = 0.3, 0.05  # weight of the newest sample: a server's mean, the pool's usual times
 FAIL_LIMIT, RESET_BLEND = 0.45, 0.2  # bad outcomes that put a server aside: two in a row; three broken off
-SLOW_LIMIT = 3.0  # times the median pace of its peers at which a server is put aside
-SAMPLES = 3  # outcomes needed before a pace is believed
+SLOW_LIMIT, SAMPLES = 3.0, 3  # times its peers' median pace that puts it aside; outcomes till one is believed
 ASIDE_US, ASIDE_MAX_US = 1_500_000, 12_000_000  # first pause with few routers, and the longest
 HELD_SHARE = 0.6  # of the time that a state may be held, after which no further writer is dialled for it
 BASE_TOKENS = 1_500  # what a read or fetch costs besides its tokens, so that short ones compare with long
@@ -211,14 +210,13 @@
         self.hosts: dict[str, Host] = {}
         self.banned: set[str] = set()  # taken out by operators, on the list or not
         self.jobs: dict[int, Job] = {}
-        self.waiting: list[Job] = []
         self.heard = deque[str](maxlen=HEARD)  # beginnings asked for last
         self.table = OrderedDict[str, tuple[Host, int, int]]()  # key -> reader, stored at, tokens
         self.up: dict[Role, list[Host]] = {role: [] for role in Role}  # may get work by the list, by id
         self.lean: dict[object, float] = {}  # what readers of a cell or zone send, over what its writers bear
         self.usual = dict.fromkeys(Role, 0.0)  # mean times of reads and first tokens
         self.quota = {t.name: (t.quota_per_s / settings.routers, 0) for t in settings.tenants}
-        self.probe_credit, self.ask_again_us, self.now_us = 1.0, -1, 0
+        self.probe_credit, self.ask_again_us, self.now_us, self.begun_us = 1.0, -1, 0, 0
         # Guards against a budget that a few requests never fill: routers start spread out, as with credit.
         blind = settings.routers >= BLIND
         self.call_credit = stable(f"calls|{settings.ordinal}") / 2**64 if blind else 0.0
@@ -228,6 +226,8 @@
     def _retuned(self, settings: api.Settings) -> None:  # requests under way keep the class they came with
         self.settings, self.classes = settings, {c.name: c for c in settings.classes}
         self.top_value = max((c.value for c in settings.classes), default=0) or 1.0
+        aims = [(c.name, c.aim_us, c.value) for c in settings.classes]  # the shortest of as much worth:
+        self.short = {name: min(a for _, a, v in aims if v >= value) for name, _, value in aims}
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         self.now_us, self.acts = now_us, []
@@ -237,7 +237,7 @@
                 self._end(self.jobs[request])
             case api.StreamStarted(request) if job := self.jobs.pop(request, None):
                 self._good(job, event.elapsed_us, 0)  # the stream is the client's now
-                fate = self.fates[job.cls.name]
+                self.begun_us, fate = now_us, self.fates[job.cls.name]
                 fate.met(now_us, 1, now_us <= job.arrived_us + job.aim_us)
                 fate.slow += BLEND * (job.spent_us / job.aim_us - fate.slow)
             case api.Arrival():
@@ -296,8 +296,7 @@
     def avoided(self, now_us: int) -> set[str]:
         """The servers that get nothing now, by the operators' word or by choice."""
         self.now_us = now_us
-        pools = (self._well(Role.READER, Role.MIXED), self._well(Role.WRITER, Role.MIXED))
-        used = {h.id for pool in pools for h in pool}
+        used = {h.id for h in self._well(Role.READER, Role.MIXED) + self._well(Role.WRITER, Role.MIXED)}
         return self.banned | {h.id for hosts in self.up.values() for h in hosts if h.id not in used}
 
     def _line_up(self) -> None:
@@ -328,8 +327,7 @@
         """Slow start: a request earns each cold server its part of an even share, however many routers."""
         for h, peers in [(h, len(hosts)) for hosts in self.up.values() for h in hosts]:
             if (warmth := h.warmth(self.now_us)) < 1:
-                part = warmth * min(1.0, self.settings.fall_multiple / 2)
-                h.credit = min(1.0, h.credit + part / peers)
+                h.credit = min(1.0, h.credit + warmth * min(1.0, self.settings.fall_multiple / 2) / peers)
 
     def _arrive(self, ask: api.Arrival) -> None:
         cls = self.classes.get(ask.cls, UNKNOWN)
@@ -353,10 +351,6 @@
         last_us = min(job.arrived_us + WAIT_SHARE * job.aim_us, job.ask.deadline_us - 3 * TICK_US)
         if not self._start(job) and self.now_us >= last_us:
             self._answer(job)
-        elif not job.attempts and job not in self.waiting:
-            self.waiting.append(job)
-        elif job.attempts and job in self.waiting:
-            self.waiting.remove(job)
 
     def _start(self, job: Job) -> bool:
         """Read it if the writers have room for its worth; False: it has to wait."""
@@ -421,8 +415,11 @@
         paces = [h.pace for h in ready if h.samples]
         guess = median(paces) if paces else 0.0
         takes = {h: h.expects(tokens - kept * (h is matched), self.now_us, guess) for h in ready}
-        # Guards against queues: a match that can't be in time yields to the quickest reader, else it waits.
-        left = job.aim_us * IN_TIME - (self.now_us - job.arrived_us) - self.usual[Role.WRITER]
+        # Guards against queues: what can't be in time at its match, or would make those of as much worth and
+        # a shorter aim late, takes the quickest reader, else waits. A jam at writers that has passed fades.
+        jam_us = self.usual[Role.WRITER] * 0.5 ** ((self.now_us - self.begun_us) / PACE_HALVES_US)
+        short_us = self.short.get(job.cls.name, job.cls.aim_us) * IN_TIME - jam_us
+        left = min(short_us, job.aim_us * IN_TIME - jam_us - (self.now_us - job.arrived_us))
         if not job.attempts and takes[target] > left:
             target = min(ready, key=lambda h: (takes[h], h.id))
             if takes[target] > left:
@@ -474,8 +471,9 @@
 
     def _send(self, job: Job, host: Host, tokens: int) -> None:
         left = job.ask.deadline_us - self.now_us - 2 * self.settings.tick_us
-        silent_us = max(self.patience * self.usual[host.role], PATIENCE_AIM * job.aim_us)
-        job.quiet_us = self.now_us + round(silent_us)
+        job.quiet_us = self.now_us + round(
+            max(self.patience * self.usual[host.role], PATIENCE_AIM * job.aim_us)
+        )
         patience = left if job.attempts + 2 >= self.settings.max_attempts else round(TIMEOUT_SHARE * left)
         job.out, job.sent_us, job.attempts, job.passed = host, self.now_us, job.attempts + 1, 0
         job.work = BASE_TOKENS + tokens + sum(host.flight.values())
@@ -568,7 +566,6 @@
 
     def _end(self, job: Job) -> None:  # what it holds is let go, an attempt that is out is called off
         self.jobs.pop(job.ask.id, None)
-        self.waiting = [j for j in self.waiting if j is not job]
         if job.out and self.settings.may_cancel:
             self.acts.append(api.Cancel(job.ask.id, job.attempts - 1))
         if job.attempts:
@@ -601,7 +598,7 @@
                 host.proved, host.out_until_us = True, min(host.out_until_us, self.now_us)
 
     def _tick(self) -> None:
-        ill = any(h.strikes and not h.proved for h in self.hosts.values())
+        ill = [h for h in self.hosts.values() if h.strikes and not h.proved]
         if not (self.jobs or ill or self.ask_again_us >= 0):  # guards against hundreds that tick for nothing
             self.ticking = False
             return
@@ -609,7 +606,7 @@
         if 0 <= self.ask_again_us <= self.now_us:
             self.ask_again_us = self.now_us + self.settings.ask_within_us // 2
             self.acts.append(api.Subscribe())
-        for host in (h for h in self.hosts.values() if h.strikes and not h.proved):
+        for host in ill:
             if self.settings.may_probe and self.now_us >= host.out_until_us and self.probe_credit >= 1:
                 self.probe_credit -= 1
                 host.out_until_us = self.now_us + ASIDE_US  # an answer opens the trial sooner
@@ -628,5 +625,6 @@
             if quiet and silent and (free or self.call_credit >= 1):  # call it off, once
                 self.call_credit, job.quiet_us = self.call_credit - (not free), job.ask.deadline_us
                 self.acts.append(api.Cancel(job.ask.id, job.attempts - 1))
-        for job in sorted(self.waiting, key=lambda j: (-j.worth, j.arrived_us)):
+        waiting = [job for job in self.jobs.values() if not job.attempts]
+        for job in sorted(waiting, key=lambda j: (-j.worth, j.arrived_us)):
             self._try(job)
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -556,3 +556,25 @@
     drive.end(2, Status.FULL, 400 * MS)
     drive.end(2, Status.UNREACHABLE, 150 * MS)
     assert [s[0] for s in drive.sent[2]] == ["r", "w", "w", "w"], "the first had arrived: the time began anew"
+
+
+def test_a_jam_at_writers_that_has_passed_keeps_nothing_from_being_sent() -> None:
+    """Found on a drawn day of overload: after one jam of 2 s every request was refused for the rest of it."""
+    drive = Drive()
+    drive.ask(1)
+    drive.end(1, Status.READ)
+    drive.give(api.StreamStarted(1, 1, drive.sent[1][-1], 2_500 * MS), 2_500 * MS)
+    drive.end(1, Status.SERVED, final=True)
+    assert drive.ask(100) is None, "no answer of its class would be in time just now"
+    drive.now += 10 * choice.PACE_HALVES_US
+    assert drive.ask(101) is not None, "and none would ever show that the jam has passed, if none were sent"
+
+
+def test_what_can_wait_makes_nobody_late_that_is_worth_as_much() -> None:
+    """Found on days of overload: long aims filled the readers' queues, and short ones were never in time."""
+    classes = (api.TrafficClass("patient", 3 * S, 9 * S, 1.0), api.TrafficClass("urgent", S, 5 * S, 2.0))
+    for settings, goes in ((classes, False), (classes[:1], True)):
+        drive = Drive(fleet(2, 4), classes=settings)
+        for host in drive.router.hosts.values():
+            host.pace, host.samples, host.answered_us = 1.2 * S / (choice.BASE_TOKENS + 3_000), 3, drive.now
+        assert (drive.ask(1, cls="patient") is not None) is goes
