Count what is being read among what writers will hold, so waiting reads don't start at once

Change: _start adds what this router is having read, scaled to all routers as streams are, over all writers' memory.

The test fails without the change.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -356,7 +356,9 @@
         """Read it if the writers have room for its worth; False: it has to wait."""
         if not (writers := self._pool(Role.WRITER, Role.MIXED)):
             return False
-        pressure = sum(self._projected(writers, surely=True).values()) / len(writers)
+        reads = [tokens for h in self.up[Role.READER] for tokens in h.flight.values()]  # want room too
+        coming = stands_for(reads, self.settings.routers) / sum(h.memory for h in writers)
+        pressure = coming + sum(self._projected(writers, surely=True).values()) / len(writers)
         return pressure < ADMIT_FULL - ADMIT_SPAN * (1 - job.worth) and self._read(job)
 
     def _projected(self, writers: list[Host], surely: bool = False) -> dict[Host, float]:
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -578,3 +578,13 @@
         for host in drive.router.hosts.values():
             host.pace, host.samples, host.answered_us = 1.2 * S / (choice.BASE_TOKENS + 3_000), 3, drive.now
         assert (drive.ask(1, cls="patient") is not None) is goes
+
+
+def test_what_is_being_read_counts_among_what_writers_will_hold() -> None:
+    """Found on an overloaded day: once writers had room for one, all that waited were read at once."""
+    drive = Drive(fleet(4, 1), reports=api.Reports.INLINE, routers=1)
+    writer = drive.router.hosts["w0"]
+    writer.share, writer.share_us = choice.ADMIT_FULL - choice.ADMIT_SPAN - 0.1, drive.now
+    went = [drive.ask(i, f"s{i}", f"p{i}", prompt_tokens=8_000) is not None for i in range(8)]
+    assert went[0] and not any(went[4:]), "the first ones take the room that the report leaves"
+    assert drive.router.jobs.keys() == set(range(8)), "the others wait"
