--- a/onyxpass/extras.py
+++ b/onyxpass/extras.py
@@ -1,6 +1,7 @@
 """Packages that only some commands need, and the extra of this project that brings each of them."""
 
 EXTRAS = {
+    "hiredis": "standin",
     "jinja2": "lab",
     "matplotlib": "lab",
     "numpy": "lab",
--- a/onyxpass/standin/store.py
+++ b/onyxpass/standin/store.py
@@ -1,87 +1,252 @@
-"""A stand-in for Redis: the part of RESP2 that the shared store uses, with keys that expire."""
+"""A stand-in for Redis, from its published protocol and command pages: what the store uses, and faults.
+
+A restart breaks all connections and makes another run, empty or with an older snapshot, as after a lost disk.
+"""
 
 import asyncio
+import fnmatch
 import json
+import secrets
 import time
 from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from pathlib import Path
 from typing import Any
 
+import hiredis
+
 from onyxpass.standin.server import Server
 
-WORDS_MOST, WORD_MOST = 1024, 8 * 1024 * 1024
+WORDS_MOST = 1024
+READ_MOST = 64 * 1024
+CONTROL = ("MULTI", "EXEC", "DISCARD", "WATCH", "UNWATCH")
+OK, NONE = b"+OK\r\n", b"$-1\r\n"
+Reply = bytes
+
+
+class Fault(Enum):
+    """What happens to one command that comes."""
+
+    LOST = "lost"  # it takes effect, and its connection breaks before the answer
+    REFUSED = "refused"  # its connection breaks, and nothing has taken effect
+    LOADING = "loading"
+    READONLY = "readonly"
+
+
+ERRORS = {
+    Fault.LOADING: b"-LOADING Redis is loading the dataset in memory\r\n",
+    Fault.READONLY: b"-READONLY You can't write against a read only replica.\r\n",
+}
+WRITES = ("SET", "DEL")
+
+
+@dataclass(slots=True)
+class Session:
+    """One connection's own state."""
+
+    watched: dict[str, int] = field(default_factory=dict)  # key -> its version when it was watched
+    queued: list[list[str]] | None = None  # within MULTI
+    spoilt: bool = False  # a queued command was no good
 
 
 class RespStore(Server):
-    """GET, SET with NX and EX, DEL, KEYS by a prefix, PING. ``silent``: it takes commands, says nothing."""
+    """``silent``: it takes commands, says nothing. ``slow_s``: each answer takes so long."""
 
-    def __init__(self, port: int = 0, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        port: int = 0,
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
         super().__init__(port)
-        self.clock = clock
+        self.clock, self.wall = clock, wall
         self.data: dict[str, str] = {}
         self.ttl: dict[str, int] = {}  # seconds, as they were told
         self.ends: dict[str, float] = {}  # when a key is gone, by the clock
-        self.silent = False
+        self.versions: dict[str, int] = {}  # of each key that was ever changed, for WATCH
+        self.run = secrets.token_hex(20)
+        self.silent, self.slow_s = False, 0.0
+        self.going = asyncio.Event()  # cleared: paused, nothing is even read
+        self.going.set()
+        self.faults: list[Fault | None] = []  # for the next commands that write, in order; None: none
         self.commands: list[list[str]] = []
 
+    # Faults
+
+    def snapshot(self) -> dict[str, str]:
+        self._expire()
+        return dict(self.data)
+
+    async def restart(self, data: dict[str, str] | None = None, down_s: float = 0.0) -> None:
+        """Come back as another run, empty or with a snapshot."""
+        await self.stop()
+        await asyncio.sleep(down_s)
+        self.data, self.ends, self.ttl = dict(data or {}), {}, {}
+        self.versions = {}
+        self.run = secrets.token_hex(20)
+        self.going.set()
+        await self.start()
+
+    def save(self, path: Path) -> None:
+        path.write_text(json.dumps(self.snapshot()))
+
+    # Connections
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while (head := await reader.readline()).startswith(b"*"):
+        parser, session = hiredis.Reader(encoding="utf-8"), Session()
+        while data := await reader.read(READ_MOST):
+            await self.going.wait()
             try:
-                count = int(head[1:])
-                if not 0 < count <= WORDS_MOST:
-                    raise ValueError("too many words")
-                words = [await self._word(reader) for _ in range(count)]
-            except ValueError:
+                parser.feed(data)
+                while (words := parser.gets()) is not False:
+                    if not self._sound(words):
+                        writer.write(b"-ERR Protocol error\r\n")
+                        return
+                    if not await self._one([str(word) for word in words], session, writer):
+                        return
+            except (hiredis.ProtocolError, UnicodeDecodeError):
                 writer.write(b"-ERR Protocol error\r\n")
                 return
-            self.commands.append(words)
-            if not self.silent:
-                writer.write(self.answer(words[0].upper(), words[1:]))
 
     @staticmethod
-    async def _word(reader: asyncio.StreamReader) -> str:
-        head = await reader.readline()
-        if not head.startswith(b"$") or not 0 <= (size := int(head[1:])) <= WORD_MOST:
-            raise ValueError("not a bulk string")
-        return (await reader.readexactly(size + 2))[:-2].decode()
+    def _sound(words: object) -> bool:
+        return (
+            isinstance(words, list)
+            and 0 < len(words) <= WORDS_MOST
+            and all(isinstance(word, str | bytes) for word in words)
+        )
+
+    async def _one(self, words: list[str], session: Session, writer: asyncio.StreamWriter) -> bool:
+        """False: its connection is to break."""
+        self.commands.append(words)
+        command = words[0].upper()
+        writes = command == "EXEC" or (command in WRITES and session.queued is None)  # a transaction is one
+        fault = self.faults.pop(0) if self.faults and writes else None
+        if fault is Fault.REFUSED:
+            writer.transport.abort()
+            return False
+        reply = ERRORS[fault] if fault in ERRORS else self.take(command, words[1:], session)
+        if fault is Fault.LOST:
+            writer.transport.abort()
+            return False
+        if self.slow_s:
+            await asyncio.sleep(self.slow_s)
+        if not self.silent:
+            writer.write(reply)
+        return True
+
+    # Commands
+
+    def take(self, command: str, words: list[str], session: Session) -> Reply:
+        """One command of a connection, queued within MULTI."""
+        self._expire()
+        if command in CONTROL:
+            return self._transaction(command, words, session)
+        if session.queued is not None:
+            session.queued.append([command, *words])
+            return b"+QUEUED\r\n"
+        return self.answer(command, words)
+
+    def _transaction(self, command: str, words: list[str], session: Session) -> Reply:
+        match command:
+            case "WATCH" if session.queued is None:
+                session.watched.update({key: self.versions.get(key, 0) for key in words})
+            case "UNWATCH":
+                session.watched.clear()
+            case "MULTI" if session.queued is None:
+                session.queued = []
+            case "DISCARD" if session.queued is not None:
+                session.queued, session.watched = None, {}
+            case "EXEC" if session.queued is not None:
+                queued, watched = session.queued, session.watched
+                session.queued, session.watched = None, {}
+                if any(self.versions.get(key, 0) != version for key, version in watched.items()):
+                    return b"*-1\r\n"
+                replies = [self.answer(each[0], each[1:]) for each in queued]
+                return b"*%d\r\n" % len(replies) + b"".join(replies)
+            case _:
+                return b"-ERR " + command.encode() + b" is not allowed here\r\n"
+        return OK
 
     def _expire(self) -> None:
         now_s = self.clock()
         for key in [key for key, end_s in self.ends.items() if now_s >= end_s]:
-            self.data.pop(key, None)
-            self.ttl.pop(key, None)
-            del self.ends[key]
+            self._drop(key)
+
+    def _drop(self, key: str) -> bool:
+        self.ttl.pop(key, None)
+        self.ends.pop(key, None)
+        if self.data.pop(key, None) is None:
+            return False
+        self._touch(key)
+        return True
 
-    def answer(self, command: str, words: list[str]) -> bytes:
+    def _touch(self, key: str) -> None:
+        self.versions[key] = self.versions.get(key, 0) + 1
+
+    def answer(self, command: str, words: list[str]) -> Reply:
         self._expire()
         match command:
             case "SET" if len(words) >= 2:
-                options = [w.upper() for w in words[2:]]
-                if "NX" in options and words[0] in self.data:
-                    return b"$-1\r\n"
-                self.data[words[0]] = words[1]
-                self.ttl.pop(words[0], None)
-                self.ends.pop(words[0], None)
-                if "EX" in options:
-                    self.ttl[words[0]] = int(options[options.index("EX") + 1])
-                    self.ends[words[0]] = self.clock() + self.ttl[words[0]]
-                return b"+OK\r\n"
+                return self._set(words[0], words[1], [w.upper() for w in words[2:]])
             case "GET" if len(words) == 1:
-                value = self.data.get(words[0])
-                return self.bulk(value) if value is not None else b"$-1\r\n"
+                return self.bulk(self.data.get(words[0]))
             case "DEL":
-                return b":%d\r\n" % sum(self.data.pop(w, None) is not None for w in words)
+                return b":%d\r\n" % sum(self._drop(word) for word in words)
+            case "EXISTS":
+                return b":%d\r\n" % sum(word in self.data for word in words)
+            case "PTTL" if len(words) == 1:
+                if words[0] not in self.data:
+                    return b":-2\r\n"
+                end_s = self.ends.get(words[0])
+                return b":%d\r\n" % (-1 if end_s is None else round((end_s - self.clock()) * 1000))
             case "KEYS" if len(words) == 1:
-                found = [k for k in self.data if k.startswith(words[0].rstrip("*"))]
-                return b"*%d\r\n" % len(found) + b"".join(map(self.bulk, found))
+                return self.array([key for key in self.data if fnmatch.fnmatchcase(key, words[0])])
+            case "SCAN" if words:
+                return self._scan(int(words[0]), words[1:])
+            case "TIME":
+                now_us = round(self.wall() * 1e6)
+                return self.array([str(now_us // 1_000_000), str(now_us % 1_000_000)])
+            case "INFO":
+                return self.bulk(f"# Server\r\nredis_version:7.2.0\r\nrun_id:{self.run}\r\n")
             case "CLIENT" | "SELECT" | "PING":
-                return b"+OK\r\n"
+                return OK
         return b"-ERR unknown command\r\n"
 
+    def _set(self, key: str, value: str, options: list[str]) -> Reply:
+        if ("NX" in options and key in self.data) or ("XX" in options and key not in self.data):
+            return NONE
+        self.data[key] = value
+        self._touch(key)
+        if "KEEPTTL" not in options:
+            self.ttl.pop(key, None)
+            self.ends.pop(key, None)
+        for name, part in (("EX", 1.0), ("PX", 1000.0)):
+            if name in options:
+                told = int(options[options.index(name) + 1])
+                self.ttl[key] = max(1, int(told / part))
+                self.ends[key] = self.clock() + told / part
+        return OK
+
+    def _scan(self, cursor: int, options: list[str]) -> Reply:
+        named = {options[i].upper(): options[i + 1] for i in range(0, len(options) - 1, 2)}
+        count, keys = max(1, int(named.get("COUNT", "10"))), sorted(self.data)
+        part = [k for k in keys[cursor : cursor + count] if fnmatch.fnmatchcase(k, named.get("MATCH", "*"))]
+        ahead = cursor + count if cursor + count < len(keys) else 0
+        return b"*2\r\n" + self.bulk(str(ahead)) + self.array(part)
+
     @staticmethod
-    def bulk(value: str) -> bytes:
+    def bulk(value: str | None) -> Reply:
+        if value is None:
+            return NONE
         text = value.encode()
         return b"$%d\r\n%s\r\n" % (len(text), text)
 
+    @classmethod
+    def array(cls, values: list[str]) -> Reply:
+        return b"*%d\r\n" % len(values) + b"".join(map(cls.bulk, values))
+
     def calls(self) -> dict[str, dict[str, Any]]:
         """The claims on tool calls, by their keys."""
         prefix = "onyxpass:call:"
--- a/onyxpass/store/redis.py
+++ b/onyxpass/store/redis.py
@@ -17,17 +17,21 @@
     """The store did not answer, or not in a way that can be understood."""
 
 
+def client(url: str, timeout_ms: int) -> Redis:
+    # Guards against a claim sent twice by the library: its second try would find the first one's key.
+    return Redis.from_url(
+        url,
+        socket_timeout=timeout_ms / 1000,
+        socket_connect_timeout=timeout_ms / 1000,
+        retry=Retry(NoBackoff(), 0),
+        protocol=2,
+        driver_info=None,
+    )
+
+
 class Store:
     def __init__(self, url: str, timeout_ms: int = 300) -> None:
-        # Guards against a claim sent twice by the library: its second try would find the first one's key.
-        self._redis: Redis = Redis.from_url(
-            url,
-            socket_timeout=timeout_ms / 1000,
-            socket_connect_timeout=timeout_ms / 1000,
-            retry=Retry(NoBackoff(), 0),
-            protocol=2,
-            driver_info=None,
-        )
+        self._redis = client(url, timeout_ms)
 
     async def close(self) -> None:
         await self._redis.aclose()
