Tell a lost answer of the store from a change that others were quicker with

Change: a WatchError that was caused by the connection is StoreDown: unknown. Also, agents keep the fence of each lease durably (ledger version 2, from 1 without loss) and refuse what shows an older token, the same one of another holder, or one that comes while an older one's effect is under way.

--- a/onyxpass/agent/api.py
+++ b/onyxpass/agent/api.py
@@ -9,6 +9,10 @@
 | ``GET /v1/operations/ID?wait_ms=N`` | how it stands, once it has ended or the time is over |
 | ``GET /v1/events?since=N`` | what has happened after event N |
 | ``POST /v1/hold``, ``POST /v1/release`` | a rollout takes the agent, or gives it back |
+
+An order, or a hold, may show its lease: ``{"lease": {"name": N, "token": T, "holder": H}}``. It is refused with
+409 and ``stale`` where a higher token of that lease has been seen here, or the same one of another holder, or where
+what an older token began is still under way.
 """
 
 import asyncio
@@ -16,6 +20,8 @@
 import json
 import re
 import time
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -27,8 +33,11 @@
 from onyxpass.agent.holds import TTL_MOST_S, Hold, Holds
 from onyxpass.agent.keys import shown
 from onyxpass.agent.operations import KINDS, Busy, Operations, Options
+from onyxpass.agent.ledger import Operation
 from onyxpass.agent.supervisor import Agent, Instance
 from onyxpass.config import Address, ConfigError
+from onyxpass.leases.fence import Fence, Seen
+from onyxpass.leases.notes import note
 from onyxpass.net.ask import NoAnswer, NotSent
 from onyxpass.net.calls import BACKLOG, JSON, CallServer, Refusal, Reply, flag, object_in, only, whole
 from onyxpass.net.http import header
@@ -66,6 +75,25 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """The lease under which a call is made."""
+
+    name: str
+    token: int
+    holder: str
+
+
+def lease_in(call: dict[str, Any]) -> Shown | None:
+    found = call.get("lease")
+    if found is None:
+        return None
+    if not isinstance(found, dict):
+        raise Refusal(400, "lease must be an object")
+    only(found, "name", "token", "holder")
+    return Shown(id_in(found, "name"), whole(found, "token", 0, 2**53, least=1), id_in(found, "holder"))
+
+
 class Api(CallServer):
     kind = JSON
     most = 64
@@ -82,6 +110,8 @@
         self.agent, self.address, self.key = agent, address, key
         self.operations = Operations(agent.ledger, agent.by_name)
         self.holds = Holds()
+        seen = agent.ledger.fences()  # from before a restart: an old holder does not become young by it
+        self.fence = Fence({name: Seen(token, holder) for name, (token, holder) in seen.items()})
         if (kept := agent.ledger.hold()) is not None:  # its time runs anew: nobody's clock was kept
             self.holds.take(*kept, time.monotonic())
 
@@ -146,6 +176,7 @@
             "version": __version__,
             "instances": list(self.agent.by_name),
             "hold": self._held(held) if held else None,
+            "fences": dict(self.fence.told()),
         }
 
     @staticmethod
@@ -177,18 +208,46 @@
 
     def _begin(self, instance: Instance, kind: str, call: dict[str, Any]) -> Reply:
         names = ("operation", "rollout", "deadline_ms", "notice_ms", "force", "drain", "restart", "expect")
-        only(call, *names)
-        id, options = id_in(call, "operation"), options_in(call)
+        only(call, *names, "lease")
+        id, options, lease = id_in(call, "operation"), options_in(call), lease_in(call)
         if (known := self.operations.find(id)) is not None:
             if (known.name, known.kind) != (instance.name, kind):
                 raise Refusal(409, f"operation {id} is another one: {known.kind} {known.name}")
             return self._reply(202, known.told())
         if (held := self.holds.bars(text_in(call, "rollout", ""), time.monotonic())) is not None:
             raise Refusal(409, f"rollout {held.rollout} holds this agent", hold=self._held(held))
-        try:
-            return self._reply(202, self.operations.begin(id, instance.name, kind, options).told())
-        except Busy as problem:
-            raise Refusal(409, str(problem), operation=problem.operation.told()) from problem
+        if (busy := self.operations.running.get(instance.name)) is not None:
+            raise Refusal(409, str(Busy(busy)), operation=busy.told())
+        over = self._under(lease, id) if lease is not None else lambda _: None
+        return self._reply(202, self.operations.begin(id, instance.name, kind, options, over).told())
+
+    def _admit(self, lease: Shown, effect: str) -> dict[str, Any]:
+        """Guards against what an old holder asks, whatever it believes: kept before anything takes effect."""
+        told = {
+            "lease": lease.name,
+            "token": lease.token,
+            "holder": lease.holder,
+            "resource": self.agent.config.name,
+            "effect": effect,
+        }
+        if why := self.fence.bars(lease.name, lease.token, lease.holder):
+            note("refused", **told, why=why)
+            self.agent.ledger.event("", "stale", lease=lease.name, token=lease.token, holder=lease.holder)
+            raise Refusal(409, why, stale=True)
+        if self.fence.admit(lease.name, lease.token, lease.holder):
+            self.agent.ledger.keep_fence(lease.name, lease.token, lease.holder)
+        return told
+
+    def _under(self, lease: Shown, effect: str) -> Callable[[Operation], None]:
+        told = self._admit(lease, effect)
+        self.fence.began(lease.name)
+        note("begin", **told)
+
+        def over(operation: Operation) -> None:
+            self.fence.ended(lease.name)
+            note("end", **told, state=operation.state)
+
+        return over
 
     async def _operation(self, id: str, asked: dict[str, str]) -> Reply:
         found = await self.operations.wait(id, self._number(asked, "wait_ms", WAIT_MOST_MS) / 1000)
@@ -197,10 +256,16 @@
         return self._reply(200, found.told())
 
     def _hold(self, call: dict[str, Any]) -> Reply:
-        only(call, "rollout", "holder", "ttl_ms")
+        only(call, "rollout", "holder", "ttl_ms", "lease")
         rollout, holder = id_in(call, "rollout"), text_in(call, "holder")
         ttl_s = whole(call, "ttl_ms", 30_000, round(TTL_MOST_S * 1000), least=1) / 1000
         before = self.holds.current(time.monotonic())
+        if (lease := lease_in(call)) is not None:
+            if before is not None and before.rollout != rollout and self._outlived(lease):
+                self.holds.drop(
+                    before.rollout, time.monotonic()
+                )  # its lease has gone to this rollout's holder
+            self._admit(lease, f"hold-{rollout}")
         held = self.holds.take(rollout, holder, ttl_s, time.monotonic())
         if held.rollout != rollout:
             raise Refusal(409, f"rollout {held.rollout} holds this agent", hold=self._held(held))
@@ -209,6 +274,11 @@
             self.agent.ledger.event("", "held", rollout=rollout, holder=holder)
         return self._reply(200, {"hold": self._held(held)})
 
+    def _outlived(self, lease: Shown) -> bool:
+        """Whether this lease has been another's here, and nothing of that one is under way."""
+        last = self.fence.seen.get(lease.name)
+        return last is not None and last.token < lease.token and not self.fence.running.get(lease.name)
+
     def _release(self, call: dict[str, Any]) -> Reply:
         only(call, "rollout")
         rollout = id_in(call, "rollout")
--- a/onyxpass/agent/ledger.py
+++ b/onyxpass/agent/ledger.py
@@ -16,7 +16,7 @@
 
 from onyxpass.agent.process import Identity
 
-VERSION = 1
+VERSION = 2
 EVENTS_MOST, OPERATIONS_MOST, EXITS_MOST = 10_000, 2_000, 2_000
 DAMAGED = "; agent.db is left as it is: stop the instances that still run, move it aside and start again"
 TABLES = """
@@ -33,6 +33,9 @@
 CREATE TABLE holds (one INTEGER PRIMARY KEY CHECK (one = 1), rollout TEXT NOT NULL, holder TEXT NOT NULL,
     ttl_s REAL NOT NULL);
 """
+FENCES = """
+CREATE TABLE fences (lease TEXT PRIMARY KEY, token INTEGER NOT NULL, holder TEXT NOT NULL);
+"""
 
 
 class LedgerError(RuntimeError):
@@ -126,7 +129,9 @@
             raise LedgerError(f"{self.folder}: the state is damaged: {found}{DAMAGED}")
         version = int(db.execute("PRAGMA user_version").fetchone()[0])
         if version == 0:
-            db.executescript(f"BEGIN; {TABLES} PRAGMA user_version={VERSION}; COMMIT;")
+            db.executescript(f"BEGIN; {TABLES} {FENCES} PRAGMA user_version={VERSION}; COMMIT;")
+        elif version == 1:  # of an agent that knew no leases
+            db.executescript(f"BEGIN; {FENCES} PRAGMA user_version={VERSION}; COMMIT;")
         elif version != VERSION:
             raise LedgerError(f"{self.folder}: the state is of version {version}; this agent knows {VERSION}")
 
@@ -256,5 +261,15 @@
     def keep_hold(self, rollout: str, holder: str, ttl_s: float) -> None:
         self._db.execute("INSERT OR REPLACE INTO holds VALUES (1, ?, ?, ?)", (rollout, holder, ttl_s))
 
+    # The fences of leases
+
+    def fences(self) -> dict[str, tuple[int, str]]:
+        """By lease: the highest token that was let in, and whose it was."""
+        rows = self._db.execute("SELECT lease, token, holder FROM fences")
+        return {str(lease): (int(token), str(holder)) for lease, token, holder in rows}
+
+    def keep_fence(self, lease: str, token: int, holder: str) -> None:
+        self._db.execute("INSERT OR REPLACE INTO fences VALUES (?, ?, ?)", (lease, token, holder))
+
     def drop_hold(self) -> None:
         self._db.execute("DELETE FROM holds")
--- a/onyxpass/agent/operations.py
+++ b/onyxpass/agent/operations.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -57,8 +57,16 @@
         self.running: dict[str, Operation] = {}  # by instance
         self.tasks: set[asyncio.Task[None]] = set()
         self.ended: dict[str, asyncio.Event] = {}
+        self.over: dict[str, Callable[[Operation], None]] = {}  # by id: who wants to hear of its end
 
-    def begin(self, id: str, name: str, kind: str, options: Options) -> Operation:
+    def begin(
+        self,
+        id: str,
+        name: str,
+        kind: str,
+        options: Options,
+        over: Callable[[Operation], None] = lambda _: None,
+    ) -> Operation:
         """The operation under this id: a new one, or the one that was begun before. Busy if another runs."""
         if (known := self.find(id)) is not None:
             return known
@@ -67,7 +75,7 @@
         operation = Operation(id, name, kind)
         self.ledger.begin(operation)  # on record before anything is done
         self.running[name] = operation
-        self.ended[id] = asyncio.Event()
+        self.ended[id], self.over[id] = asyncio.Event(), over
         task = asyncio.create_task(self._carry_out(operation, self.instances[name], options))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -126,6 +134,7 @@
                 reason=operation.reason,
             )
             self.running.pop(instance.name, None)
+            self.over.pop(operation.id)(operation)
             self.ended[operation.id].set()
             for old in list(self.ended)[:-KEEP]:
                 del self.ended[old]
--- a/onyxpass/store/leases.py
+++ b/onyxpass/store/leases.py
@@ -96,7 +96,12 @@
                     self.commands += 3
                     await pipe.execute()
                     return answer
-                except WatchError:
+                except WatchError as problem:
+                    # Guards against a lost answer taken for a change that others were quicker with: the
+                    # library calls both alike, and only of the latter it is known that nothing took effect.
+                    cause = problem.__cause__ or problem.__context__
+                    if isinstance(cause, RedisError | OSError):
+                        raise StoreDown(f"{type(cause).__name__}: {cause}") from problem
                     await asyncio.sleep(0.002 * number)
         raise StoreDown("others changed the lease each time")
 
