Rollouts take a lease for each hall and show its token; agents refuse what an old holder asks

Need: two operators' tools met only agent by agent, half a fleet each, and a tool that was stopped and woke went on ordering.

Change: with [store] in the fleet's file a rollout takes the leases of its halls before anything else (fleet/leases.py), shows token and holder with each hold and order, and aborts once a lease is gone. An agent refuses an older token (stale), makes a newer one wait while an older one's order is under way, and lets a newer holder's rollout take it over from the old one's hold. Without a store nothing changes.

--- a/onyxpass/agent/api.py
+++ b/onyxpass/agent/api.py
@@ -10,9 +10,9 @@
 | ``GET /v1/events?since=N`` | what has happened after event N |
 | ``POST /v1/hold``, ``POST /v1/release`` | a rollout takes the agent, or gives it back |
 
-An order, or a hold, may show its lease: ``{"lease": {"name": N, "token": T, "holder": H}}``. It is refused with
-409 and ``stale`` where a higher token of that lease has been seen here, or the same one of another holder, or where
-what an older token began is still under way.
+An order, or a hold, may show its lease: ``{"lease": {"name": N, "token": T, "holder": H}}``. It is refused,
+409 with ``stale``, where a higher token of that lease has been seen here, or the same one of another holder,
+or with ``under_way``, for as long as what an older token began has not ended.
 """
 
 import asyncio
@@ -32,8 +32,8 @@
 from onyxpass.agent.expected import expected_digest
 from onyxpass.agent.holds import TTL_MOST_S, Hold, Holds
 from onyxpass.agent.keys import shown
-from onyxpass.agent.operations import KINDS, Busy, Operations, Options
 from onyxpass.agent.ledger import Operation
+from onyxpass.agent.operations import KINDS, Busy, Operations, Options
 from onyxpass.agent.supervisor import Agent, Instance
 from onyxpass.config import Address, ConfigError
 from onyxpass.leases.fence import Fence, Seen
@@ -46,7 +46,7 @@
 LIVE_S = 1.0  # for an instance to say how it stands, where all are asked
 WAIT_MOST_MS = 10_000
 DAY_MS = 24 * 3600 * 1000
-ID = re.compile(r"[A-Za-z0-9._:-]{1,128}\Z")
+ID = re.compile(r"[A-Za-z0-9._:-]{1,192}\Z")
 log = structlog.get_logger("api")
 
 
@@ -60,7 +60,7 @@
 def id_in(call: dict[str, Any], name: str) -> str:
     value = text_in(call, name)
     if not ID.match(value):
-        raise Refusal(400, f"{name} must be 1 to 128 letters, digits or ._:-")
+        raise Refusal(400, f"{name} must be 1 to 192 letters, digits or ._:-")
     return value
 
 
@@ -233,6 +233,8 @@
         if why := self.fence.bars(lease.name, lease.token, lease.holder):
             note("refused", **told, why=why)
             self.agent.ledger.event("", "stale", lease=lease.name, token=lease.token, holder=lease.holder)
+            if self.fence.waits(lease.name, lease.token):
+                raise Refusal(409, why, under_way=True)
             raise Refusal(409, why, stale=True)
         if self.fence.admit(lease.name, lease.token, lease.holder):
             self.agent.ledger.keep_fence(lease.name, lease.token, lease.holder)
--- a/onyxpass/fleet/cli.py
+++ b/onyxpass/fleet/cli.py
@@ -73,6 +73,13 @@
     return guarded(lambda: asyncio.run(work))
 
 
+@fleet_app.callback()
+def prepare() -> None:
+    from onyxpass.logs import set_up_command
+
+    set_up_command()
+
+
 @fleet_app.command("list")
 def list_(
     names: Names = None, fleet: File = DEFAULT, where: Where = "", json: Json = False, deadline: float = 3.0
--- a/onyxpass/fleet/config.py
+++ b/onyxpass/fleet/config.py
@@ -49,16 +49,31 @@
     deadline_s: Annotated[float, Field(gt=0, le=86_400)] = 60.0  # for each instance
 
 
+class StoreTable(tomlfile.Model):
+    """Where rollouts take their leases. Without it each agent alone holds them apart."""
+
+    url: str
+    lease_s: Annotated[float, Field(ge=0.2, le=600)] = 15.0  # a dead tool's lease is free again after it
+    longest_s: Annotated[float, Field(ge=0.2, le=600)] = 30.0  # no tool's is longer; alike in all files
+    wait_s: Annotated[float, Field(ge=0, le=86_400)] = 45.0  # for which a rollout waits for it
+
+
 class FleetFile(tomlfile.Model):
     name: Name
     key: str  # the file with the key of the agents
     state: str = "fleet-state"  # the folder in which rollouts are recorded
     limits: LimitsTable = Field(default_factory=LimitsTable)
+    store: StoreTable | None = None
     halls: list[HallTable]
     agents: list[AgentTable]
 
     def faults(self) -> Iterable[tuple[tuple[tomlfile.Step, ...], str]]:
         """Names that stand twice, halls that are not named, and more to keep than there is."""
+        if self.store is not None and self.store.lease_s > self.store.longest_s:
+            yield (
+                ("store", "lease_s"),
+                f"a lease of {self.store.lease_s:g} s, of {self.store.longest_s:g} at most",
+            )
         halls = [hall.name for hall in self.halls]
         named: list[tuple[str, str, tuple[tomlfile.Step, ...]]] = [
             ("halls", name, ("halls", i, "name")) for i, name in enumerate(halls)
@@ -125,6 +140,7 @@
     limits: LimitsTable
     state: Path
     halls: tuple[str, ...] = field(default=())
+    store: StoreTable | None = None
 
     @property
     def agents(self) -> tuple[AgentRef, ...]:
@@ -146,7 +162,7 @@
             members.append(Member(entry.name, agent, entry.capacity, tuple(sorted(entry.labels.items()))))
     keep = {hall.name: file.keep(hall) for hall in file.halls}
     names = tuple(hall.name for hall in file.halls)
-    return Fleet(file.name, tuple(members), keep, file.limits, base / file.state, names)
+    return Fleet(file.name, tuple(members), keep, file.limits, base / file.state, names, file.store)
 
 
 def load(path: Path) -> Fleet:
--- a/onyxpass/fleet/conversation.py
+++ b/onyxpass/fleet/conversation.py
@@ -91,7 +91,11 @@
             # The agent has never had it, and its record outlives it: so it can be told (again).
             self.may_have_arrived, self.known = False, False
             return None
-        if status == 409 and "operation" in body:  # another order is under way there; it ends some time
+        if status == 409 and body.get("stale"):  # one that it had let in before would be told of instead
+            return failed(f"refused: {reason}")
+        if status == 409 and (
+            "operation" in body or body.get("under_way")
+        ):  # another order is under way there; it ends some time
             self.reason, self.failures, self._pause = reason, self.failures + 1, True
             return None
         if status >= 500:
--- /dev/null
+++ b/onyxpass/fleet/leases.py
@@ -0,0 +1,102 @@
+"""A rollout's leases: one for each hall of its selection, taken in order of name, all or none."""
+
+import os
+import secrets
+import socket
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from onyxpass.fleet.caller import Caller
+from onyxpass.fleet.config import AgentRef, Fleet, Member
+from onyxpass.fleet.record import Held
+from onyxpass.leases.holder import Holder
+from onyxpass.leases.keeper import Keeper
+from onyxpass.leases.notes import note, own_ms
+from onyxpass.leases.record import Answer, Ask, Granted
+from onyxpass.net.ask import NoAnswer, NotSent
+from onyxpass.store.leases import LeaseStore
+
+SEEN_S = 2.0  # for agents to say which tokens they have seen
+
+
+class Leases:
+    """``lost`` is called once, with the reason, when one of them is gone before it was given back."""
+
+    def __init__(self, fleet: Fleet, caller: Caller, reason: str, lost: Callable[[str], None]) -> None:
+        assert fleet.store is not None
+        self.fleet, self.caller, self.reason, self.lost = fleet, caller, reason, lost
+        self.store = LeaseStore(fleet.store.url, round(fleet.store.longest_s * 1000))
+        self.keepers: dict[str, Keeper] = {}  # by hall
+        self.base = f"{socket.gethostname()[:40]}-{os.getpid()}-{secrets.token_hex(4)}"
+
+    def name(self, hall: str) -> str:
+        return f"rollout.{self.fleet.name}.{hall}"
+
+    async def take(self, members: Sequence[Member], within_s: float) -> None:
+        """Held, with nothing kept, where one can't be had in that time. In order, so that two never cross."""
+        for hall in sorted({member.hall for member in members}):
+            keeper = self.keepers[hall] = self._keeper(hall)
+            if not await keeper.take(await self._seen(hall), within_s):
+                waits = keeper.holder.waits
+                del self.keepers[hall]
+                await self.leave()
+                if waits is None:
+                    raise Held(f"the lease {self.name(hall)}: the store does not answer")
+                who = (
+                    f"{waits.holder} has it ({waits.reason})"
+                    if waits.holder
+                    else "others are before, or none yet"
+                )
+                raise Held(f"the lease {self.name(hall)}: {who}")
+
+    def _keeper(self, hall: str) -> Keeper:
+        assert self.fleet.store is not None
+        name, holder = self.name(hall), Holder(self.base, round(self.fleet.store.lease_s * 1000), self.reason)
+        put = self.store.asked(name)
+        number = 0
+
+        async def asked(ask: Ask) -> Answer:
+            nonlocal number
+            number += 1
+            told = {"lease": name, "holder": ask.holder, "number": number}
+            note("ask", **told)
+            answer = await put(ask)
+            note("answer", **told, token=answer.token if isinstance(answer, Granted) else 0)
+            return answer
+
+        def told(what: str, token: int, why: str) -> None:
+            until_ns = holder.ended_ms * 1_000_000 if what == "lost" else None
+            note(what, lease=name, holder=holder.name, token=token, why=why, until_ns=until_ns)
+            if what == "lost" and why != "given back":
+                self.lost(f"the lease {name} is lost: {why}")
+
+        return Keeper(holder, asked, own_ms, told)
+
+    async def _seen(self, hall: str) -> int:
+        """The highest token that an agent of that hall tells of; a silent one refuses an old one anyway."""
+        agents: dict[str, AgentRef] = {m.agent.host: m.agent for m in self.fleet.members if m.hall == hall}
+        highest = 0
+        for agent in agents.values():
+            try:
+                answer = await self.caller.call(agent, "GET", "/v1/agent", None, SEEN_S)
+            except (NotSent, NoAnswer):
+                continue
+            seen = (answer.body.get("fences") or {}).get(self.name(hall)) or {}
+            highest = max(highest, int(seen.get("token") or 0))
+        return highest
+
+    def shown(self, agent: AgentRef) -> Mapping[str, Any] | None:
+        """What an order to this agent has to show; None once the lease is gone."""
+        keeper = self.keepers.get(agent.hall)
+        if keeper is None or not (token := keeper.token):
+            return None
+        return {"name": self.name(agent.hall), "token": token, "holder": keeper.holder.name}
+
+    async def leave(self) -> None:
+        for keeper in self.keepers.values():
+            await keeper.leave()
+        self.keepers.clear()
+
+    async def close(self) -> None:
+        await self.leave()
+        await self.store.close()
--- a/onyxpass/fleet/runner.py
+++ b/onyxpass/fleet/runner.py
@@ -4,11 +4,11 @@
 import secrets
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from onyxpass.fleet.caller import Caller
 from onyxpass.fleet.config import AgentRef, Fleet, Member, count_of
-from onyxpass.fleet.outcome import Kind, Outcome
+from onyxpass.fleet.outcome import Kind, Outcome, not_tried
 from onyxpass.fleet.planner import Limits, Unit
 from onyxpass.fleet.record import Held, Record, whoami
 from onyxpass.fleet.rollout import (
@@ -26,6 +26,9 @@
 from onyxpass.fleet.views import View, look
 from onyxpass.net.ask import NoAnswer, NotSent
 
+if TYPE_CHECKING:  # Redis comes with it, and only where a store is told
+    from onyxpass.fleet.leases import Leases
+
 HOLD_MS = 60_000  # an agent is free again so long after the last word of a rollout's tool
 RENEW_S = 15.0
 LOOK_S = 3.0  # one look at an instance
@@ -91,8 +94,9 @@
         caller: Caller,
         record: Record,
         told: Told = lambda _what, _detail: None,
+        leases: "Leases | None" = None,
     ) -> None:
-        self.id, self.rollout, self.order, self.members = id, rollout, order, members
+        self.id, self.rollout, self.order, self.members, self.leases = id, rollout, order, members, leases
         self.caller, self.record, self.told = caller, record, told
         self.tasks: set[asyncio.Task[None]] = set()
         self.changed = asyncio.Event()
@@ -119,13 +123,23 @@
         )
 
     async def _hold(self, agent: AgentRef) -> str:
-        body = {"rollout": self.id, "holder": whoami(), "ttl_ms": HOLD_MS}
+        body: dict[str, Any] = {"rollout": self.id, "holder": whoami(), "ttl_ms": HOLD_MS}
+        if self.leases is not None:
+            if (shown := self.leases.shown(agent)) is None:
+                return f"{agent.host}: the lease of its hall is gone"
+            body["lease"] = shown
+        due_s = self.now_s + self.order.deadline_s
         try:
             answer = await self.caller.call(agent, "POST", "/v1/hold", body, LOOK_S)
+            while answer.body.get("under_way") and self.now_s < due_s:  # by whoever had the lease before
+                await asyncio.sleep(UNDER_WAY_PAUSE_S)
+                answer = await self.caller.call(agent, "POST", "/v1/hold", body, LOOK_S)
         except (NotSent, NoAnswer):
             return ""
         if answer.status != 409:
             return ""
+        if answer.body.get("stale") or answer.body.get("under_way"):
+            return f"{agent.host}: {answer.reason}"
         hold = answer.body.get("hold") or {}
         return f"{agent.host}: rollout {hold.get('rollout')} is held by {hold.get('holder')}"
 
@@ -212,10 +226,17 @@
         self._carry_out(self.rollout.tick(self.now_s))
 
     async def _apply(self, name: str) -> None:
+        lease = self.leases.shown(self.members[name].agent) if self.leases is not None else None
+        if self.leases is not None and lease is None:
+            # Guards against orders by a tool that stood still while its lease went to another.
+            self.abort(reason := "its lease is gone")
+            self._carry_out(self.rollout.ended(name, not_tried(reason), Observation(), self.now_s))
+            return
         operation = secrets.token_hex(8)
         self.record.ordered(self.id, name, operation)
         self.operations[name] = operation
         kind, body = self.order.call(self.rollout.targets[name], self.id)
+        body |= {"lease": lease} if lease is not None else {}
         self.told("ordered", {"instance": name, "kind": kind, "operation": operation})
         outcome = await self.caller.order(self.members[name], kind, operation, body, self.order.deadline_s)
         view = await look(self.caller, self.members[name], LOOK_S)
--- a/onyxpass/fleet/tool.py
+++ b/onyxpass/fleet/tool.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import asdict, dataclass, field, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from onyxpass.config import ConfigError
 from onyxpass.fleet.caller import Caller
@@ -18,6 +18,9 @@
 from onyxpass.fleet.views import View, gather, look
 from onyxpass.net.ask import NoAnswer, NotSent
 
+if TYPE_CHECKING:
+    from onyxpass.fleet.leases import Leases
+
 LIST_S = 3.0
 SETTLE_S = 3.0  # past an order's deadline, for a last look
 
@@ -60,6 +63,7 @@
         """ConfigError where a key is no use."""
         self.fleet = fleet
         self.caller = Caller(fleet.agents)
+        self.leases: Leases | None = None
 
     def _report(
         self, command: str, members: Sequence[Member], tally: Tally, views: Mapping[str, View], began_s: float
@@ -181,13 +185,29 @@
             everybody = {m.name: targets.get(m.name, Target("")) for m in members}
             runner = self._runner(id, everybody, order, views, record, told)
             runner.rollout.barred = beside
+            await self._leased(runner, members)
             await runner.take_agents()
             options = {key: value for key, value in asdict(order).items() if key != "method"}
             record.begin(id, order.method, options, everybody)
             return id, await self._finish(runner, record, members, began_s, {})
         finally:
+            await self._given_back()
             record.close()
 
+    async def _given_back(self) -> None:
+        leases, self.leases = self.leases, None
+        if leases is not None:
+            await leases.close()
+
+    async def _leased(self, runner: Runner, members: Sequence[Member]) -> None:
+        """Where a store is told: Held unless the leases of all its halls are had."""
+        if self.fleet.store is None:
+            return
+        from onyxpass.fleet.leases import Leases
+
+        runner.leases = self.leases = Leases(self.fleet, self.caller, f"rollout {runner.id}", runner.abort)
+        await self.leases.take(members, self.fleet.store.wait_s)
+
     async def resume(self, id: str, told: Told = lambda _what, _detail: None) -> tuple[str, Report]:
         """Go on with a rollout whose tool ended too early: from what is so, not from what is on record."""
         began_s, record = time.monotonic(), Record(self.fleet.state)
@@ -205,10 +225,12 @@
             views = await gather(self.caller, self.fleet.members, LIST_S)
             targets = {name: entry.target for name, entry in found.entries.items()}
             runner = self._runner(found.id, targets, order, views, record, told)
+            await self._leased(runner, members)
             await runner.take_agents()
             operations = {name: entry.operation for name, entry in found.entries.items() if entry.operation}
             return found.id, await self._finish(runner, record, members, began_s, operations)
         finally:
+            await self._given_back()
             record.close()
 
     def _runner(
--- a/onyxpass/leases/fence.py
+++ b/onyxpass/leases/fence.py
@@ -36,6 +36,11 @@
             return f"what token {last.token} of {lease} began is still under way"
         return ""
 
+    def waits(self, lease: str, token: int) -> bool:
+        """Whether it is barred only till what an older token began has ended."""
+        last = self.seen.get(lease)
+        return last is not None and token > last.token
+
     def admit(self, lease: str, token: int, holder: str) -> bool:
         """Note one that was not barred; whether this is new, and so has to be kept before it takes effect."""
         new = self.seen.get(lease) != Seen(token, holder)
--- a/onyxpass/leases/holder.py
+++ b/onyxpass/leases/holder.py
@@ -71,6 +71,7 @@
     state: State = State.IDLE
     token: int = 0
     end_ms: int = 0  # by the own clock
+    ended_ms: int = 0  # till when the last one could be acted on
     floor: int = 0
     waits: Waits | None = None  # the last word on who is in the way
     asked: dict[int, tuple[Ask, int]] = field(default_factory=dict)  # out: what, and when
@@ -105,6 +106,7 @@
         if self.state in (State.IDLE, State.LEAVING):
             return []
         stopped: list[Action] = [Stop(self.token, "given back")] if self.state is State.HELD else []
+        self.ended_ms = min(now_ms, self.end_ms) if stopped else self.ended_ms
         token, self.state, self.end_ms = self.token, State.LEAVING, 0
         return [*stopped, *self._put(Leave(self.name, token), now_ms)]
 
@@ -188,5 +190,6 @@
 
     def _lost(self, reason: str, now_ms: int) -> list[Action]:
         """What it had is gone; whether it wants it again is its owner's to say."""
+        self.ended_ms = min(now_ms, self.end_ms)
         token, self.state, self.end_ms, self.due_ms = self.token, State.IDLE, 0, -1
         return [Stop(token, reason)]
