--- a/onyxpass/leases/holder.py
+++ b/onyxpass/leases/holder.py
@@ -14,7 +14,7 @@
 
 DRIFT = 0.05  # by which two clocks may differ in speed
 MARGIN_MS = 20  # of the end, besides
-RENEW_AT, POLL_MOST = 1 / 3, 1 / 3  # of the lease time: when it is renewed; how often one asks who waits
+RENEW_AT, POLL_MOST = 1 / 3, 2 / 3  # of the lease time: when it is renewed; how often one asks who waits
 UNANSWERED_MS = (
     50  # till an ask that came to nothing is put again; it doubles up to a third of the lease time
 )
@@ -165,7 +165,7 @@
     # What follows
 
     def _wait_ms(self) -> int:
-        return self.ttl_ms
+        return self.ttl_ms * 3 // 2  # a place that is looked at each 2/3 is then renewed at every second look
 
     def _put(self, ask: Ask, now_ms: int) -> list[Action]:
         self.numbers += 1
--- a/onyxpass/leases/record.py
+++ b/onyxpass/leases/record.py
@@ -17,7 +17,7 @@
 
 VERSION = 1
 LONGEST_MS = 30_000  # nothing is granted for longer, so nothing can be out for longer; alike in a whole fleet
-LINE_MOST = 64
+LINE_MOST = 8  # places; who finds none waits without one, so that hundreds don't all write one record
 NAME_MOST, REASON_MOST, TEXT_MOST = 128, 256, 32 * 1024
 NUMBER_MOST = 2**53
 
@@ -202,15 +202,17 @@
         return Granted(record.token, ask.ttl_ms), replace(record, until_ms=until_ms)
     queued = _lined_up(record, ask, now_ms)
     ahead = _ahead(queued, ask.holder)
+    # Guards against many who wait and write the record at every look: a place is renewed at half its time.
+    stands = next((place.until_ms - now_ms for place in record.line if place.holder == ask.holder), 0)
+    room = any(place.holder == ask.holder for place in queued.line)
+    kept = queued if room and 2 * stands < ask.wait_ms else None
     if record.held(now_ms):
         left_ms = record.until_ms - now_ms
-        return Waits(record.holder, left_ms, ahead, record.reason), queued if ask.wait_ms else None
+        return Waits(record.holder, left_ms, ahead, record.reason), kept
     if now_ms < record.open_ms:
-        return Waits("", record.open_ms - now_ms, ahead), queued if ask.wait_ms else None
+        return Waits("", record.open_ms - now_ms, ahead), kept
     if ahead:  # guards against a newcomer that starves those who wait
-        return Waits(
-            "", min(p.until_ms for p in queued.line) - now_ms, ahead
-        ), queued if ask.wait_ms else None
+        return Waits("", min(p.until_ms for p in queued.line) - now_ms, ahead), kept
     granted = replace(
         queued,
         token=max(record.token, ask.floor) + 1,
--- a/onyxpass/store/leases.py
+++ b/onyxpass/store/leases.py
@@ -58,16 +58,15 @@
 
     async def read(self, name: str) -> tuple[lease.Record | None, int]:
         """The record, and the store's time in milliseconds."""
+        return await self._guarded(self._look(name))
 
-        async def look() -> tuple[lease.Record | None, int]:
-            async with self._redis.pipeline(transaction=False) as pipe:
-                pipe.get(LEASE + name)
-                pipe.time()
-                self.commands += 2
-                text, now = await pipe.execute()
-            return lease.read(text), millis(now)
-
-        return await self._guarded(look())
+    async def _look(self, name: str) -> tuple[lease.Record | None, int]:
+        async with self._redis.pipeline(transaction=False) as pipe:
+            pipe.get(LEASE + name)
+            pipe.time()
+            self.commands += 2
+            text, now = await pipe.execute()
+        return self._read(name, text), millis(now)
 
     async def _guarded(self, work: Awaitable[Found]) -> Found:
         try:
@@ -80,6 +79,14 @@
 
     async def _answer(self, name: str, ask: Ask) -> Answer:
         key = LEASE + name
+        if isinstance(ask, lease.Take):
+            # Guards against many who wait and watch one key: most looks need no transaction, as nothing is
+            # written. Whether the store is another by now matters to a grant, not to a wait.
+            record, now_ms = await self._look(name)
+            if record is not None:
+                answer, written = self.change(record, ask, record.run, now_ms, self.longest_ms)
+                if written is None and isinstance(answer, lease.Waits):
+                    return answer
         async with self._redis.pipeline(transaction=True) as pipe:
             for number in range(TRIES):
                 try:
