Schedules of faults drawn from seeds, played by processes of the program with links between them

Need: the trials so far strike once each; what several faults do together, at any moment, has to be shown too.

Change: standin/together.py has the trial (two agents, four dispatchers, tools as processes; a link from each tool to the store and to each agent) and schedules of thirteen kinds of faults from a seed; two seeds in the suite, many by make bench-schedules. After each schedule, with all mended, a last rollout must change all; the histories of all processes are checked.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What a developer needs, by name. The platform uses deploy/balancer.toml.
-.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet bench-sources bench-lab bench-start bench-together
+.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet bench-sources bench-lab bench-start bench-together bench-schedules
 
 build:
 	test -d .venv || python3 -m venv .venv
@@ -53,3 +53,6 @@
 
 bench-together: dev
 	.venv-dev/bin/python benchmarks/together.py
+
+bench-schedules: dev
+	.venv-dev/bin/python benchmarks/schedules.py
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -1,113 +1,23 @@
 """Several processes of the program, faults between them, and their histories checked after the fact."""
 
 import asyncio
-import json
-import os
 import signal
-import sys
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
-from standins import RespStore, until
-from test_fleet import RESTART, run
+from standins import until
+from test_fleet import run
 
 from onyxpass.fleet import config as fleet_config
 from onyxpass.fleet.leases import Leases
 from onyxpass.fleet.rollout import Method
 from onyxpass.fleet.runner import Order
 from onyxpass.fleet.tool import Tool
-from onyxpass.logs import HISTORY
 from onyxpass.rules import history
 from onyxpass.rules.history import Line
-from onyxpass.standin.demo import ready
-from onyxpass.standin.link import Link
-from onyxpass.standin.replicas import StandinFleet
-from onyxpass.standin.site import Host, Site
-
-LIMITS = "out = 1\ncanaries = 0\npause_s = 0.4\nabort_after = 1\ndeadline_s = 20.0\n"
-STORE = '[store]\nurl = "redis://{address}/0"\nlease_s = 1.5\nlongest_s = 1.5\nwait_s = 60.0\n'
-
-
-class Trial:
-    """Two agents with two dispatchers each, a store, and a link to it for each of two operators' tools."""
-
-    def __init__(self, site: Site, store: RespStore, links: dict[str, Link]) -> None:
-        self.site, self.store, self.links = site, store, links
-        self.tools: dict[str, asyncio.subprocess.Process] = {}
-        plain = (site.folder / "fleet.toml").read_text()
-        for name, link in links.items():  # each operator has a folder of records of its own
-            text = plain.replace('state = "rollouts"', f'state = "rollouts-{name}"')
-            store_table = STORE.format(address=link.address)
-            (site.folder / f"fleet-{name}.toml").write_text(
-                text.replace("[limits]", f"{store_table}\n[limits]")
-            )
-
-    def log(self, name: str) -> Path:
-        return self.site.folder / f"tool-{name}.log"
-
-    def lines(self) -> list[Line]:
-        return history.read(sorted(self.site.folder.glob("*.log")))
-
-    def seen(self, what: str, of: str = "", **fields: Any) -> list[Line]:
-        return [
-            line
-            for line in self.lines()
-            if line.what == what
-            and line.source.startswith(of)
-            and all(line[name] == value for name, value in fields.items())
-        ]
-
-    async def start(self, name: str) -> None:
-        """A rollout that restarts all, by a tool of its own."""
-        words = ("fleet", "rollout", "run", "--method", "restart", "--json", "--fleet")
-        self.tools[name] = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "onyxpass", *words, str(self.site.folder / f"fleet-{name}.toml")),
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, HISTORY: str(self.log(name))},
-        )
-
-    async def ended(self, name: str) -> tuple[int, dict[str, Any], str]:
-        out, err = await self.tools[name].communicate()
-        code = self.tools[name].returncode
-        assert code is not None
-        return code, json.loads(out) if out.strip() else {}, err.decode()
-
-    def sound(self) -> None:
-        lines = self.lines()
-        assert not (found := history.breaches(lines)), "\n".join(found)
-        assert [x for x in lines if x.what == "begin"] and [x for x in lines if x.what == "held"]
-
-
-@asynccontextmanager
-async def together(folder: Path, tools: str = "ab") -> AsyncIterator[Trial]:
-    fleet = await StandinFleet(1, 1).start()
-    hosts = (Host("h1", "derby", ("d1", "d2")), Host("h2", "derby", ("d3", "d4")))
-    site = Site(folder, fleet, hosts, LIMITS, RESTART)
-    site.write()
-    store = await RespStore().start()
-    assert isinstance(store, RespStore)
-    links = {name: Link(store.port) for name in tools}
-    for link in links.values():
-        await link.start()
-    found = Trial(site, store, links)
-    try:
-        for host in hosts:
-            await site.start(host)
-        await ready(Tool(fleet_config.load(folder / "fleet.toml")), 60.0)
-        yield found
-    finally:
-        for process in found.tools.values():
-            if process.returncode is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-                await process.wait()
-        await site.stop()
-        for server in (*links.values(), store, fleet):
-            await server.stop()
+from onyxpass.standin.together import Together, drawn, play, together
 
 
 def changed(lines: list[Line], holder: str) -> int:
@@ -140,7 +50,7 @@
 def test_faults_between_two_tools_agents_and_the_store(tmp_path: Path, fault: str) -> None:
     """Whatever fails under the first rollout, the second has its turn after it and never beside it."""
 
-    async def strike(t: Trial, older: dict[str, str]) -> None:
+    async def strike(t: Together, older: dict[str, str]) -> None:
         match fault:
             case "cut":
                 t.links["a"].cut()
@@ -202,3 +112,21 @@
             assert not history.breaches(agents, ["effects apart", "tokens grow"])
 
     run(go)
+
+
+def test_a_schedule_is_the_same_for_its_seed_and_many_seeds_draw_all_faults() -> None:
+    assert drawn(5) == drawn(5) != drawn(6)
+    assert len({strike.what for seed in range(40) for strike in drawn(seed)}) == 13
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_drawn_schedule_of_faults(tmp_path: Path, seed: int) -> None:
+    """More by `make bench-schedules`; the schedule of a seed that failed is told and can be played again."""
+
+    async def go() -> None:
+        try:
+            await play(tmp_path, seed)
+        except AssertionError as problem:
+            raise AssertionError("\n".join([str(problem), *(s.told() for s in drawn(seed))])) from problem
+
+    run(go)
