Keep queues short only where a dispatcher sees its part of them

One of 40 dispatchers that holds a read back makes no queue shorter, the others fill it; its client comes again and is late.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -226,7 +226,7 @@
     def _retuned(self, settings: api.Settings) -> None:  # requests under way keep the class they came with
         self.settings, self.classes = settings, {c.name: c for c in settings.classes}
         self.top_value = max((c.value for c in settings.classes), default=0) or 1.0
-        aims = [(c.name, c.aim_us, c.value) for c in settings.classes]  # the shortest of as much worth:
+        aims = [(c.name, c.aim_us, c.value) for c in settings.classes if settings.routers < BLIND]
         self.short = {name: min(a for _, a, v in aims if v >= value) for name, _, value in aims}
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
@@ -420,7 +420,7 @@
         # Guards against queues: what can't be in time at its match, or would make those of as much worth and
         # a shorter aim late, takes the quickest reader, else waits. A jam at writers that has passed fades.
         jam_us = self.usual[Role.WRITER] * 0.5 ** ((self.now_us - self.begun_us) / PACE_HALVES_US)
-        short_us = self.short.get(job.cls.name, job.cls.aim_us) * IN_TIME - jam_us
+        short_us = self.short.get(job.cls.name, job.aim_us) * IN_TIME - jam_us
         left = min(short_us, job.aim_us * IN_TIME - jam_us - (self.now_us - job.arrived_us))
         if not job.attempts and takes[target] > left:
             target = min(ready, key=lambda h: (takes[h], h.id))
