--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -573,7 +573,7 @@
 def test_what_can_wait_makes_nobody_late_that_is_worth_as_much() -> None:
     """Found on days of overload: long aims filled the readers' queues, and short ones were never in time."""
     classes = (api.TrafficClass("patient", 3 * S, 9 * S, 1.0), api.TrafficClass("urgent", S, 5 * S, 2.0))
-    # Among many routers it goes: what one of them holds back makes no queue shorter, since the others fill it.
+    # Among many routers it goes: what one of them holds back makes no queue shorter, as the others fill it.
     for settings, routers, goes in ((classes, 2, False), (classes[:1], 2, True), (classes, 60, True)):
         drive = Drive(fleet(2, 4), classes=settings, routers=routers)
         for host in drive.router.hosts.values():
