--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -416,6 +416,8 @@
                 w.write(GOOD)
                 await w.holds("r1", "r2", "w1", "w2")
                 assert w.source.view.number == number + 1 and not w.source.from_snapshot
+                # Or what is damaged below is written over: saving goes on in a thread.
+                await until(lambda: snapshot.load(tmp_path / "snap").number == number + 1)
         (tmp_path / "snap").write_bytes((tmp_path / "snap").read_bytes()[:-9])
         async with watched(tmp_path, "nothing") as w:
             await w.refuses(1)
