Leave out what no one calls of the leases, and ask agents beside each other

Cause: a second reading. Holder.saw, Keeper.lost, record.told, LeaseStore.read and parts of the stand-in store had no caller; the search made a state's key anew for each of its successors; agents were asked for seen tokens one after another, so that each silent one cost 2 s more.

Change: the dead parts are gone, the key is made once, the agents are asked at once. Answers and checks are the same.

--- a/onyxpass/fleet/leases.py
+++ b/onyxpass/fleet/leases.py
@@ -1,5 +1,6 @@
 """A rollout's leases: one for each hall of its selection, taken in order of name, all or none."""
 
+import asyncio
 import os
 import secrets
 import socket
@@ -74,16 +75,17 @@
 
     async def _seen(self, hall: str) -> int:
         """The highest token that an agent of that hall tells of; a silent one refuses an old one anyway."""
-        agents: dict[str, AgentRef] = {m.agent.host: m.agent for m in self.fleet.members if m.hall == hall}
-        highest = 0
-        for agent in agents.values():
+        agents = {m.agent.host: m.agent for m in self.fleet.members if m.hall == hall}
+
+        async def of(agent: AgentRef) -> int:
             try:
                 answer = await self.caller.call(agent, "GET", "/v1/agent", None, SEEN_S)
             except (NotSent, NoAnswer):
-                continue
+                return 0
             seen = (answer.body.get("fences") or {}).get(self.name(hall)) or {}
-            highest = max(highest, int(seen.get("token") or 0))
-        return highest
+            return int(seen.get("token") or 0)
+
+        return max(await asyncio.gather(*map(of, agents.values())), default=0)
 
     def shown(self, agent: AgentRef) -> Mapping[str, Any] | None:
         """What an order to this agent has to show; None once the lease is gone."""
--- a/onyxpass/leases/holder.py
+++ b/onyxpass/leases/holder.py
@@ -97,10 +97,6 @@
         self.state, self.floor, self.wants = State.WAITING, floor, self.wants + 1
         return self._put(Take(self.name, self.ttl_ms, self.reason, floor, self._wait_ms()), now_ms)
 
-    def saw(self, token: int) -> None:
-        """A resource has seen this token."""
-        self.floor = max(self.floor, token)
-
     def leave(self, now_ms: int) -> list[Action]:
         """Give it back, or stop waiting. Nothing of its own may be under way any more."""
         if self.state in (State.IDLE, State.LEAVING):
--- a/onyxpass/leases/keeper.py
+++ b/onyxpass/leases/keeper.py
@@ -31,7 +31,7 @@
         told: Callable[[str, int, str], None] = lambda _what, _token, _why: None,
     ) -> None:
         self.holder, self.asked, self.clock_ms, self.told = holder, asked, clock_ms, told
-        self.held, self.lost = asyncio.Event(), asyncio.Event()
+        self.held = asyncio.Event()
         self.changed = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -74,12 +74,10 @@
                 case Put(number, ask):
                     self._beside(self._put(number, ask))
                 case Begin(token):
-                    self.lost.clear()
                     self.held.set()
                     self.told("held", token, "")
                 case Stop(token, reason):
                     self.held.clear()
-                    self.lost.set()
                     self.told("lost", token, reason)
                 case WakeAt(at_ms):
                     self._beside(self._wake(at_ms))
--- a/onyxpass/leases/record.py
+++ b/onyxpass/leases/record.py
@@ -11,7 +11,6 @@
 """
 
 import json
-from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -243,19 +242,3 @@
     """How many are before it; who does not wait stands behind all."""
     names = [place.holder for place in record.line]
     return names.index(holder) if holder in names else len(names)
-
-
-def told(record: Record | None, now_ms: int) -> Mapping[str, Any]:
-    """For operators to read."""
-    if record is None:
-        return {"holder": "", "token": 0}
-    held = record.held(now_ms)
-    return {
-        "holder": record.holder if held else "",
-        "last": record.holder,
-        "token": record.token,
-        "reason": record.reason if held else "",
-        "left_ms": max(0, record.until_ms - now_ms) if held else 0,
-        "opens_in_ms": max(0, record.open_ms - now_ms),
-        "waiting": [place.holder for place in record.line if now_ms < place.until_ms],
-    }
--- a/onyxpass/leases/search.py
+++ b/onyxpass/leases/search.py
@@ -158,11 +158,12 @@
         todo = deque([first])
         while todo:
             moment = todo.popleft()
+            here = moment.key()
             for step, after in self.steps(moment):
                 key = after.key()
                 if key in came:
                     continue
-                came[key] = (moment.key(), step)
+                came[key] = (here, step)
                 if breach := self.breach(moment, after):
                     return Found(len(came), False, breach, self.path(came, key))
                 if len(came) >= self.bounds.states:
--- a/onyxpass/standin/store.py
+++ b/onyxpass/standin/store.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from pathlib import Path
 from typing import Any
 
 import hiredis
@@ -47,7 +46,6 @@
 
     watched: dict[str, int] = field(default_factory=dict)  # key -> its version when it was watched
     queued: list[list[str]] | None = None  # within MULTI
-    spoilt: bool = False  # a queued command was no good
 
 
 class RespStore(Server):
@@ -78,19 +76,15 @@
         self._expire()
         return dict(self.data)
 
-    async def restart(self, data: dict[str, str] | None = None, down_s: float = 0.0) -> None:
+    async def restart(self, data: dict[str, str] | None = None) -> None:
         """Come back as another run, empty or with a snapshot."""
         await self.stop()
-        await asyncio.sleep(down_s)
         self.data, self.ends, self.ttl = dict(data or {}), {}, {}
         self.versions = {}
         self.run = secrets.token_hex(20)
         self.going.set()
         await self.start()
 
-    def save(self, path: Path) -> None:
-        path.write_text(json.dumps(self.snapshot()))
-
     # Connections
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/onyxpass/store/leases.py
+++ b/onyxpass/store/leases.py
@@ -56,11 +56,8 @@
 
         return ask_store
 
-    async def read(self, name: str) -> tuple[lease.Record | None, int]:
-        """The record, and the store's time in milliseconds."""
-        return await self._guarded(self._look(name))
-
     async def _look(self, name: str) -> tuple[lease.Record | None, int]:
+        """The record, and the store's time in milliseconds."""
         async with self._redis.pipeline(transaction=False) as pipe:
             pipe.get(LEASE + name)
             pipe.time()
