Notice a silent watch, redial and be answered within the time after which news counts as told

Seen: what a silent watch misses counts as told 6 s after it fell silent, and net/watch.py noticed the silence after 6 s only (QUIET_US); any bytes at all put that off, whole lines or not; an agent that was silent was asked again after pauses of up to 2 s and answers of 1, 2, 4 and 6 s (BACKOFF_MOST_MS, WHOLE_US). An object indented over many lines ended the watch, each time. A change of the old address that was still in the mailbox was put over the new address's list.

Change: net/pacing.py owns the clock of silence: 2.4 s since the last whole line; 0.25 to 0.5 s for an agent's answer, 3 s for a shared discovery's; pauses of at most 0.15 s at an agent. A shared discovery is asked within 3 s of a lost watch; later pauses keep their length: bounded ones leave all but 12 of 200 untold for ever in the model of its queue. Objects are found over any lines, and a heartbeat within one ends the watch. Of an old address's late words only drains count once the new list is there.

--- a/onyxpass/net/pacing.py
+++ b/onyxpass/net/pacing.py
@@ -5,15 +5,30 @@
 given up while it waits costs it as much as what is answered. Dispatchers that all ask at once, and ask
 anew as soon as they are turned away, keep its queue full of calls that nobody waits for any more, and
 then none is ever answered.
+
+What a watch misses counts as told ``TOLD_MS`` after it fell silent. Into that time have to fit: that the
+silence is noticed, the pause, a call that fails, another pause, and a call that is answered.
 """
 
 import random
 from dataclasses import dataclass, field
 
-BACKOFF_MS, BACKOFF_MOST_MS = 50, 2_000  # bounds of the pause before an agent is asked again
+TOLD_MS = 6_000.0  # after this, what a silent watch has missed counts as told
+HEARTBEAT_MS = 2_000.0  # a watch sends a line this often at least
+SILENT_MS = HEARTBEAT_MS + 400  # since the last whole line, till a watch counts as broken
+CONNECT_MS = 500.0  # for a connection to come up
+BACKOFF_MS, BACKOFF_MOST_MS = 50, 150  # bounds of the pause before an agent is asked again
+# For the whole list, or the first line of a watch. An agent answers at once, and is asked anew at no cost:
+# one that was silent while discovery was down has to be asked within what drains leave once it is back.
+ANSWER_MS, ANSWER_MOST_MS = 250.0, 500.0
+SHARED_ANSWER_MS = 3_000.0  # a shared discovery turns away within 2 s what can't have its turn
 CALL_MS = 200  # of a shared discovery's time for one call, counted generously: 5 to 8 a second were seen
 ASK_SHARE = 0.8  # of the time within which a dispatcher has to have asked: so far its first call is put off
 STEADY_MS = 3_000  # a shared watch that lasted so long had been taken on: others hear a no within 2 s
+# After a watch that was lost, all have asked by then: who asks later can't be told in time any more. Only
+# this first pause is bounded: bounding the later ones too keeps the queue of one that can't answer all full
+# of abandoned calls, and in the model with 200 dispatchers all but the first 12 were never told.
+LOST_MOST_MS = TOLD_MS - SILENT_MS - 600
 DOUBLINGS = 1  # of the pause between calls that fail in a row: past that, a list grows too old
 
 
@@ -27,6 +42,17 @@
     ask_within_ms: float = 10_000.0
     failures: int = field(default=0, init=False)  # in a row
 
+    @property
+    def answer_ms(self) -> float:
+        """How long a call may wait for its whole answer, or a watch for its first line.
+
+        Guards against an address that takes the question and says nothing: it is asked again soon; and
+        against a busy one that never has the time to answer: what is given up costs it as well.
+        """
+        if self.shared:
+            return SHARED_ANSWER_MS
+        return min(ANSWER_MOST_MS, ANSWER_MS * (1 << min(self.failures, 10)))
+
     @property
     def turn_ms(self) -> float:
         """The time in which all dispatchers can be answered once."""
@@ -53,5 +79,5 @@
         if not self.shared:
             return self.chance.uniform(0, min(BACKOFF_MOST_MS, BACKOFF_MS << min(failures, 10)))
         if not failures:
-            return self.first_ms()
+            return self.chance.uniform(0, min(self.turn_ms, LOST_MOST_MS))
         return self.chance.uniform(0.5, 1.5) * self.turn_ms * (1 << min(failures - 1, DOUBLINGS))
--- a/onyxpass/net/watch.py
+++ b/onyxpass/net/watch.py
@@ -16,13 +16,10 @@
 from onyxpass.core.actor import Actor
 from onyxpass.core.dispatcher import Core
 from onyxpass.net.http import Broken, Wire
-from onyxpass.net.pacing import Pace
+from onyxpass.net.pacing import CONNECT_MS, SILENT_MS, Pace
 from onyxpass.net.replica import Replicas
 
 LIST = b"/registry/instances"
-QUIET_US = 6_000_000  # a watch sends a line every 2 s at least
-CONNECT_US = 500_000
-WHOLE_US, WHOLE_MOST_US = 1_000_000, 6_000_000  # for the whole list; twice as long each time, up to this
 LINE_LIMIT = 4 * 1024 * 1024
 CONDITIONS = {
     "active": api.Condition.UP,
@@ -65,18 +62,47 @@
 
 
 class Lines:
-    """Cuts a stream of parts into lines; one that grows past the limit is an error."""
+    """Cuts a stream of parts into objects, one a line or indented over many; empty lines part them.
+
+    One that grows past the limit, and one that a sign of life breaks into, is an error.
+    """
 
     def __init__(self, most: int = LINE_LIMIT) -> None:
-        self._rest, self._most = b"", most
-        self.ended = False  # whether there has been a whole line, if only an empty one
+        self._rest, self._begun, self._size, self._most = b"", list[bytes](), 0, most
+        self._depth = 0  # of what has begun, by its braces
+        self.ended = 0  # whole lines so far, empty ones among them
 
-    def feed(self, data: bytes) -> list[bytes]:
+    def feed(self, data: bytes) -> list[dict[str, Any]]:
         *lines, self._rest = (self._rest + data).split(b"\n")
-        self.ended = self.ended or bool(lines)
-        if len(self._rest) > self._most:
+        self.ended += len(lines)
+        found = [message for line in lines if (message := self._line(line.strip())) is not None]
+        if self._size + len(self._rest) > self._most:
             raise ListError("a line without an end")
-        return [line.strip() for line in lines if line.strip()]
+        return found
+
+    def _line(self, line: bytes) -> dict[str, Any] | None:
+        if not line:
+            if self._begun:
+                raise ListError("an object that breaks off")
+            return None
+        if not self._begun and not line.startswith(b"{"):
+            raise ListError("not an object")
+        self._begun.append(line)
+        self._size += len(line)
+        self._depth += line.count(b"{") - line.count(b"}")
+        # Guards against parsing an indented list of a hundred servers at each of its lines.
+        if self._depth > 0 and (len(self._begun) > 1 or not line.endswith(b"}")) and line != b"}":
+            return None
+        try:
+            message = json.loads(b"\n".join(self._begun))
+        except ValueError:
+            if self._depth > 0:
+                return None  # a brace within a word, or the end of an entry
+            raise
+        self._begun, self._size, self._depth = [], 0, 0
+        if not isinstance(message, dict):
+            raise ListError("not an object")
+        return message
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +181,10 @@
             self._be_ready()
             return
         update, addresses = read_list(message.message)
+        if message.era != self.era and self.seq is not None:
+            # Guards against an older state put over the new address's list. A drain was told all the same.
+            leaving = tuple(s for s in update.servers if s.condition is not api.Condition.UP)
+            update = api.ListUpdate(api.ListForm.DELTA, leaving, update.version)
         # Guards against versions of two addresses being compared: each counts for itself.
         known = self.seq if message.era == self.era else None
         if update.form is api.ListForm.DELTA and known is not None and update.version <= known:
@@ -214,54 +244,63 @@
 
     async def _once(self) -> None:
         wheel = self.core.wheel
-        async with wheel.limit(CONNECT_US):
+        async with wheel.limit(round(CONNECT_MS * 1000)):
             streams = await asyncio.open_connection(self.discovery.host, self.discovery.port)
         wire = Wire(h11.CLIENT, *streams)
         try:
             if self.seq is None:
-                # Guards against an address that takes the question and says nothing: it is asked again soon;
-                # and against a busy one that never has the time to answer: what is given up costs it as well.
-                doublings = 10 if self.pace.shared else min(self.pace.failures, 10)
-                async with wheel.limit(min(WHOLE_MOST_US, WHOLE_US << doublings)):
-                    await self._ask(wire, LIST, whole=True)
+                await self._ask_whole(wire)
                 wire.h11.start_next_cycle()
-            await self._ask(wire, LIST + b"?watch=1&from=%d" % (self.seq or 0), whole=False)
+            await self._ask_watch(wire)
         finally:
             wire.abort()
 
-    async def _ask(self, wire: Wire, target: bytes, whole: bool) -> None:
+    def _ask(self, wire: Wire, target: bytes) -> int:
+        """Ask; by when there has to be an answer."""
         host = str(self.discovery).encode()
         wire.write(h11.Request(method=b"GET", target=target, headers=[(b"host", host)]), h11.EndOfMessage())
-        lines, text = Lines(), b""
+        return self.core.clock.now_us() + round(self.pace.answer_ms * 1000)
+
+    async def _part(self, wire: Wire, due_us: int) -> bytes | None:
+        """What comes next of an answer; None at its end. Whatever else comes does not put off ``due_us``."""
         while True:
-            async with self.core.wheel.limit(QUIET_US):
+            async with self.core.wheel.limit(due_us - self.core.clock.now_us()):
                 event = await wire.event()
             if isinstance(event, h11.Response) and event.status_code != 200:
                 raise Broken(f"discovery answers {event.status_code}")
             if isinstance(event, h11.Data):
-                if whole:
-                    text += bytes(event.data)
-                    if len(text) > LINE_LIMIT:
-                        raise ListError("a list too long")
-                    continue
-                for line in lines.feed(bytes(event.data)):
-                    self._hear(line)
-                if lines.ended:
-                    self.pace.heard()
-                    if not self.ready:
-                        self.tell(News(None, self.era))
-            elif isinstance(event, h11.EndOfMessage):
-                if whole:
-                    self._hear(text)
-                    return
-                raise Broken("the watch has ended")
-            elif not isinstance(event, h11.Response | h11.InformationalResponse):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                return None
+            if not isinstance(event, h11.Response | h11.InformationalResponse):
                 raise Broken("closed")
 
-    def _hear(self, text: bytes) -> None:
+    async def _ask_whole(self, wire: Wire) -> None:
+        due_us, text = self._ask(wire, LIST), b""
+        while (part := await self._part(wire, due_us)) is not None:
+            text += part
+            if len(text) > LINE_LIMIT:
+                raise ListError("a list too long")
         message = json.loads(text)
         if not isinstance(message, dict):
             raise ListError("not an object")
+        self._hear(message)
+
+    async def _ask_watch(self, wire: Wire) -> None:
+        """The one clock of silence: since the last whole line, or since the question."""
+        lines, due_us = Lines(), self._ask(wire, LIST + b"?watch=1&from=%d" % (self.seq or 0))
+        while (part := await self._part(wire, due_us)) is not None:
+            ended = lines.ended
+            for message in lines.feed(part):
+                self._hear(message)
+            if lines.ended > ended:  # guards against bytes that never make a line and keep a dead watch alive
+                due_us = self.core.clock.now_us() + round(SILENT_MS * 1000)
+                self.pace.heard()
+                if not self.ready:
+                    self.tell(News(None, self.era))
+        raise Broken("the watch has ended")
+
+    def _hear(self, message: dict[str, Any]) -> None:
         read_list(message)  # what is no list ends this watch rather than reach the mailbox
         news = News(message, self.era)
         if self.seq is None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,6 +1,5 @@
 """Where two events cross, forced over loopback sockets: one test for each line of docs/CROSSINGS.md."""
 
-import asyncio
 import socket
 
 import h11
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -35,7 +35,7 @@
 from onyxpass.core.clock import Clock
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.interface import Status
-from onyxpass.net import answers, front, pacing, watch
+from onyxpass.net import answers, front, pacing
 from onyxpass.net import replica as net_replica
 from onyxpass.net.http import Wire
 from onyxpass.net.watch import News
@@ -300,7 +300,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def go() -> None:
-        monkeypatch.setattr(watch, "WHOLE_US", 20_000)
+        monkeypatch.setattr(pacing, "ANSWER_MS", 20.0)
         monkeypatch.setattr(pacing, "BACKOFF_MS", 1)
         slow = Discovery()
         slow.delay_s = 0.1  # five times what it gets at first
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -7,13 +7,24 @@
 
 import pytest
 
-from onyxpass.net.pacing import BACKOFF_MOST_MS, STEADY_MS, Pace
+from onyxpass.net.pacing import (
+    ANSWER_MOST_MS,
+    BACKOFF_MOST_MS,
+    CONNECT_MS,
+    HEARTBEAT_MS,
+    SILENT_MS,
+    STEADY_MS,
+    TOLD_MS,
+    Pace,
+)
 
 CALL_MS, PLACES, PATIENCE_MS = 170.0, 14, 2_000.0  # as the operators' days show it
 ROUTERS = 40
 
 
-def told_within(paces: list[Pace], spread: bool, until_ms: float) -> list[float]:
+def told_within(
+    paces: list[Pace], spread: bool, until_ms: float, lost: bool = False, call_ms: float = CALL_MS
+) -> list[float]:
     """When each dispatcher's watch was taken on, if it was.
 
     One call at a time is worked on, in turn. A caller has left after ``PATIENCE_MS``, but its call is
@@ -27,7 +38,8 @@
         heapq.heappush(events, (when_ms, next(order), what, who))
 
     for who, pace in enumerate(paces):
-        at(pace.first_ms() if spread else 0.0, "ask", who)
+        first_ms = pace.lost_ms(STEADY_MS) if lost else pace.first_ms()
+        at(first_ms if spread else 0.0, "ask", who)
     while events:
         now_ms, _, what, who = heapq.heappop(events)
         if now_ms > until_ms:
@@ -48,12 +60,12 @@
                 taken[other] = now_ms
         if queue and not busy:
             busy = True
-            at(now_ms + CALL_MS, "done", -1)
+            at(now_ms + call_ms, "done", -1)
     return sorted(taken.values())
 
 
-def paces(shared: bool, seed: int) -> list[Pace]:
-    return [Pace(random.Random(seed * 1000 + i), shared, ROUTERS) for i in range(ROUTERS)]
+def paces(shared: bool, seed: int, routers: int = ROUTERS) -> list[Pace]:
+    return [Pace(random.Random(seed * 1000 + i), shared, routers) for i in range(routers)]
 
 
 @pytest.mark.parametrize("seed", range(8))
@@ -88,3 +100,32 @@
     assert max(pace.first_ms() for _ in range(200)) <= 8_000
     assert max(pace.lost_ms(0.0) for _ in range(200)) < 4 * 10_000
     assert pace.lost_ms(STEADY_MS) <= 8_000, "a watch that was taken on starts the count anew"
+
+
+@pytest.mark.parametrize("routers", [4, 30, 200])
+@pytest.mark.parametrize("seed", range(3))
+def test_after_a_silence_all_are_told_in_time_where_discovery_has_the_room(routers: int, seed: int) -> None:
+    """All of them lose their watches together, and what they miss counts as told soon after."""
+    call_ms = 2_000 / routers
+    told = told_within(paces(True, seed, routers), True, 60_000.0, lost=True, call_ms=call_ms)
+    assert len(told) == routers and told[-1] <= TOLD_MS - SILENT_MS
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_discovery_without_the_room_still_gets_round_to_all(seed: int) -> None:
+    """A bound on every pause would keep its queue full of abandoned calls: then most are never told."""
+    told = told_within(paces(True, seed), True, 60_000.0, lost=True)
+    assert len(told) == ROUTERS
+    told = told_within(paces(True, seed, 200), True, 300_000.0, lost=True)
+    assert len(told) > 180
+
+
+def test_a_silence_a_failed_call_and_a_good_one_fit_into_the_time_at_an_agent() -> None:
+    assert SILENT_MS > HEARTBEAT_MS
+    pace = Pace(random.Random(4), False, 200)
+    first = pace.lost_ms(STEADY_MS) + max(CONNECT_MS, pace.answer_ms)
+    again = pace.lost_ms(CONNECT_MS) + CONNECT_MS + pace.answer_ms
+    assert SILENT_MS + first + again < TOLD_MS - 1_000
+    for _ in range(40):
+        assert pace.lost_ms(CONNECT_MS) + pace.answer_ms <= BACKOFF_MOST_MS + ANSWER_MOST_MS
+    assert pace.answer_ms <= ANSWER_MOST_MS < 1_000, "an agent that is back is asked within any drain's grace"
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -95,7 +95,7 @@
 @given(PLACES)
 def test_cuts_of_the_watch_change_nothing(places: list[int]) -> None:
     lines = Lines()
-    found = [json.loads(line)["seq"] for part in cut(VERSIONS, places) for line in lines.feed(part)]
+    found = [message["seq"] for part in cut(VERSIONS, places) for message in lines.feed(part)]
     assert found == [1, 2]
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -9,6 +9,7 @@
 from helpers import SETTINGS
 from standins import Server, until
 
+from onyxpass import interface as api
 from onyxpass.config import Address, Config
 from onyxpass.serve import Dispatcher
 
@@ -183,8 +184,16 @@
 
 
 @asynccontextmanager
-async def world(readers: list[Replica], writers: list[Replica], **more: Any) -> AsyncIterator[World]:
-    discovery = Discovery()
+async def world(
+    readers: list[Replica],
+    writers: list[Replica],
+    discovery: Discovery | None = None,
+    settings: api.Settings = SETTINGS,
+    made: Callable[[Dispatcher], None] = lambda _: None,
+    **more: Any,
+) -> AsyncIterator[World]:
+    """``made`` is told of the dispatcher before it starts."""
+    discovery = discovery or Discovery()
     parts: list[Server] = [discovery, *readers, *writers]
     for part in parts:
         await part.start()
@@ -193,14 +202,15 @@
             discovery.hosts.append(discovery.entry(f"{kind}{i}", kind, replica.address))
     listen = Address("127.0.0.1", 0)
     known = more.pop("known", {})
-    config = Config("n0", listen, Address("127.0.0.1", discovery.port), 1, SETTINGS, known, **more)
+    config = Config("n0", listen, Address("127.0.0.1", discovery.port), 1, settings, known, **more)
     dispatcher = Dispatcher(config)
+    made(dispatcher)
     await dispatcher.start()
-    made = World(readers, writers, dispatcher)
-    made.discovery = discovery
+    world = World(readers, writers, dispatcher)
+    world.discovery = discovery
     await until(lambda: dispatcher.list.ready)
     try:
-        yield made
+        yield world
     finally:
         for task in dispatcher.tasks:
             task.cancel()
