Look at client, list, window and time in the step in which an attempt's first byte goes

Seen: an attempt was checked when it was chosen and, before its first byte, for the list only (net/replica.py carry, toolcalls/peers.py carry). A client that left during a dial, while it waited for room, or that sent and went at once was sent on all the same where this process had not had the turn to read its close; a keyed request could go out again after its window for repeats had passed during the dial. At shutdown the listener closed over connections in the accept queue, which resets them; a next request that came as the answer ended was dropped; a close over unread bytes reset the connection and took the answer's tail with it (front._end). A release tried five servers and ended at once where none could be asked for want of a descriptor.

Change: Core.barred is asked in the step of the first byte, by both fronts: called off, client gone (the kernel's word, Client.gone), deadline, attempts, list, window and scope of repeats. A keyed request that may have run is refused only where its scope is all servers. Connections end with a half-close, and what comes is read for 0.25 s; the accept queue is taken in before the listener closes; an idle connection with a request on it is served. After a stream a connection rests for 50 ms: a second answer that comes late is found on it rather than answer the next request.

Three older tests name REST_US 0, since they count connections that are used again at once; three use a client that can be asked whether it has gone.

--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -161,6 +161,45 @@
         attempt.parts, attempt.part_us = attempt.parts + 1, now_us
         return True
 
+    def barred(self, attempt: Attempt) -> str:
+        """Why this attempt may not begin now; empty if it may.
+
+        Looked at when it is chosen, and again in the step in which its first byte goes: a dial or a release
+        before it takes time, and the list, the client and the window for repeats do not wait.
+        """
+        request, now_us = attempt.request, self.clock.now_us()
+        if attempt.ended or attempt.verdict is not None:
+            return "called off"
+        # Guards against an attempt for a client that left while this process had no turn to read it.
+        if not request.over and request.client.gone():
+            self.withdraw(request)
+        if request.over:
+            return "its request has ended"
+        if now_us >= request.arrival.deadline_us:
+            return "its time has run out"
+        if attempt.number >= self.settings.max_attempts:
+            return "too many attempts"
+        if not self.may_send(attempt.server):
+            return "the list says no more"
+        return "" if self._repeatable(attempt, now_us) else "it may no longer be repeated"
+
+    def _repeatable(self, attempt: Attempt, now_us: int) -> bool:
+        """Whether what may have run before allows this attempt. A read has had no effect."""
+        request = attempt.request
+        ran = [
+            a
+            for a in request.attempts
+            if a is not attempt and a.writes and a.status and a.status.may_have_run
+        ]
+        cls = self._class_of(request)
+        if not ran or (cls is not None and cls.repeat is api.Repeat.SAFE):
+            return True
+        if cls is None or cls.repeat is api.Repeat.UNSAFE or now_us >= ran[0].sent_us + cls.window_us:
+            return False
+        level = {api.Scope.ALL: 0, api.Scope.ZONE: 1, api.Scope.CELL: 2}[cls.scope]
+        here = (attempt.place or ())[:level]
+        return all(len(here) == level and here == (a.place or ())[:level] for a in ran)
+
     def dial_us(self, request: Request, most_us: int) -> int:
         """How long a connection for this request may take to come up.
 
@@ -340,11 +379,13 @@
         left_us = request.arrival.deadline_us - now_us
         attempt = Attempt(request, len(request.attempts), server, min(timeout_us, left_us), now_us)
         attempt.reads, attempt.writes = self.reads(server), self.writes(server)
+        if (known := self.servers.get(server)) is not None:
+            attempt.place = (known.zone, known.cell)
         attempt.view = self.view
         request.attempts.append(attempt)
-        barred = request.over or request.committed or request.out or left_us <= 0 or self.fleet is None
-        if barred or attempt.number >= self.settings.max_attempts or not self.may_send(server):
-            self.ended(attempt, Status.NOT_SENT, reason="barred")
+        why = "another one is out" if request.out or request.committed else self.barred(attempt)
+        if why or self.fleet is None:
+            self.ended(attempt, Status.NOT_SENT, reason=why or "no fleet")
             return
         request.out = attempt
         attempt.timer = self.wheel.after(attempt.timeout_us, lambda: self._stop(attempt, Status.TIMEOUT))
@@ -362,7 +403,9 @@
         # at a reader as well: what was broken off there proves nothing either.
         repeat, may_run = self.repeat_of(request), request.out is not None
         ran = any(a.status is not None and a.status.may_have_run for a in request.attempts)
-        if (may_run and repeat is not api.Repeat.SAFE) or (ran and repeat is api.Repeat.UNSAFE):
+        cls = self._class_of(request)
+        everywhere = repeat is api.Repeat.KEYED and cls is not None and cls.scope is api.Scope.ALL
+        if repeat is not api.Repeat.SAFE and (may_run or (ran and not everywhere)):
             self._fail(request, "it may have run")
             return
         log.info("refused", id=request.id, attempts=len(request.attempts))
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -12,6 +12,9 @@
 class Client(Protocol):
     """The side that waits for one final answer. After a final call nothing more is called."""
 
+    def gone(self) -> bool:
+        """Whether it has left or broken off, as far as the system knows now; its reader may not know yet."""
+
     async def relay(self, event: bytes) -> None:
         """Pass on the next part of the stream; returns once there is room for more."""
 
@@ -44,6 +47,7 @@
     status: Status | None = None  # how it ended
     reads: bool = False  # whether its server reads prompts, by the list at the send
     writes: bool = True  # whether it may write answers
+    place: tuple[str, int] | None = None  # its server's zone and cell, by the list at the send
     view: int = 0  # the number of the view that it was sent by, where views are numbered
     first_us: int = 0  # from the send to the first event
     parts: int = 0  # of its stream, so far
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -16,6 +16,7 @@
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import ANSWER_ROOM_US, Core
 from onyxpass.core.requests import Request
+from onyxpass.core.wheel import Limit
 from onyxpass.net.http import BODY_LIMIT, CHUNK, Broken, Wire, body, drain_input, header
 from onyxpass.net.listen import Listener
 from onyxpass.net.replica import Payload, passed_on
@@ -34,6 +35,8 @@
 FIRST_US = 2_500_000  # from connecting, or from a later request's first byte, to a request's last byte
 IDLE_US = 8_000_000  # between requests
 LEAVE_US = 2_000_000  # for a client to take the rest of its answer
+FAREWELL_US = 250_000  # for it to close once our side has; what it sends meanwhile is read and not served
+REST_MOST = 16  # past the limit, of what still waits in the kernel as the listener closes
 BACKLOG = 512  # connections that may wait in the kernel while there is no room
 ROOM_US, SHORT_US = 20_000, 200_000  # between looks whether there is room, or descriptors again
 FRESH_US = 150_000  # so long after connecting a first request may still be on its way
@@ -158,6 +161,9 @@
         self.begun = False  # whether the stream's head has gone out
         self.keeps = True  # whether the client, and then that head, lets the connection stay open
 
+    def gone(self) -> bool:
+        return self.broken or self.wire.hung_up
+
     def _headers(self, *more: tuple[bytes, bytes]) -> list[tuple[bytes, bytes]]:
         return [*more, (b"connection", b"close")] if self._closing() else list(more)
 
@@ -234,6 +240,7 @@
     due_us: int  # by when the request that is being read must be whole
     wire: Wire | None = None
     stage: Stage = Stage.NEW
+    resting: Limit | None = None  # while it waits for a next request
     pieces: int = 0  # that had come on the wire before the request that is being read
 
     def progress(self) -> tuple[int, int]:
@@ -290,8 +297,8 @@
         new one was opened for a request, which is served, with ``Connection: close``.
         """
         for peer in list(self.open.values()):
-            if peer.wire is not None and peer.stage is Stage.IDLE and not peer.wire.stale:
-                peer.wire.close()
+            if peer.resting is not None and peer.stage is Stage.IDLE:
+                peer.resting.expire()
 
     @property
     def port(self) -> int:
@@ -300,10 +307,21 @@
         return self.listener.port
 
     def close(self) -> None:
-        """Take no new connections."""
-        if self.accepting is not None and self.listener is not None:
-            self.accepting.cancel()
-            self.listener.close()
+        """Take no new connections but those that the system has accepted for us already."""
+        if self.accepting is None or self.listener is None or self.listener.closed:
+            return
+        self.accepting.cancel()
+        while not self.shared and len(self.open) < self.most + REST_MOST:
+            # Guards against a reset of what came just before: once closed, the queue's connections are reset.
+            try:
+                sock = self.listener.take()
+            except OSError as problem:
+                log.warning("can't accept", why=str(problem))
+                break
+            if sock is None:
+                break
+            self._welcome(sock)
+        self.listener.close()
 
     # Connections
 
@@ -323,11 +341,14 @@
                 continue
             if sock is None:
                 continue
-            now_us = self.clock.now_us()
-            peer = Peer(now_us, now_us + FIRST_US)
-            self._keep(peer, self._converse(sock, peer))
+            self._welcome(sock)
             await asyncio.sleep(0)  # guards against a flood of connections that lets nothing else run
 
+    def _welcome(self, sock: socket.socket) -> None:
+        now_us = self.clock.now_us()
+        peer = Peer(now_us, now_us + FIRST_US)
+        self._keep(peer, self._converse(sock, peer))
+
     def _gone(self, task: asyncio.Task[None]) -> None:
         self.open.pop(task, None)
 
@@ -380,10 +401,18 @@
             await self._end(peer, wire)
 
     async def _end(self, peer: Peer, wire: Wire) -> None:
-        """Guards against a descriptor held by a client that never takes the end of its answer."""
+        """End our side first, and read on till the client ends its own.
+
+        Guards against a reset by bytes that nobody has read, which takes with it what is still on its way to
+        the client; and against a descriptor held by a client that never takes the end of its answer.
+        """
         self._at(peer, Stage.LEAVING)
-        wire.close()
         try:
+            if not wire.writer.is_closing():
+                async with self.wheel.limit(LEAVE_US):
+                    await wire.flush()
+                await drain_input(wire, self.wheel, FAREWELL_US)
+            wire.close()
             async with self.wheel.limit(LEAVE_US):
                 await wire.writer.wait_closed()
         except (OSError, TimeoutError, asyncio.CancelledError):
@@ -395,9 +424,7 @@
     async def _serve(self, peer: Peer, wire: Wire, under_way: UnderWay = None) -> None:
         while True:
             if not wire.pending and under_way is None:
-                limit_us = IDLE_US if peer.stage is Stage.IDLE else peer.due_us - self.clock.now_us()
-                async with self.wheel.limit(limit_us):
-                    await wire.fill()
+                await self._next(peer, wire)
                 if not wire.pending:
                     return
             client = under_way[0] if under_way else HttpClient(wire, lambda: self.leaving)
@@ -427,12 +454,29 @@
                 await wire.writer.drain()
             if wire.h11.our_state is not h11.DONE or wire.h11.their_state is not h11.DONE:
                 return
-            if self.leaving:
-                return
             wire.h11.start_next_cycle()
+            # Guards against a request that is here already and would get no answer.
+            if self.leaving and not wire.stale:
+                return
             self._at(peer, Stage.IDLE)
             peer.due_us = self.clock.now_us() + IDLE_US + FIRST_US
 
+    async def _next(self, peer: Peer, wire: Wire) -> None:
+        """Wait for what comes next, be it the end; TimeoutError if nothing does."""
+        limit_us = IDLE_US if peer.stage is Stage.IDLE else peer.due_us - self.clock.now_us()
+        limit = self.wheel.limit(limit_us)
+        peer.resting = limit
+        try:
+            async with limit:
+                await wire.fill()
+        except TimeoutError:
+            # Guards against a request that came in the very moment in which its connection was to be closed.
+            if peer.stage is not Stage.IDLE or not wire.stale or wire.hung_up:
+                raise
+            await wire.fill()
+        finally:
+            peer.resting = None
+
     def _complain(self, wire: Wire, status: int, why: str) -> None:
         text = why.encode("ascii", "replace")[:200] + b"\n"
         headers = [(b"content-length", b"%d" % len(text)), (b"connection", b"close")]
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -129,6 +129,11 @@
         waiting.register(self.writer.get_extra_info("socket"), select.POLLIN)
         return bool(waiting.poll(0))
 
+    @property
+    def hung_up(self) -> bool:
+        """Whether the other side has ended its sending or broken, by the kernel's word if not yet by ours."""
+        return hung_up(self.reader, self.writer)
+
     def abort(self) -> None:
         """Close at once; what is not yet written never is."""
         self.writer.transport.abort()
@@ -137,6 +142,14 @@
         self.writer.close()
 
 
+def hung_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    if writer.is_closing() or reader.at_eof() or reader.exception() is not None:
+        return True
+    asked = select.poll()
+    asked.register(writer.get_extra_info("socket"), select.POLLRDHUP)
+    return any(found & (select.POLLRDHUP | select.POLLHUP | select.POLLERR) for _, found in asked.poll(0))
+
+
 async def drain_input(wire: Wire, wheel: Wheel, most_us: int = DRAIN_US) -> None:
     """Guards against a reset that outruns the answer: end our side, and read on a moment before closing."""
     if wire.writer.can_write_eof() and not wire.writer.is_closing():
--- a/onyxpass/net/listen.py
+++ b/onyxpass/net/listen.py
@@ -53,6 +53,10 @@
             asyncio.get_running_loop().remove_reader(self.waiting)
             self.waiting = -1
 
+    @property
+    def closed(self) -> bool:
+        return self.sock.fileno() < 0
+
     def close(self) -> None:
         """This process's hold on it only: never ``shutdown``, which would end it for the other one too."""
         self._unwatch()
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -1,7 +1,6 @@
 """Replicas: an actor for each, which owns its idle connections, and the exchanges that it starts."""
 
 import asyncio
-import contextlib
 import json
 from collections.abc import Callable, Container, Coroutine, Iterable
 from dataclasses import dataclass
@@ -15,6 +14,7 @@
 from onyxpass.connect import Shortage, connect
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.fleet import ActorFleet, ServerActor
+from onyxpass.core.release import release
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.interface import KEPT_BROKE, STATE_GONE, ProbeResult, Repeat, Status
 from onyxpass.net.answers import Events, Incoming, Nudged, Part, Spoilt, framed
@@ -22,6 +22,7 @@
 
 IDLE_MARGIN_US = 1_500_000  # so long before the replica may close it, an idle connection is no longer used
 MOST_IDLE = 24  # idle connections kept to one replica
+REST_US = 50_000  # after a stream, till its connection is used again: a second answer may come late
 PROBE_US = 250_000
 OPENING_US = 2_000_000  # from the head of a stream to its first event
 STALL_US = 4_600_000  # a begun stream that is silent for so long has stopped: good ones pause for 0.2 s
@@ -33,8 +34,7 @@
 )  # how the share of kept connections that break is learnt, and fades
 RISK_BOOKING, RISK_ANY = 0.005, 0.06  # shares past which requests go out on new connections
 SETTLE_US = 25_000  # till a read that was just broken off has ended for sure at the replica's side
-LEASE_TRY_US = 100_000  # one try at letting go; there are 300 ms in all
-LEASE_STEP_US, LEASE_TRIES = 25_000, 5  # so long one replica is waited for till the next is asked as well
+LEASE_TRY_US = 100_000  # one try at letting go
 MAY_PASS = (408, 425, 429)  # answers 4xx that say nothing against the request
 log = structlog.get_logger("net")
 
@@ -69,6 +69,7 @@
 class Idle:
     wire: Wire
     since_us: int
+    ready_us: int  # from when on it may be used
 
 
 @dataclass(slots=True)
@@ -166,9 +167,10 @@
 
     def _reuse(self) -> Wire | None:
         """The connection used last. One that may be closed by the other side soon is not used again."""
-        while self.idle:
-            idle = self.idle.pop()
-            idle.wire.kept_us = self.core.clock.now_us() - idle.since_us
+        now_us = self.core.clock.now_us()
+        for idle in reversed([idle for idle in self.idle if now_us >= idle.ready_us]):
+            self.idle.remove(idle)
+            idle.wire.kept_us = now_us - idle.since_us
             if not idle.wire.stale and idle.wire.kept_us < self.keep_us:
                 return idle.wire
             self._discard(idle.wire)
@@ -192,13 +194,18 @@
         wire.born = self.born
         return wire
 
-    def _give_back(self, wire: Wire) -> None:
-        """Keep the connection if both sides are ready for another request on it."""
+    def _give_back(self, wire: Wire, streamed: bool = False) -> None:
+        """Keep the connection if both sides are ready for another request on it.
+
+        Guards against a second answer, some milliseconds behind a stream, that answers the next request: what
+        comes unasked while the connection rests is found on it, and it is closed.
+        """
         if wire.h11.our_state is h11.DONE and wire.h11.their_state is h11.DONE and not wire.stale:
             wire.h11.start_next_cycle()
             # Guards against connections kept from before a drain or a ban: their other end has gone.
             if len(self.idle) < MOST_IDLE and self.core.may_send(self.name) and wire.born == self.born:
-                self.idle.append(Idle(wire, self.core.clock.now_us()))
+                now_us = self.core.clock.now_us()
+                self.idle.append(Idle(wire, now_us, now_us + REST_US * streamed))
                 return
         self._discard(wire)
 
@@ -217,9 +224,9 @@
             if self._wary(attempt) or (wire := self._reuse()) is None:
                 wire = await self._open(self.core.dial_us(attempt.request, self.connect_us))
             await self.let_go_before(attempt)
-            if not self.core.may_send(self.name):  # guards against sends to a server that drains meanwhile
-                status, reason = Status.NOT_SENT, "the list says no more"
-            elif not attempt.ended:
+            if why := self.core.barred(attempt):  # what has changed since it was chosen
+                status, reason = Status.NOT_SENT, why
+            else:
                 self._write_head(wire, attempt)
                 if wire.writer.is_closing():  # the first write failed, so nothing has left
                     raise ConnectionResetError("closed before it was written")
@@ -249,7 +256,7 @@
             status = Status.RESET if wire is not None else Status.UNREACHABLE
         finally:
             if wire is not None:
-                self._give_back(wire)  # closed unless it is whole and clean
+                self._give_back(wire, status is Status.SERVED)  # closed unless it is whole and clean
                 if written and wire.kept_us >= 0:
                     self.budget.met(self.core.clock.now_us(), note == KEPT_BROKE and status is Status.RESET)
                 if reason and wire.kept_us >= 0:
@@ -501,41 +508,16 @@
         self.releasing(request, self._release(request, settle))
 
     async def _release(self, request: Request, settle: bool) -> None:
-        """Any replica will do; the holder is asked first, then those that answered last.
-
-        Guards against a state held for as long as a lost zone's replicas are asked in vain one after another:
-        the next one is asked beside those that have not answered.
-        """
         if settle:  # guards against asking before a read that was just broken off has ended there
             await self.core.wheel.sleep(SETTLE_US)
-        latest = sorted(self.actors, key=lambda name: -self.actors[name].answered_us)
-        asked = list(dict.fromkeys([request.holder, *latest]))
-        # Guards against new calls to a server that operators took out: any other lets go in its place.
-        asked = [name for name in asked if name not in self.core.excluded] or asked
-        asks: set[asyncio.Task[bool]] = set()
-        try:
-            for actor in filter(None, map(self.actors.get, asked[:LEASE_TRIES])):
-                asks.add(asyncio.create_task(actor.let_go(request.id)))
-                if await self._any(asks, LEASE_STEP_US):
-                    return
-            if not await self._any(asks, LEASE_TRY_US):
-                log.warning("nobody let go of what is held", id=request.id)
-        finally:
-            for ask in asks:
-                ask.cancel()
-
-    async def _any(self, asks: set[asyncio.Task[bool]], wait_us: int) -> bool:
-        """Whether one of them has come true within that time; those that came to nothing are taken out."""
-        due_us = self.core.clock.now_us() + wait_us
-        while asks and (left_us := due_us - self.core.clock.now_us()) > 0:
-            with contextlib.suppress(TimeoutError):
-                async with self.core.wheel.limit(left_us):
-                    await asyncio.wait(asks, return_when=asyncio.FIRST_COMPLETED)
-            done = {ask for ask in asks if ask.done()}
-            asks -= done
-            if any(ask.result() for ask in done):
-                return True
-        return False
+        await release(self.core, request, self._latest, lambda name: self._let_go(name, request.id))
+
+    def _latest(self) -> list[str]:
+        return sorted(self.actors, key=lambda name: -self.actors[name].answered_us)
+
+    async def _let_go(self, name: str, request_id: str) -> bool:
+        actor = self.actors.get(name)
+        return actor is not None and await actor.let_go(request_id)
 
     def sweep(self, everything: bool = False) -> None:
         for actor in list(self.actors.values()):
--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -11,6 +11,7 @@
 from onyxpass.config import Address
 from onyxpass.core.dispatcher import ANSWER_ROOM_US, Core
 from onyxpass.core.requests import Request
+from onyxpass.net.http import hung_up
 from onyxpass.toolcalls import rpc
 from onyxpass.toolcalls.desk import Desk, State
 from onyxpass.toolcalls.peers import Payload
@@ -25,8 +26,10 @@
 class RpcClient:
     """The core's client over one ``generate``: text as notifications, then exactly one response."""
 
-    def __init__(self, writer: asyncio.StreamWriter, id: rpc.Id, payload: Payload) -> None:
-        self.writer, self.id, self.payload = writer, id, payload
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, id: rpc.Id, payload: Payload
+    ) -> None:
+        self.reader, self.writer, self.id, self.payload = reader, writer, id, payload
         self.request: Request | None = None
         self.answered = False
 
@@ -34,6 +37,9 @@
         if not self.writer.is_closing():
             self.writer.write(text)
 
+    def gone(self) -> bool:
+        return self.answered or hung_up(self.reader, self.writer)
+
     async def relay(self, event: bytes) -> None:
         if self.answered:
             return
@@ -80,6 +86,7 @@
 
 @dataclass(slots=True)
 class Connection:
+    reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     mine: dict[rpc.Id, RpcClient]
 
@@ -111,7 +118,7 @@
         assert task is not None
         mine: dict[rpc.Id, RpcClient] = {}
         made_room = len(self.open) < self.most or self._make_room()
-        self.open[task] = Connection(writer, mine)
+        connection = self.open[task] = Connection(reader, writer, mine)
         try:
             if not made_room:
                 writer.write(rpc.error(None, RpcError(rpc.REFUSED, "too many connections")))
@@ -121,7 +128,7 @@
                 try:
                     message = rpc.parse(line)
                     if isinstance(message, Call):
-                        self._call(message, writer, mine)
+                        self._call(message, connection)
                     else:
                         log.debug("a client's response to nothing", id=str(message.id)[:80])
                 except RpcError as problem:
@@ -148,7 +155,8 @@
                 return True
         return False
 
-    def _call(self, call: Call, writer: asyncio.StreamWriter, mine: dict[rpc.Id, RpcClient]) -> None:
+    def _call(self, call: Call, connection: Connection) -> None:
+        writer, mine = connection.writer, connection.mine
         for done in [id for id, client in mine.items() if client.answered]:
             del mine[done]
         match call.method:
@@ -158,7 +166,7 @@
                 if len(mine) >= MOST_OPEN or self.closing:
                     raise RpcError(rpc.REFUSED, "no more requests here", call.id, {"retry_after_ms": 1000})
                 try:
-                    mine[call.id] = self._generate(call.id, call.params, writer)
+                    mine[call.id] = self._generate(call.id, call.params, connection)
                 except RpcError as problem:
                     problem.id = call.id
                     raise
@@ -184,7 +192,7 @@
             if not call.told.is_set():
                 self.desk.withdraw(call)
 
-    def _generate(self, id: rpc.Id, params: Any, writer: asyncio.StreamWriter) -> RpcClient:
+    def _generate(self, id: rpc.Id, params: Any, connection: Connection) -> RpcClient:
         request_id = rpc.text_of(params, "request", secrets.token_hex(8))
         if not 0 < len(request_id) <= ID_MOST or not request_id.isascii() or not request_id.isprintable():
             raise RpcError(rpc.BAD_PARAMS, f"request must be 1 to {ID_MOST} printable characters")
@@ -209,7 +217,7 @@
             prefix_tokens=rpc.number_of(params, "prefix_tokens", 0),
         )
         payload = Payload(prompt, max_tokens, cls)
-        client = RpcClient(writer, id, payload)
+        client = RpcClient(connection.reader, connection.writer, id, payload)
         client.request = self.core.submit(request_id, arrival, client, payload)
         return client
 
--- a/onyxpass/toolcalls/peers.py
+++ b/onyxpass/toolcalls/peers.py
@@ -12,6 +12,7 @@
 from onyxpass.connect import Shortage, connect
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.fleet import ActorFleet, ServerActor
+from onyxpass.core.release import release
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.interface import ProbeResult, Role, Status
 from onyxpass.toolcalls import rpc
@@ -61,9 +62,9 @@
             async with self.limit:
                 reader, writer = await self._open(self.core.dial_us(attempt.request, self.connect_us))
                 await self.let_go_before(attempt)
-                if not self.core.may_send(self.name):
-                    status, reason = Status.NOT_SENT, "the list says no more"
-                elif not attempt.ended:
+                if why := self.core.barred(attempt):
+                    status, reason = Status.NOT_SENT, why
+                else:
                     written = True  # guards against a second run: from here on it may have been taken
                     self._ask(writer, attempt)
                     self.core.written(attempt)
@@ -241,9 +242,9 @@
         self.releasing(request, self._release(request))
 
     async def _release(self, request: Request) -> None:
-        """The holder is asked first; any other peer passes the word on."""
-        for name in list(dict.fromkeys([request.holder, *self.actors]))[:3]:
-            peer = self.actors.get(name)
-            if peer is not None and await peer.ask("release", {"request": request.id}):
-                return
-        log.warning("nobody let go of what is held", id=request.id)
+        """Any peer passes the word on."""
+        await release(self.core, request, lambda: self.actors, lambda name: self._ask(name, request.id))
+
+    async def _ask(self, name: str, request_id: str) -> bool:
+        peer = self.actors.get(name)
+        return peer is not None and bool(await peer.ask("release", {"request": request_id}))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -45,6 +45,10 @@
 class FakeClient:
     def __init__(self) -> None:
         self.finals: list[str] = []
+        self.left = False  # by the kernel's word
+
+    def gone(self) -> bool:
+        return self.left
 
     async def relay(self, event: bytes) -> None:
         raise NotImplementedError
--- /dev/null
+++ b/tests/test_crossings_clients.py
@@ -0,0 +1,320 @@
+"""Crossings at clients' connections: leaving, shutdown and closing, forced over loopback sockets."""
+
+import asyncio
+import json
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+import test_toolcalls
+from standins import until
+from test_program import RAW, ROOT
+from world import CHUNKS, HEAD, READ, STREAM, Discovery, Replica, World, ask, ends_with, run, world
+
+from onyxpass.net import front
+from onyxpass.net.front import Stage
+
+
+def raw(w: World, text: bytes = b"") -> socket.socket:
+    """A client with no loop of its own: what it does is in the kernel before the dispatcher has a turn."""
+    sock = socket.create_connection(("127.0.0.1", w.port))
+    sock.sendall(text)
+    return sock
+
+
+async def received(sock: socket.socket, till: bytes = b"") -> bytes:
+    """What comes, up to the end or up to ``till``; a reset raises."""
+    loop, found = asyncio.get_running_loop(), b""
+    sock.setblocking(False)
+    while (till == b"" or till not in found) and (part := await loop.sock_recv(sock, 65536)):
+        found += part
+    return found
+
+
+# Clients that leave
+
+
+def held_dial(w: World, name: str) -> tuple[asyncio.Event, asyncio.Event]:
+    """Dials to that server are up at the first event and go on at the second."""
+    up, go_on = asyncio.Event(), asyncio.Event()
+    actor = w.dispatcher.replicas.actors[name]
+    dial = actor._open
+
+    async def held(most_us: int | None = None) -> Any:
+        wire = await dial(most_us)
+        up.set()
+        await go_on.wait()
+        return wire
+
+    actor._open = held  # type: ignore[method-assign]
+    return up, go_on
+
+
+@pytest.mark.parametrize("at", ["r0", "w0"])
+def test_nothing_goes_out_for_a_client_that_left_during_the_dial(at: str) -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            up, go_on = held_dial(w, at)
+            client = raw(w, ask("a1"))
+            await up.wait()
+            client.close()
+            go_on.set()  # in the same step, so the loop has not heard of the close
+            await until(lambda: w.dispatcher.core.figures.taken and not w.dispatcher.core.requests)
+            assert not (w.readers if at == "r0" else w.writers)[0].heads
+            if at == "w0":
+                await until(lambda: w.readers[0].leases or w.writers[0].leases)
+
+    run(go)
+
+
+def test_nothing_goes_out_for_clients_that_send_and_go_at_once() -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            assert b" 200 " in await w.ask("warm")  # connections are kept, so no dial gives the loop time
+            for n in range(200):
+                raw(w, ask(f"a{n}")).close()
+            assert b" 200 " in await w.ask("true")
+            await until(lambda: not w.dispatcher.core.requests and not w.dispatcher.front.open)
+            assert len(w.readers[0].heads) == len(w.writers[0].heads) == 2
+
+    run(go)
+
+
+def test_nothing_goes_out_for_a_client_that_left_while_it_waited_for_room() -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            core = w.dispatcher.core
+            core.router._start = lambda job: False  # type: ignore[method-assign]
+            client = raw(w, ask("a1"))
+            await until(lambda: core.router.jobs)
+            del core.router._start
+            client.close()
+            core.receive(front.api.TimerFired(0))  # the tick comes before the loop has read the close
+            await until(lambda: not core.requests)
+            assert not w.readers[0].heads and not w.readers[0].connections
+
+    run(go)
+
+
+def test_nothing_goes_out_for_a_json_rpc_client_that_left_during_the_dial() -> None:
+    async def go() -> None:
+        async with test_toolcalls.world() as w:
+            core = w.service.core  # type: ignore[attr-defined]
+            up, go_on = asyncio.Event(), asyncio.Event()
+            for peer in w.service.peers.actors.values():  # type: ignore[attr-defined]
+
+                async def held(most_us: int | None = None, dial: Any = peer._open) -> Any:
+                    streams = await dial(most_us)
+                    up.set()
+                    await go_on.wait()
+                    return streams
+
+                peer._open = held
+            client = socket.create_connection(("127.0.0.1", w.service.front.port))  # type: ignore[attr-defined]
+            params = {"class": next(iter(core.deadlines)), "prompt": "x"}
+            call = {"jsonrpc": "2.0", "id": 1, "method": "generate", "params": params}
+            client.sendall(json.dumps(call).encode() + b"\n")
+            await up.wait()
+            client.close()
+            go_on.set()
+            await until(lambda: core.figures.taken and not core.requests)
+            assert not any(reader.count("read") for reader in w.readers)
+
+    run(go)
+
+
+# Closing
+
+
+def test_a_request_that_crosses_the_close_of_its_idle_connection_is_not_sent_on_and_resets_nothing() -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            client = raw(w, ask("a1"))
+            assert b"[DONE]" in await received(client, b"\r\n0\r\n\r\n")
+            await until(lambda: all(p.stage is Stage.IDLE for p in w.dispatcher.front.open.values()))
+            w.dispatcher.front.close_idle()
+            assert await received(client) == b"", "its end is seen"
+            client.setblocking(True)
+            client.sendall(ask("a2"))
+            await until(lambda: not w.dispatcher.front.open)
+            assert len(w.readers[0].heads) == 1
+            client.close()
+
+    run(go)
+
+
+def test_a_request_that_is_there_as_its_idle_connection_is_closed_is_answered() -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            client = raw(w, ask("a1"))
+            await received(client, b"\r\n0\r\n\r\n")
+            await until(lambda: all(p.stage is Stage.IDLE for p in w.dispatcher.front.open.values()))
+            client.setblocking(True)
+            client.sendall(ask("a2"))
+            w.dispatcher.front.closing = True
+            w.dispatcher.front.close_idle()
+            answer = await received(client)
+            assert answer.startswith(b"HTTP/1.1 200") and b"connection: close" in answer.lower()
+            client.close()
+
+    run(go)
+
+
+def test_a_next_request_that_came_as_the_answer_ended_is_answered_at_shutdown() -> None:
+    async def go() -> None:
+        hold, held, go_on = asyncio.Event(), asyncio.Event(), asyncio.Event()
+        async with world([Replica(READ)], [Replica(ends_with(hold), STREAM)]) as w:
+            client = raw(w, ask("a1"))
+            await received(client, b"[DONE]")
+            (peer,) = w.dispatcher.front.open.values()
+            assert peer.wire is not None
+
+            async def drain() -> None:
+                held.set()
+                await go_on.wait()
+
+            peer.wire.writer.drain = drain  # type: ignore[method-assign]
+            hold.set()
+            await held.wait()  # the answer is given, and its end is on its way
+            w.dispatcher.front.closing = True
+            client.setblocking(True)
+            client.sendall(ask("a2"))
+            go_on.set()
+            assert b"HTTP/1.1 200" in await received(client)
+            client.close()
+
+    run(go)
+
+
+def test_the_end_of_an_answer_outlives_bytes_that_nobody_reads() -> None:
+    """A close over unread bytes resets the connection, and takes with it what the client has not had yet."""
+
+    async def go() -> None:
+        big = b'data: {"x":"%b"}\n\n' % (b"y" * 4000)
+        stream = HEAD + b"".join(b"%x\r\n%b\r\n" % (len(big), big) for _ in range(40)) + CHUNKS + b"0\r\n\r\n"
+
+        async def answer(self: Replica, reader: Any, writer: asyncio.StreamWriter, _: bytes) -> None:
+            writer.write(stream)
+
+        async with world([Replica(READ)], [Replica(answer)]) as w:
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(("127.0.0.1", w.port))
+            client.sendall(ask("a1", close=True))
+            await until(
+                lambda: (
+                    any(p.stage is Stage.LEAVING for p in w.dispatcher.front.open.values())
+                    or (not w.dispatcher.core.requests and w.writers[0].heads)
+                )
+            )
+            client.setblocking(False)
+            with pytest.raises(BlockingIOError):
+                while True:
+                    client.send(b"z" * 65536)
+            assert (await received(client)).endswith(b"0\r\n\r\n")
+            client.close()
+
+    run(go)
+
+
+# Shutdown
+
+
+def test_connections_that_wait_to_be_accepted_as_the_listener_closes_are_answered() -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            clients = [raw(w, ask(f"a{n}")) for n in range(30)]
+            w.dispatcher.front.closing = True
+            w.dispatcher.front.close()  # before the loop has had a turn to accept one
+            for client in clients:
+                answer = await received(client)
+                assert answer.startswith(b"HTTP/1.1 200") and b"connection: close" in answer.lower()
+                client.close()
+
+    run(go)
+
+
+def test_half_a_request_at_shutdown_is_answered_once_it_is_whole_and_what_comes_late_is_refused() -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            text = ask("a1", text=b'{"k": "%b"}' % (b"v" * 400))
+            halves = [(raw(w, text[:cut]), text[cut:]) for cut in (9, len(text) - 100)]
+            opened = w.dispatcher.front.open
+            await until(lambda: [p.stage for p in opened.values()] == [Stage.READING] * 2)
+            stopping = asyncio.create_task(w.dispatcher.stop())
+            await until(lambda: w.dispatcher.front.closing)
+            halves[0][0].sendall(halves[0][1])
+            assert (await received(halves[0][0])).startswith(b"HTTP/1.1 200")
+            await until(lambda: w.dispatcher.core.closed)
+            halves[1][0].setblocking(True)
+            halves[1][0].sendall(halves[1][1])
+            assert (await received(halves[1][0])).startswith(b"HTTP/1.1 503")
+            await stopping
+            assert len(w.readers[0].heads) == 1, "what is refused is not sent on"
+            for client, _ in halves:
+                client.close()
+
+    run(go)
+
+
+def test_signals_that_come_again_change_nothing_and_one_before_ready_ends_it(tmp_path: Path) -> None:
+    async def go() -> None:
+        hold = asyncio.Event()
+        d, reader, writer = Discovery(), Replica(READ), Replica(ends_with(hold))
+        for part in (d, reader, writer):
+            await part.start()
+        d.hosts += [d.entry("r0", "r", reader.address), d.entry("w0", "w", writer.address)]
+        path = tmp_path / "config.json"
+        for address in (d.address, "127.0.0.1:1"):
+            path.write_text(json.dumps({**RAW, "discovery": address}))
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "onyxpass", "serve", "--config", str(path)),
+                cwd=ROOT,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.PIPE,
+            )
+            assert process.stdout is not None
+            port, seen = 0, set[str]()
+            while not port or (address == d.address and "full" not in seen):
+                line = json.loads(await process.stdout.readline())
+                seen.add(str(line.get("form")))
+                port = int(line["listen"].rpartition(":")[2]) if line["event"] == "listening" else port
+            streams = None
+            if address == d.address:
+                streams = await asyncio.open_connection("127.0.0.1", port)
+                streams[1].write(ask("a1", "a"))
+                await streams[0].readuntil(b"[DONE]")
+            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                process.send_signal(number)
+            if streams is not None:
+                hold.set()
+                assert (await streams[0].read()).endswith(b"0\r\n\r\n")
+                streams[1].close()
+            told, errors = await asyncio.wait_for(process.communicate(), 15)
+            assert process.returncode == 0 and not errors and b"Traceback" not in told
+            assert b'"stopped"' in told
+        for part in (d, reader, writer):
+            await part.stop()
+
+    run(go)
+
+
+def test_a_shutdown_ends_though_servers_hang_and_every_request_has_its_answer() -> None:
+    async def go() -> None:
+        async def hangs(self: Replica, reader: Any, writer: Any, _: bytes) -> None:
+            await reader.read()
+
+        async with world([Replica(hangs)], [Replica(STREAM)]) as w:
+            clients = [raw(w, ask(f"a{n}", ms=60_000)) for n in range(3)]
+            await until(lambda: len(w.readers[0].heads) == 3)
+            await w.dispatcher.stop()
+            for client in clients:
+                answer = await received(client)
+                assert answer.split()[1] in (b"502", b"503", b"504"), "by us, and in time"
+                client.close()
+            assert len(w.readers[0].heads) == 3 and not w.dispatcher.front.open
+
+    run(go)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -42,6 +42,16 @@
 from onyxpass.serve import Dispatcher
 
 
+class Waits(front.HttpClient):
+    """A client that stays, with no connection."""
+
+    def __init__(self) -> None:
+        super().__init__(None, lambda: False)  # type: ignore[arg-type]
+
+    def gone(self) -> bool:
+        return False
+
+
 def test_a_request_passes_unchanged_and_so_do_its_events() -> None:
     async def go() -> None:
         async with world([Replica(READ)], [Replica(STREAM)]) as w:
@@ -56,7 +66,9 @@
     run(go)
 
 
-def test_connections_are_used_again() -> None:
+def test_connections_are_used_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(net_replica, "REST_US", 0)
+
     async def go() -> None:
         async with world([Replica(READ)], [Replica(STREAM)]) as w:
             for i in range(3):
@@ -79,7 +91,11 @@
     run(go)
 
 
-def test_where_kept_connections_break_bookings_go_out_on_new_ones_and_nobody_is_blamed() -> None:
+def test_where_kept_connections_break_bookings_go_out_on_new_ones_and_nobody_is_blamed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(net_replica, "REST_US", 0)
+
     async def go() -> None:
         async with world([Replica(READ)], [Replica(STREAM, breaks(), STREAM)]) as w:
             core, writer = w.dispatcher.core, w.writers[0]
@@ -143,10 +159,10 @@
             wire.flush = asyncio.Event().wait  # type: ignore[assignment]
             actor = w.dispatcher.replicas.actors["w0"]
             actor._reuse = lambda: wire  # type: ignore[method-assign]
-            actor._give_back = lambda _: None  # type: ignore[method-assign]
+            actor._give_back = lambda *_: None  # type: ignore[method-assign]
             payload = net_replica.Payload(b"POST", b"/", [(b"host", b"x")], b"{}")
-            arrival = api.Arrival(1, "light", "s", 0, 1, 1)
-            attempt = Attempt(Request("a1", 1, arrival, None, payload), 0, "w0", 10**6, 0)  # type: ignore[arg-type]
+            arrival = api.Arrival(1, "light", "s", w.dispatcher.clock.now_us() + 10**7, 1, 1)
+            attempt = Attempt(Request("a1", 1, arrival, Waits(), payload), 0, "w0", 10**6, 0)
             task = asyncio.create_task(actor.carry(attempt))
             await asyncio.sleep(0)
             task.cancel()
@@ -225,7 +241,7 @@
     async def go() -> None:
         async with world([Replica(READ)], [Replica(STREAM)]) as w:
             let_go = asyncio.Event()
-            core, client = w.dispatcher.core, front.HttpClient(None, lambda: False)  # type: ignore[arg-type]
+            core, client = w.dispatcher.core, Waits()
             arrival = api.Arrival(9, "light", "s", core.clock.now_us() + 10**7, 100, 100)
             request = Request(
                 "a1", 9, arrival, client, net_replica.Payload(b"POST", b"/", [(b"host", b"h")], b"{}")
@@ -596,7 +612,11 @@
         HEAD,
     ],
 )
-def test_more_than_belongs_to_a_good_stream_does_no_harm(text: bytes) -> None:
+def test_more_than_belongs_to_a_good_stream_does_no_harm(
+    text: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(net_replica, "REST_US", 0)  # so that the looks at the connection are all there is
+
     async def go() -> None:
         good = text + CHUNKS + b"0\r\n\r\n"
         async with world([Replica(READ)], [Replica(says(good + HEAD + b"5\r\n"), says(good))]) as w:
@@ -649,7 +669,7 @@
             monkeypatch.setattr(asyncio, "open_connection", none_left)
             with structlog.testing.capture_logs() as lines:
                 await w.dispatcher.replicas.actors["r0"].probe()
-                core, client = w.dispatcher.core, front.HttpClient(None, lambda: False)  # type: ignore[arg-type]
+                core, client = w.dispatcher.core, Waits()
                 arrival = api.Arrival(9, "light", "s", core.clock.now_us() + 10**6, 100, 100)
                 monkeypatch.setattr(client, "refuse", lambda _: client.done.set())
                 core.submit("a1", arrival, client, None)
