--- /dev/null
+++ b/tests/test_crossings_servers.py
@@ -0,0 +1,382 @@
+"""Crossings at servers' connections and answers: dials, reuse, repeats, what is held, streams."""
+
+import asyncio
+import socket
+from dataclasses import replace
+from typing import Any
+
+import pytest
+import test_toolcalls
+from helpers import MS, SETTINGS, S
+from standins import until
+from test_core import Bed
+from test_net import Waits
+from world import CHUNKS, HEAD, READ, STREAM, Answer, Replica, ask, breaks, run, silence, world
+
+from onyxpass import interface as api
+from onyxpass.core.requests import Request
+from onyxpass.interface import Status
+from onyxpass.net import replica as net_replica
+
+KEYED = replace(
+    SETTINGS,
+    max_attempts=8,
+    classes=(
+        api.TrafficClass("all", 2 * S, 8 * S, 1.0, 0.0, api.Repeat.KEYED, api.Scope.ALL, 300 * MS),
+        api.TrafficClass("zone", 2 * S, 8 * S, 1.0, 0.0, api.Repeat.KEYED, api.Scope.ZONE, 300 * MS),
+        api.TrafficClass("once", 2 * S, 8 * S, 1.0, 0.0, api.Repeat.UNSAFE),
+    ),
+)
+
+
+# Repeats
+
+
+@pytest.mark.parametrize(
+    ("cls", "status", "sends"), [("all", b"503", 1), ("zone", b"502", 1), ("once", b"502", 1)]
+)
+def test_a_window_for_repeats_that_ends_during_the_dial_stops_the_send(
+    cls: str, status: bytes, sends: int
+) -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(breaks()), Replica(breaks())], settings=KEYED) as w:
+            core, dials = w.dispatcher.core, []
+            window_us = KEYED.classes[0].window_us
+            for actor in (w.dispatcher.replicas.actors[name] for name in ("w0", "w1")):
+
+                async def slow(most_us: int | None = None, dial: Any = actor._open) -> Any:
+                    wire = await dial(None)
+                    dials.append(core.clock.now_us())
+                    if len(dials) == 2:  # the repeat was chosen in time, and its connection comes up late
+                        (request,) = core.requests.values()
+                        first = next(a for a in request.attempts if a.writes)
+                        await until(lambda: core.clock.now_us() >= first.sent_us + window_us)
+                    return wire
+
+                actor._open = slow  # type: ignore[method-assign]
+            answer = await w.ask("a1", cls)
+            assert answer.split()[1] == status, "refused only where no server runs it twice"
+            assert sum(len(x.heads) for x in w.writers) == sends
+
+    run(go)
+
+
+def test_a_repeat_within_its_window_goes_out() -> None:
+    async def go() -> None:
+        wide = tuple(replace(c, window_us=60 * S) for c in KEYED.classes)
+        many = replace(KEYED, classes=wide)
+        async with world(
+            [Replica(READ)], [Replica(breaks(), STREAM), Replica(breaks(), STREAM)], settings=many
+        ) as w:
+            assert b"HTTP/1.1 200" in await w.ask("a1", "all")
+            assert sum(len(x.heads) for x in w.writers) == 3
+
+    run(go)
+
+
+@pytest.mark.parametrize(
+    ("cls", "first", "then", "after_us", "goes"),
+    [
+        ("keyed", "w0", "w2", 0, True),  # of the same zone
+        ("keyed", "w0", "w1", 0, False),
+        ("keyed", "w0", "w2", 5 * S, False),
+        ("keyed", "r0", "w1", 6 * S, True),  # a read has had no effect
+        ("once", "w0", "w2", 0, False),
+        ("once", "r0", "w1", 6 * S, True),
+        ("light", "w0", "w1", 6 * S, True),
+    ],
+)
+def test_what_may_be_sent_after_what_may_have_run(
+    cls: str, first: str, then: str, after_us: int, goes: bool
+) -> None:
+    bed = Bed()
+    bed.ask(api.Send(7, first, 500_000), cls=cls, wait_us=20 * S)
+    bed.later(after_us)
+    bed.core.ended(bed.fleet.started[0], Status.RESET)
+    bed.step([api.Send(7, then, 500_000)])
+    assert [a.server for a in bed.fleet.started[1:]] == [then] * goes
+    if goes:
+        assert not bed.core.barred(bed.fleet.started[1])
+        bed.client.left = True
+        assert "ended" in bed.core.barred(bed.fleet.started[1])
+
+
+@pytest.mark.parametrize("cls", ["keyed", "once"])
+def test_what_may_have_run_in_one_place_is_failed_and_not_refused(cls: str) -> None:
+    bed = Bed()
+    bed.ask(api.Send(7, "w0", 500_000), cls=cls)
+    bed.core.ended(bed.fleet.started[0], Status.RESET)
+    bed.step([api.Refuse(7)])
+    assert bed.client.finals == ["fail"]
+
+
+# Connections
+
+
+def test_a_second_answer_that_comes_late_never_answers_the_next_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(net_replica, "REST_US", 60 * S)
+
+    async def go() -> None:
+        wrong = b'data: {"wrong":1}\n\n'
+        late = HEAD + b"%x\r\n%b\r\n0\r\n\r\n" % (len(wrong), wrong)
+
+        async def twice(self: Replica, reader: Any, writer: asyncio.StreamWriter, _: bytes) -> None:
+            """The second answer is written once the next request is there, on this connection or not."""
+            writer.write(HEAD + CHUNKS + b"0\r\n\r\n")
+            n = len(self.heads)
+
+            async def second() -> None:
+                await until(lambda: len(self.heads) > n)
+                writer.write(late)
+
+            self.second = asyncio.create_task(second())  # type: ignore[attr-defined]
+
+        async def slow(self: Replica, reader: Any, writer: asyncio.StreamWriter, _: bytes) -> None:
+            await self.second  # type: ignore[attr-defined]
+            writer.write(HEAD + CHUNKS + b"0\r\n\r\n")
+
+        async with world([Replica(READ)], [Replica(twice, slow)]) as w:
+            assert b"wrong" not in await w.ask("a1")
+            answer = await w.ask("a2")
+            assert b"wrong" not in answer and answer.endswith(b"0\r\n\r\n")
+            (actor,) = (a for a in w.dispatcher.replicas.actors.values() if a.name == "w0")
+            await until(lambda: any(idle.wire.stale for idle in actor.idle))
+            w.dispatcher.replicas.sweep()
+            await until(lambda: len(actor.idle) == 1)
+
+    run(go)
+
+
+def test_a_connection_that_has_rested_is_used_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(net_replica, "REST_US", 1_000)
+
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            now_us, actor = w.dispatcher.clock.now_us, w.dispatcher.replicas.actors["w0"]
+            for n in range(3):
+                assert b"HTTP/1.1 200" in await w.ask(f"a{n}")
+                await until(lambda: all(now_us() >= idle.ready_us for idle in actor.idle))
+            assert w.writers[0].connections == 1
+
+    run(go)
+
+
+def test_a_dial_that_succeeds_as_its_time_runs_out_sends_nothing_and_leaves_no_descriptor() -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            loop = asyncio.get_running_loop()
+            actor, connected = w.dispatcher.replicas.actors["r0"], loop.sock_connect
+            limits: list[Any] = []
+            limit = w.dispatcher.wheel.limit
+
+            def noted(delay_us: int) -> Any:
+                limits.append(limit(delay_us))
+                return limits[-1]
+
+            async def at_the_last_moment(sock: socket.socket, address: Any) -> None:
+                await connected(sock, address)
+                limits[-1].expire()  # in the same step as the success
+
+            actor.wheel = type("Noted", (), {"limit": staticmethod(noted)})()
+            loop.sock_connect = at_the_last_moment  # type: ignore[method-assign]
+            try:
+                with pytest.raises(TimeoutError):
+                    await actor._open()
+            finally:
+                loop.sock_connect = connected  # type: ignore[method-assign]
+            assert w.dispatcher.replicas.budget.open == 0
+            await until(lambda: w.readers[0].eof == 1)
+            assert not w.readers[0].heads
+
+    run(go)
+
+
+# What is held
+
+
+def test_what_is_held_is_let_go_though_nobody_can_be_asked_at_first() -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            replicas, asked = w.dispatcher.replicas, asyncio.Event()
+            most, replicas.budget.most = replicas.budget.most, 0
+            tries, let_go = [], replicas._let_go
+
+            async def counted(name: str, request_id: str) -> bool:
+                tries.append(name)
+                if len(tries) > 6:
+                    asked.set()
+                return await let_go(name, request_id)
+
+            replicas._let_go = counted  # type: ignore[method-assign]
+            request = Request("a1", 1, None, Waits(), None, holder="r0")  # type: ignore[arg-type]
+            request.held_us = w.dispatcher.clock.now_us() + 60 * S  # the time of the test is no matter here
+            replicas.release(request, False)
+            await asked.wait()
+            replicas.budget.most = most
+            await until(lambda: w.readers[0].leases or w.writers[0].leases)
+            assert request.letting_go is not None
+            await request.letting_go
+            assert replicas.budget.open <= 2
+
+    run(go)
+
+
+@pytest.mark.parametrize("front", ["http", "json-rpc"])
+def test_what_is_held_is_let_go_by_the_last_of_many_where_the_others_are_silent(front: str) -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(silence) for _ in range(8)]) as w:
+            for part in (*w.readers, *w.writers[:-1]):
+                part.lets_go = False
+            replicas = w.dispatcher.replicas
+            for n, name in enumerate(sorted(replicas.actors)):
+                replicas.actors[name].answered_us = 100 - n  # the one that answers comes last
+            request = Request("a1", 1, None, Waits(), None, holder="r0")  # type: ignore[arg-type]
+            request.held_us = w.dispatcher.clock.now_us() + 60 * S
+            replicas.release(request, False)
+            await until(lambda: w.writers[-1].leases == ["/kv/leases/a1"])
+
+    async def rpc() -> None:
+        async with test_toolcalls.world() as w:
+            peers = w.service.peers  # type: ignore[attr-defined]
+            silent = [name for name in peers.actors if name != "writer-1"]
+            for name in silent:
+                peers.actors[name].ask = lambda *_: asyncio.sleep(60, False)
+            request = Request("a1", 1, None, Waits(), None, holder="reader-0")  # type: ignore[arg-type]
+            request.held_us = w.service.core.clock.now_us() + 60 * S  # type: ignore[attr-defined]
+            done: list[str] = []
+
+            async def lets_go(*_: Any) -> bool:
+                done.append("writer-1")
+                return True
+
+            peers.actors["writer-1"].ask = lets_go
+            peers.release(request, False)
+            await until(lambda: done)
+
+    run(go if front == "http" else rpc)
+
+
+def test_a_release_has_one_budget_from_the_moment_nothing_was_out() -> None:
+    """Not one of its own for each question: what dials have used up is gone."""
+
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(silence)]) as w:
+            for part in (*w.readers, *w.writers):
+                part.lets_go = False
+            core, replicas = w.dispatcher.core, w.dispatcher.replicas
+            for spent_us, most_us in ((0, 450_000), (300_000, 225_000)):
+                request = Request("a1", 1, None, Waits(), None, holder="r0")  # type: ignore[arg-type]
+                began_us = core.clock.now_us()
+                request.held_us = began_us - spent_us
+                replicas.release(request, False)
+                assert request.letting_go is not None
+                await request.letting_go
+                took_us = core.clock.now_us() - began_us
+                assert took_us >= most_us, "it asks on to the end of the budget"
+
+    run(go)
+
+
+# Answers and streams
+
+
+def endless(first: bytes, again: bytes) -> Answer:
+    async def answer(self: Replica, reader: Any, writer: asyncio.StreamWriter, _: bytes) -> None:
+        gone = asyncio.create_task(reader.read())
+        writer.write(first)
+        while not gone.done():
+            writer.write(again)
+            await asyncio.sleep(0.01)
+        self.eof += 1
+        raise ConnectionResetError
+
+    return answer
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n"),
+        (HEAD, b"1\r\n:\r\n"),
+        (b"HTTP/1.1 202 X\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\n \r\n"),
+    ],
+)
+@pytest.mark.parametrize("cls", ["light", "once"])
+def test_an_answer_that_never_ends_is_given_up_in_its_time_and_a_booking_is_not_sent_again(
+    text: tuple[bytes, bytes], cls: str
+) -> None:
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(endless(*text))]) as w:
+            answer = await w.ask("a1", cls, ms=700)
+            assert answer.split()[1] in (b"502", b"503", b"504")
+            await until(lambda: w.writers[0].eof == len(w.writers[0].heads))
+            assert len(w.writers[0].heads) == 1 or cls == "light"
+            await until(lambda: not w.dispatcher.core.requests)
+
+    run(go)
+
+
+def test_each_event_leaves_as_it_comes_however_it_is_cut_and_whoever_else_is_slow() -> None:
+    async def go() -> None:
+        steps: asyncio.Queue[bytes] = asyncio.Queue()
+
+        async def paced(self: Replica, reader: Any, writer: asyncio.StreamWriter, head: bytes) -> None:
+            writer.write(HEAD)
+            if b"slow" in head:
+                big = b'data: {"x":"%b"}\n\n' % (b"y" * 60_000)
+                gone = asyncio.create_task(reader.read())
+                while not gone.done():  # a client that takes nothing: its writer is held, and nobody else's
+                    writer.write(b"%x\r\n%b\r\n" % (len(big), big))
+                    await asyncio.wait(
+                        [gone, asyncio.create_task(writer.drain())], return_when="FIRST_COMPLETED"
+                    )
+                return
+            while text := await steps.get():
+                writer.write(text)
+
+        async with world([Replica(READ)], [Replica(paced)]) as w:
+            slow = socket.socket()
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            slow.connect(("127.0.0.1", w.port))
+            slow.sendall(ask("slow"))
+            await until(lambda: any(b"slow" in head for head in w.writers[0].heads))
+            reader, writer = await w.send(ask("a1", close=True))
+            first, second, third = (b'data: {"n":%d}\n\n' % n for n in range(3))
+            steps.put_nowait(b"%x\r\n%b\r\n%x\r\n%b\r\n" % (len(first), first, len(second), second))
+            await reader.readuntil(second)  # both, while the stream stays open
+            whole = b"%x\r\n%b\r\n" % (len(third), third)
+            for n in range(len(whole)):  # one split over many segments
+                steps.put_nowait(whole[n : n + 1])
+            await reader.readuntil(third)
+            steps.put_nowait(b"0\r\n\r\n")
+            assert (await reader.read()).endswith(b"0\r\n\r\n")
+            writer.close()
+            slow.close()
+
+    run(go)
+
+
+def test_a_read_that_ends_as_its_client_leaves_is_let_go() -> None:
+    async def go() -> None:
+        hold = asyncio.Event()
+
+        async def late(self: Replica, reader: Any, writer: asyncio.StreamWriter, _: bytes) -> None:
+            await hold.wait()
+            says_read(writer)
+
+        def says_read(writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 202 X\r\nContent-Length: 2\r\n\r\n{}")
+
+        async with world([Replica(late)], [Replica(STREAM)]) as w:
+            _, writer = await w.send(ask("a1"))
+            await until(lambda: w.readers[0].heads)
+            writer.transport.abort()
+            hold.set()  # the 202 and the close are under way at once
+            await until(lambda: w.readers[0].leases or w.writers[0].leases)
+            await until(lambda: not w.dispatcher.core.requests)
+            assert not w.writers[0].heads
+
+    run(go)
