--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -83,6 +83,9 @@
     from onyxpass.net import front, replica
 
     found = read(config)
+    if found.faults:
+        typer.echo(f"onyxpass: {config or os.environ['ROUTER_CONFIG']}: {found.faults[0]}", err=True)
+        raise typer.Exit(2)
     known = len(found.known.get("hosts") or ())
     classes = ", ".join(c.name for c in found.settings.classes)
     typer.echo(f"{found.name}: listens on {found.listen}, discovery at {found.discovery}")
--- a/onyxpass/config.py
+++ b/onyxpass/config.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from onyxpass import interface as api
+from onyxpass.faults import Fault, faults
 from onyxpass.settings import read_settings
 
 PREFIX = "ROUTER_"
@@ -65,6 +66,7 @@
     control: Address | None = None  # the operators' address
     passed: int | None = None  # the descriptor of the clients' listening socket, where it is inherited
     folder: Path | None = None  # what the two processes of an upgrade share
+    faults: tuple[Fault, ...] = ()  # of the settings; it can run with them
     servers: Path | None = None  # our own file of watched files, on top or in place of discovery
 
     @property
@@ -103,6 +105,10 @@
     if not isinstance(conf, Mapping):
         raise ConfigError("settings is absent")
     try:
+        sockets = (raw.get("limits") or {}).get("sockets")
+        wrong = tuple(faults(conf, sockets))
+        if grave := next((fault for fault in wrong if fault.grave), None):
+            raise ConfigError(str(grave))
         settings = read_settings(conf)
         limits = conf.get("limits") or {}
         return Config(
@@ -112,13 +118,14 @@
             seed=int(str(raw.get("seed") or "0"), 16),
             settings=settings,
             known=raw.get("known") or {},
-            sockets=int((raw.get("limits") or {}).get("sockets") or 1024),
+            sockets=int(sockets or 1024),
             connect_timeout_us=int(limits.get("connectTimeoutUs") or 250_000),
             conn_idle_us=int(limits.get("connIdleUs") or 15_000_000),
             control=control(),
             passed=int(number) if number else None,
             folder=Path(environ["TMPDIR"]) if environ.get("TMPDIR") else None,
             servers=Path(environ[SERVERS]) if environ.get(SERVERS) else None,
+            faults=wrong,
         )
     except ConfigError:
         raise
@@ -138,4 +145,7 @@
         raise ConfigError(f"{path}: {problem}") from problem
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not an object")
-    return parse(raw, environ, again)
+    try:
+        return parse(raw, environ, again)
+    except ConfigError as problem:
+        raise ConfigError(f"{path}: {problem}") from problem
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -110,6 +110,8 @@
             self.tasks.append(asyncio.create_task(self.admin.run()))
         self._sweep()
         self.wheel.after(STATE_US, self._tell_state)
+        for fault in self.config.faults:
+            log.warning("the settings have a fault", key=fault.key, why=fault.reason)
         log.info("listening", name=self.config.name, listen=f"{self.config.listen.host}:{self.front.port}")
 
     def _sweep(self) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -16,7 +16,7 @@
 
 from onyxpass import __version__
 from onyxpass.cli import app
-from onyxpass.config import ConfigError, parse
+from onyxpass.config import ConfigError, load, parse
 from onyxpass.toolcalls import service
 
 ROOT = Path(__file__).parent.parent
@@ -238,3 +238,54 @@
             await part.stop()
 
     asyncio.run(asyncio.wait_for(go(), 60))
+
+
+GRADE = {"name": "a", "promiseUs": 1000, "deadlineUs": 5000, "repeat": "idempotency_key", "windowUs": 400}
+
+
+@pytest.mark.parametrize(
+    ("change", "key", "runs"),
+    [
+        ({"grades": [{**GRADE, "windowUs": 9000}]}, "settings.grades[0].windowUs: 9000 is longer", True),
+        (
+            {"grades": [GRADE, {**GRADE, "name": "b", "deadlineUs": -1}]},
+            "settings.grades[1].deadlineUs: ",
+            False,
+        ),
+        ({"grades": [{"name": "a", "promiseUs": 5}]}, "settings.grades[0].deadlineUs: is absent", False),
+        ({"grades": [{**GRADE, "promiseUs": 0}]}, "settings.grades[0].promiseUs: must be above 0", False),
+        ({"grades": [GRADE, GRADE]}, "settings.grades[1].name: 'a' stands there twice", True),
+        ({"grades": [{**GRADE, "repeat": "often"}]}, "settings.grades[0].repeat: must be one of", True),
+        ({"grades": 7}, "settings.grades: no class", False),
+        ({"grades": []}, "settings.grades: no class", True),
+        ({"limits": {"maxAttempts": 0}}, "settings.limits.maxAttempts: must be 1 at least", False),
+        ({"limits": {"connIdleUs": -5}}, "settings.limits.connIdleUs: must be a number, 0", False),
+        ({"rules": {"drainGraceUs": "soon"}}, "settings.rules.drainGraceUs: must be a number", False),
+        ({"rules": []}, "settings.rules: must be an object", False),
+        ({"peersTotal": 0}, "settings.peersTotal: must be 1 at least", True),
+        ({"extra": {"tokenAimUs": [1, 2, 3, 4, 5, 6, 7]}}, "settings.extra.tokenAimUs: 7 figures for", True),
+        ({"extra": {"roleByKind": 5}}, "settings can't be read", False),
+    ],
+)
+def test_bad_settings_are_told_in_one_line_with_file_key_and_reason(
+    tmp_path: Path, change: dict[str, object], key: str, runs: bool
+) -> None:
+    path = tmp_path / "c.json"
+    path.write_text(json.dumps({**RAW, "settings": {**CONF, **change}}))
+    told = CliRunner().invoke(app, ["check-config", "--config", str(path)])
+    assert told.exit_code == 2 and "Traceback" not in told.output
+    assert (
+        told.output.startswith(f"onyxpass: {path}: ") and key in told.output and told.output.count("\n") == 1
+    )
+    if runs:  # guards against a deployment refused for what has a safe reading
+        assert key.startswith(load(path).faults[0].key)
+    else:
+        with pytest.raises(ConfigError):
+            load(path)
+
+
+def test_a_negative_limit_beside_the_settings_is_told_too(tmp_path: Path) -> None:
+    path = tmp_path / "c.json"
+    path.write_text(json.dumps({**RAW, "limits": {"sockets": -4}}))
+    told = CliRunner().invoke(app, ["check-config", "--config", str(path)])
+    assert told.exit_code == 2 and f"{path}: limits.sockets: must be a number, 0 at least" in told.output
