--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -35,18 +35,19 @@
         self.rate, self.numbers, self.asks = rate, count(1), dict[int, api.Arrival]()
         self.answered: dict[int, bool] = {}  # whether an answer began
         self.sent: list[tuple[int, int]] = []  # to the cold one: when, by whom
-        self.routers = [self.router(n) for n in range(routers)]
+        self.routers: list[Router] = []
+        for n in range(routers):
+            self.start(n)
         self.beginnings = [f"p{n}" for n in range(readers)]
 
-    def router(self, n: int) -> Router:
-        made = Router(self.settings[n], self.chance.randrange(2**32))
-        made.handle(self.now, api.ListUpdate(api.ListForm.FULL, tuple(self.servers.values()), 1))
-        return made
+    def start(self, n: int) -> None:
+        self.routers[n : n + 1] = [Router(self.settings[n], self.chance.randrange(2**32))]
+        self.give(n, api.ListUpdate(api.ListForm.FULL, tuple(self.servers.values()), 1))
 
     def tell(self, *servers: api.Server) -> None:
         self.servers.update({server.id: server for server in servers})
-        for router in self.routers:
-            router.handle(self.now, api.ListUpdate(api.ListForm.DELTA, servers, 2))
+        for n in range(len(self.routers)):
+            self.give(n, api.ListUpdate(api.ListForm.DELTA, servers, 2))
 
     def later(self, us: int, who: int, event: api.Event) -> None:
         heapq.heappush(self.events, (self.now + us, next(self.order), who, event))
@@ -109,4 +110,4 @@
         for n in self.chance.sample(range(len(self.routers)), round(share * len(self.routers))):
             self.events = [event for event in self.events if event[2] != n]
             heapq.heapify(self.events)
-            self.routers[n] = self.router(n)
+            self.start(n)
