Count the time of what is held on when a send was held back here

Seen in reading: choice.py _ended restarted job.held_us for NOT_SENT, so a writer that drains during the dial, or a want of descriptors, gave a held state new time each time, while the rule's clock (and Core.held_us) runs on. Change: only an attempt that reached a server restarts it, as for connections that do not come up. The new test fails without it.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -541,7 +541,7 @@
         job.tried.add(event.server)
         if event.status is Status.READ or event.note == api.STATE_GONE:  # read, or to be read again
             job.holder, job.tried = here if event.status is Status.READ else None, set()
-        if event.status is not Status.UNREACHABLE:
+        if event.status not in (Status.UNREACHABLE, Status.NOT_SENT):
             job.held_us = self.now_us
         elif self.now_us - job.held_us > HELD_SHARE * self.settings.release_within_us:
             job.holder = None  # guards against a state held while one dial after another comes to nothing
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -589,3 +589,14 @@
     went = [drive.ask(i, f"s{i}", f"p{i}", prompt_tokens=8_000) is not None for i in range(8)]
     assert went[0] and not any(went[4:]), "the first ones take the room that the report leaves"
     assert drive.router.jobs.keys() == set(range(8)), "the others wait"
+
+
+def test_a_send_that_was_held_back_here_gives_what_is_held_no_new_time() -> None:
+    """Seen in reading: a writer that drains during the dial, or no descriptor for it, restarted the clock."""
+    drive = Drive(release_within_us=300 * MS)
+    drive.ask(1)
+    drive.end(1, Status.READ)
+    for _ in range(2):
+        assert not [a for a in drive.last if isinstance(a, api.Release)]
+        drive.end(1, Status.NOT_SENT, 100 * MS)
+    assert [a for a in drive.last if isinstance(a, api.Release)], "let go before its time is over"
