Give reading a request and the budget of connections modules of their own

Moved as they were: read_arrival and what it checks into net/arrivals.py, Budget and Idle into net/budget.py.

--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -18,6 +18,7 @@
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.interface import KEPT_BROKE, STATE_GONE, ProbeResult, Repeat, Status
 from onyxpass.net.answers import Events, Incoming, Nudged, Part, Spoilt, framed
+from onyxpass.net.budget import Budget, Idle
 from onyxpass.net.http import BODY_LIMIT, HOP_BY_HOP, Broken, Wire, body, header
 
 IDLE_MARGIN_US = 1_500_000  # so long before the replica may close it, an idle connection is no longer used
@@ -28,10 +29,6 @@
 STALL_US = 4_600_000  # a begun stream that is silent for so long has stopped: good ones pause for 0.2 s
 TAKE_US = 30_000_000  # so long a client may take nothing of what is passed on to it
 KEPT_BROKE_US = 250_000  # a kept connection that is of no use breaks so soon after it was written to
-RISK_BLEND, RISK_HALVES_US = (
-    0.05,
-    20_000_000,
-)  # how the share of kept connections that break is learnt, and fades
 RISK_BOOKING, RISK_ANY = 0.005, 0.06  # shares past which requests go out on new connections
 SETTLE_US = 25_000  # till a read that was just broken off has ended for sure at the replica's side
 LEASE_TRY_US = 100_000  # one try at letting go
@@ -65,37 +62,6 @@
     pass
 
 
-@dataclass(slots=True)
-class Idle:
-    wire: Wire
-    since_us: int
-    ready_us: int  # from when on it may be used
-
-
-@dataclass(slots=True)
-class Budget:
-    """Connections to all replicas together; the rest of the descriptors are for clients."""
-
-    most: int
-    open: int = 0
-    risk: float = 0.0  # share of kept connections that broke at their next request lately
-    risk_us: int = 0  # when that was learnt
-    make_room: Callable[[], bool] = lambda: False  # close the connection that is idle for longest
-
-    def shrink(self) -> None:
-        """Guards against idle connections that are kept beyond the limit once it has been lowered."""
-        while self.open > self.most and self.make_room():
-            pass
-
-    def met(self, now_us: int, broke: bool) -> None:
-        """A kept connection was used again, and broke or did not."""
-        self.risk, self.risk_us = self.risk_at(now_us), now_us
-        self.risk += RISK_BLEND * (broke - self.risk)
-
-    def risk_at(self, now_us: int) -> float:
-        return self.risk * 0.5 ** ((now_us - self.risk_us) / RISK_HALVES_US) if self.risk else 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class Resumed:
     """A stream that the process before this one had begun to pass on."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -35,7 +35,7 @@
 from onyxpass.core.clock import Clock
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.interface import Status
-from onyxpass.net import answers, front, pacing
+from onyxpass.net import answers, budget, front, pacing
 from onyxpass.net import replica as net_replica
 from onyxpass.net.http import Wire
 from onyxpass.net.watch import News
@@ -108,11 +108,11 @@
             for i in range(3):
                 assert b"HTTP/1.1 200" in await w.ask(f"c{i}")
             assert writer.connections == 4, "what may be repeated goes out on kept ones"
-            budget = net_replica.Budget(9, risk_us=10**9)
+            kept = budget.Budget(9, risk_us=10**9)
             for n in range(3):
-                assert (budget.risk_at(10**9) > net_replica.RISK_ANY) == (n == 2), "till they break often"
-                budget.met(10**9, True)
-            assert budget.risk_at(10**9 + 4 * net_replica.RISK_HALVES_US) < net_replica.RISK_ANY / 4
+                assert (kept.risk_at(10**9) > net_replica.RISK_ANY) == (n == 2), "till they break often"
+                kept.met(10**9, True)
+            assert kept.risk_at(10**9 + 4 * budget.RISK_HALVES_US) < net_replica.RISK_ANY / 4
 
     run(go)
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -17,7 +17,7 @@
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.wheel import Wheel
 from onyxpass.net.answers import Events, Incoming
-from onyxpass.net.front import BadRequest, read_arrival
+from onyxpass.net.arrivals import BadRequest, read_arrival
 from onyxpass.net.http import Broken, Wire, body
 from onyxpass.net.replica import cached_tokens
 from onyxpass.net.watch import Lines, ListError, read_list
