--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -22,7 +22,7 @@
 from onyxpass.net.replica import cached_tokens
 from onyxpass.net.watch import Lines, ListError, read_list
 from onyxpass.toolcalls import rpc
-from onyxpass.toolcalls.front import RpcFront
+from onyxpass.toolcalls.front import Connection, RpcFront
 
 FIXED = settings(derandomize=True, max_examples=150, deadline=None)
 BODY = b'{"stream":true}'
@@ -192,7 +192,7 @@
     front = RpcFront(core, None, Address("127.0.0.1", 0), 9)  # type: ignore[arg-type]
     given = {**params, "class": "light", "prompt": "x"} if sound else params
     try:
-        client = front._generate(1, given, None)  # type: ignore[arg-type]
+        client = front._generate(1, given, Connection(None, None, {}))  # type: ignore[arg-type]
     except rpc.RpcError as problem:
         assert problem.code in (rpc.BAD_PARAMS, rpc.INVALID)
     else:
