--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -1,6 +1,7 @@
 """The JSON-RPC front: clients' connections, ``generate`` and ``cancel``. It decides nothing."""
 
 import asyncio
+import contextlib
 import secrets
 from dataclasses import dataclass
 from typing import Any
@@ -19,6 +20,9 @@
 
 TOKEN_CHARACTERS = 4
 ID_MOST = 128
+LINGER_US = 50_000  # at the end, for the system's queue of connections to be taken in
+LOOKS = 8  # rounds of the loop, which leaves out a few looks at the sockets
+FAREWELL_US = 250_000  # for clients to close once our side has; what they send meanwhile is read, not heard
 MOST_OPEN = 256  # requests that one connection may have open
 log = structlog.get_logger("rpc")
 
@@ -89,6 +93,7 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     mine: dict[rpc.Id, RpcClient]
+    ended: bool = False  # on our side
 
 
 class RpcFront:
@@ -125,6 +130,8 @@
                 return
             while (line := await rpc.read_line(reader)) is not None:
                 self.open[task] = self.open.pop(task)
+                if connection.ended:
+                    continue
                 try:
                     message = rpc.parse(line)
                     if isinstance(message, Call):
@@ -224,10 +231,23 @@
     async def stop(self) -> None:
         """Take nothing new, let what was taken end, then close."""
         self.closing = True
+        # Guards against a reset of what came just before: once closed, the queue's connections are reset.
+        await self.core.wheel.sleep(LINGER_US)
+        for _ in range(LOOKS):  # however late that timer came, the loop has looked at the queue after it
+            await asyncio.sleep(0)
         if self.server is not None:
             self.server.close()
         while self.core.requests:
             await self.core.wheel.sleep(20_000)
+        # Guards against a close over unread bytes, which takes with it what is on its way to the client.
+        for connection in self.open.values():
+            connection.ended = True
+            if connection.writer.can_write_eof() and not connection.writer.is_closing():
+                connection.writer.write_eof()
+        if self.open:
+            with contextlib.suppress(TimeoutError):
+                async with self.core.wheel.limit(FAREWELL_US):
+                    await asyncio.wait(list(self.open))
         for connection in list(self.open.values()):
             connection.writer.close()
         while self.open:
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -318,3 +318,31 @@
             assert len(w.readers[0].heads) == 3 and not w.dispatcher.front.open
 
     run(go)
+
+
+def test_the_json_rpc_front_answers_what_waits_as_it_closes_and_resets_nothing() -> None:
+    async def go() -> None:
+        async with test_toolcalls.world(test_toolcalls.st.say("x")) as w:
+            service = w.service  # type: ignore[attr-defined]
+            resting = await w.client()
+            resting.generate(1)
+            assert "result" in await resting.response(1)
+            stopping = asyncio.create_task(service.front.stop())
+            await until(lambda: service.front.closing)
+            call = {"jsonrpc": "2.0", "id": 1, "method": "ping"}
+            clients = []
+            for _ in range(20):  # none of them is accepted yet: the loop has no turn in between
+                clients.append(socket.create_connection(("127.0.0.1", service.front.port)))
+                clients[-1].sendall(json.dumps(call).encode() + b"\n")
+            for client in clients:
+                assert json.loads(await received(client, b"\n"))["result"] == {"ready": False}
+            await until(lambda: all(c.ended for c in service.front.open.values()))
+            for client in clients:
+                client.setblocking(True)
+                client.sendall(json.dumps(call).encode() * 20 + b"\n")  # crosses the end of our side
+                assert await received(client) == b"", "ended, and not reset"
+                client.close()
+            await resting.stop()
+            await stopping
+
+    run(go)
