Let no client that broke off end the JSON-RPC front's shutdown early

Found in reading again: write_eof on a connection that was reset and not yet read raises, which would have ended RpcFront.stop before the other connections were closed. Such a connection is passed over; its own task ends it.

--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -243,7 +243,8 @@
         for connection in self.open.values():
             connection.ended = True
             if connection.writer.can_write_eof() and not connection.writer.is_closing():
-                connection.writer.write_eof()
+                with contextlib.suppress(OSError):  # the client has broken off, and we have not read it yet
+                    connection.writer.write_eof()
         if self.open:
             with contextlib.suppress(TimeoutError):
                 async with self.core.wheel.limit(FAREWELL_US):
