--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -58,3 +58,18 @@
     over, n, most = worst(fleet, began, rate / (2 * readers if cold == "w00" else readers + 2))
     assert over <= 0, f"{n} in a window that bears {most:.1f}"
     assert fleet.sent, "it is not left out either"
+
+
+def test_a_cold_server_bears_it_where_nearly_all_others_leave() -> None:
+    """What is left is asked for many times its share, and must not fall for it."""
+    fleet = Fleet("r00", 200, 30, 400.0, 1, cold_from=0.25, cold_us=12 * S, fall_multiple=2.0, fall_us=S)
+    fleet.run(2 * S)
+    fleet.sent.clear()
+    began = fleet.now
+    fleet.tell(replace(fleet.servers["r00"], started_us=began))
+    fleet.run(4 * S)
+    names = [f"r{n:02}" for n in range(1, 29)]
+    fleet.tell(*(replace(fleet.servers[name], condition=api.Condition.DRAINING) for name in names))
+    fleet.run(2 * S)
+    over, n, most = worst(fleet, began, 400.0 / 30)
+    assert over <= 0, f"{n} in a window that bears {most:.1f}"
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -106,3 +106,31 @@
             )
             with pytest.raises(AssertionError):
                 check(Readers(1, 0.45))
+
+
+class Tight(Readers):
+    """Aims that a tenth of the prompts take longer than to read, with 0.4 of the capacity asked for."""
+
+    def __init__(self) -> None:
+        super().__init__(1, 0.4)
+        routers, readers, self.pace = 4, 8, 130.0
+        self.classes = tuple(
+            api.TrafficClass(name, aim * MS, wait * MS, value, 0.2, aim_per_k_us=per_k, token_us=60 * MS)
+            for name, aim, wait, value, per_k in (("a", 700, 2_500, 3.0, 0), ("b", 1_000, 3_000, 1.0, 10_000))
+        )
+        rate = 0.4 * readers * S / (self.pace * (BASE_TOKENS + 3_000 * math.exp(0.5)))
+        Fleet.__init__(self, "none", routers, readers, rate, 1, classes=self.classes)
+
+    def ask(self, number: int) -> api.Arrival:
+        cls, tokens = self.chance.choice(self.classes), round(self.chance.lognormvariate(math.log(3_000), 1))
+        session, begin = f"s{self.chance.randrange(400)}", f"p{self.chance.randrange(6)}"
+        until = self.now + cls.deadline_us
+        return api.Arrival(number, cls.name, session, until, min(32_000, tokens), 200, begin, 900)
+
+
+def test_requests_are_not_refused_for_their_own_length_while_there_is_room() -> None:
+    fleet = Tight()
+    fleet.run(60 * S)
+    for cls in fleet.classes:
+        share = fleet.share(fleet.by_size(cls.name))
+        assert share >= 0.75, f"{cls.name}: {share:.2f}"
