Take the settings' words from where they are read, and refuse faults in one place

Read again: onyxpass/faults.py wrote the words of roles, repeats and reports anew beside settings.py, and its two checks (0 at least, one of these words) three and four times; check-config told a fault by itself, with the file's name worked out a second time. Change: the words come from settings.ROLES, REPEATS, REPORTS and api.Scope; each check stands once; load(strict=True) refuses what a dispatcher could run with, so the command has no case of its own.

--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -55,7 +55,7 @@
 
 def read(path: Path | None) -> configuration.Config:
     try:
-        return configuration.load(path)
+        return configuration.load(path, strict=True)
     except configuration.ConfigError as problem:
         typer.echo(f"onyxpass: {problem}", err=True)
         raise typer.Exit(2) from problem
@@ -83,9 +83,6 @@
     from onyxpass.net import front, replica
 
     found = read(config)
-    if found.faults:
-        typer.echo(f"onyxpass: {config or os.environ['ROUTER_CONFIG']}: {found.faults[0]}", err=True)
-        raise typer.Exit(2)
     known = len(found.known.get("hosts") or ())
     classes = ", ".join(c.name for c in found.settings.classes)
     typer.echo(f"{found.name}: listens on {found.listen}, discovery at {found.discovery}")
--- a/onyxpass/config.py
+++ b/onyxpass/config.py
@@ -75,11 +75,13 @@
         return share_of(self.sockets)
 
 
-def parse(raw: Mapping[str, Any], environ: Mapping[str, str], again: bool = False) -> Config:
+def parse(
+    raw: Mapping[str, Any], environ: Mapping[str, str], again: bool = False, strict: bool = False
+) -> Config:
     """The platform's variables win over the file: they are what the process was started with.
 
     ``again``: the file was replaced while the program runs. A variable still holds discovery's address of the
-    start then, so here the file's wins.
+    start then, so here the file's wins. ``strict``: faults that a dispatcher can run with are refused too.
     """
 
     def told(key: str) -> str:
@@ -107,8 +109,8 @@
     try:
         sockets = (raw.get("limits") or {}).get("sockets")
         wrong = tuple(faults(conf, sockets))
-        if grave := next((fault for fault in wrong if fault.grave), None):
-            raise ConfigError(str(grave))
+        if refused := next((fault for fault in wrong if strict or fault.grave), None):
+            raise ConfigError(str(refused))
         settings = read_settings(conf)
         limits = conf.get("limits") or {}
         return Config(
@@ -133,8 +135,13 @@
         raise ConfigError(f"the settings can't be read: {problem!r}") from problem
 
 
-def load(path: Path | None = None, environ: Mapping[str, str] = os.environ, again: bool = False) -> Config:
-    """Read the file that is named, by the caller or by the platform; ``again`` as in ``parse``."""
+def load(
+    path: Path | None = None,
+    environ: Mapping[str, str] = os.environ,
+    again: bool = False,
+    strict: bool = False,
+) -> Config:
+    """Read the file that is named, by the caller or by the platform; the rest as in ``parse``."""
     if path is None:
         if not (named := environ.get(PREFIX + "CONFIG")):
             raise ConfigError(f"no file is named: give one, or set {PREFIX}CONFIG")
@@ -146,6 +153,6 @@
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not an object")
     try:
-        return parse(raw, environ, again)
+        return parse(raw, environ, again, strict)
     except ConfigError as problem:
         raise ConfigError(f"{path}: {problem}") from problem
--- a/onyxpass/faults.py
+++ b/onyxpass/faults.py
@@ -1,13 +1,13 @@
 """What is wrong with the platform's settings, each fault with its key and reason."""
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, TypeGuard
 
-ROLES = ("read", "write", "both")
-REPEATS = ("read_like", "idempotency_key", "non_idempotent")
-GROUPS = ("all", "zone", "cell")
-REPORTS = ("inline", "on_probe", "off")
+from onyxpass import interface as api
+from onyxpass.settings import REPEATS, REPORTS, ROLES
+
+GROUPS = tuple(scope.value for scope in api.Scope)
 # Figures that may not be negative, by the table that holds them; where one is absent, a default counts.
 FIGURES: Mapping[str, Sequence[str]] = {
     "limits": [
@@ -47,10 +47,19 @@
     return isinstance(value, int | float) and not isinstance(value, bool) and value == value
 
 
+def not_negative(key: str, value: Any) -> Iterator[Fault]:
+    if value is not None and (not number(value) or value < 0):
+        yield Fault(key, f"must be a number, 0 at least, not {value!r}")
+
+
+def one_of(key: str, value: Any, words: Iterable[str]) -> Iterator[Fault]:
+    if value not in tuple(words):  # what came may be no word at all, and have no hash
+        yield Fault(key, f"must be one of {', '.join(words)}, not {value!r}", False)
+
+
 def faults(conf: Mapping[str, Any], sockets: Any = None) -> Iterator[Fault]:
     """All that is wrong with a ``settings`` object, and with ``limits.sockets`` beside it."""
-    if sockets is not None and (not number(sockets) or sockets < 0):
-        yield Fault("limits.sockets", f"must be a number, 0 at least, not {sockets!r}")
+    yield from not_negative("limits.sockets", sockets)
     for table, keys in FIGURES.items():
         held = conf.get(table)
         if held is None:
@@ -59,11 +68,9 @@
             yield Fault(f"settings.{table}", "must be an object")
             continue
         for key in keys:
-            value = held.get(key)
-            if value is not None and (not number(value) or value < 0):
-                yield Fault(f"settings.{table}.{key}", f"must be a number, 0 at least, not {value!r}")
-    limits = conf.get("limits") if isinstance(conf.get("limits"), Mapping) else {}
-    most = (limits or {}).get("maxAttempts")
+            yield from not_negative(f"settings.{table}.{key}", held.get(key))
+    limits = conf.get("limits")
+    most = limits.get("maxAttempts") if isinstance(limits, Mapping) else None
     if most is not None and (not number(most) or most < 1):
         yield Fault("settings.limits.maxAttempts", f"must be 1 at least, not {most!r}")
     if (peers := conf.get("peersTotal")) is not None and (not number(peers) or peers < 1):
@@ -75,8 +82,8 @@
     yield from in_classes(grades)
     yield from in_kinds(conf, len(grades))
     how = (conf.get("stats") or {}).get("how")
-    if how is not None and how not in REPORTS:
-        yield Fault("settings.stats.how", f"must be one of {', '.join(REPORTS)}, not {how!r}", False)
+    if how is not None:
+        yield from one_of("settings.stats.how", how, REPORTS)
 
 
 def in_classes(grades: Sequence[Any]) -> Iterator[Fault]:
@@ -97,16 +104,14 @@
                 told = "is absent" if value is None else f"must be above 0, not {value!r}"
                 yield Fault(f"{at}.{key}", told)
         for key in ("windowUs", "value", "lateWorth"):
-            value = grade.get(key)
-            if value is not None and (not number(value) or value < 0):
-                yield Fault(f"{at}.{key}", f"must be a number, 0 at least, not {value!r}")
+            yield from not_negative(f"{at}.{key}", grade.get(key))
         repeat, group = grade.get("repeat"), grade.get("group")
-        if repeat not in REPEATS:
-            yield Fault(f"{at}.repeat", f"must be one of {', '.join(REPEATS)}, not {repeat!r}", False)
-        if group is not None and group not in GROUPS:
-            yield Fault(f"{at}.group", f"must be one of {', '.join(GROUPS)}, not {group!r}", False)
+        yield from one_of(f"{at}.repeat", repeat, REPEATS)
+        if group is not None:
+            yield from one_of(f"{at}.group", group, GROUPS)
         window, deadline = grade.get("windowUs") or 0, grade.get("deadlineUs") or 0
-        if repeat == REPEATS[1] and number(window) and number(deadline) and window > deadline:
+        keyed = REPEATS.get(str(repeat)) is api.Repeat.KEYED
+        if keyed and number(window) and number(deadline) and window > deadline:
             yield Fault(f"{at}.windowUs", f"{window} is longer than deadlineUs, {deadline}", False)
 
 
@@ -116,9 +121,7 @@
         return
     kinds = conf.get("hostTypes") or []
     for place, role in enumerate(extra.get("roleByKind") or []):
-        if role not in ROLES:
-            told = f"must be one of {', '.join(ROLES)}, not {role!r}"
-            yield Fault(f"settings.extra.roleByKind[{place}]", told, False)
+        yield from one_of(f"settings.extra.roleByKind[{place}]", role, ROLES)
     for key, count, what in (
         ("roleByKind", len(kinds), "kinds"),
         ("tokensByKind", len(kinds), "kinds"),
