Say once which servers discard each other's duplicates, and where a refusal is harmless

Read again: Core._repeatable worked out zone and cell beside the module's _legal, and Core._refuse the harmless refusal beside the module's _answer.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -9,7 +9,7 @@
 from collections import Counter, OrderedDict, deque
 
 from onyxpass import interface as api
-from onyxpass.interface import ListForm, Repeat, Role, Scope, Status
+from onyxpass.interface import ListForm, Repeat, Role, Status
 
 TABLE_CAP = 20_000  # keys; some minutes of sessions at hundreds of requests a second
 EXPIRY_US = 30_000_000  # the design's start value: a prefix unread for so long has likely been evicted
@@ -397,10 +397,9 @@
     def _legal(self, job: Job, hosts: list[Host]) -> list[Host]:
         """Untried ones first; a keyed request that may have run stays where its duplicates are discarded."""
         if job.ran and job.cls.repeat is not Repeat.SAFE:
-            (where, sent_us), scope = job.ran, job.cls.scope
+            where, sent_us = job.ran
             late = job.cls.repeat is Repeat.UNSAFE or self.now_us >= sent_us + job.cls.window_us
-            level = 2 if scope is Scope.ALL else 1 if scope is Scope.ZONE else 0
-            hosts = [h for h in hosts if not late and (level == 2 or not h.distance(where)[level])]
+            hosts = [h for h in hosts if not late and job.cls.scope.joins(h.spec, where)]
         hosts = [h for h in hosts if h.full_us.get(job.cls.name, -FULL_US) + FULL_US <= self.now_us] or hosts
         return [h for h in hosts if h.id not in job.tried] or hosts
 
@@ -559,8 +558,7 @@
 
     def _answer(self, job: Job) -> None:
         """Refuse where a retry does no harm, saying when to come back; else fail."""
-        everywhere = job.cls.repeat is Repeat.KEYED and job.cls.scope is Scope.ALL
-        fails = job.ran and job.cls.repeat is not Repeat.SAFE and not everywhere
+        fails = job.ran and job.cls.repeat is not Repeat.SAFE and not job.cls.everywhere
         wait_us = self.settings.max_retry_after_us if self.settings.retry_after else 0
         self.acts.append(api.Fail(job.ask.id) if fails else api.Refuse(job.ask.id, wait_us))
         self.fates[job.cls.name].met(self.now_us, 1, 0)
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -185,20 +185,16 @@
 
     def _repeatable(self, attempt: Attempt, now_us: int) -> bool:
         """Whether what may have run before allows this attempt. A read has had no effect."""
-        request = attempt.request
-        ran = [
-            a
-            for a in request.attempts
-            if a is not attempt and a.writes and a.status and a.status.may_have_run
-        ]
-        cls = self._class_of(request)
-        if not ran or (cls is not None and cls.repeat is api.Repeat.SAFE):
+        request, cls = attempt.request, self._class_of(attempt.request)
+        if cls is not None and cls.repeat is api.Repeat.SAFE:
             return True
-        if cls is None or cls.repeat is api.Repeat.UNSAFE or now_us >= ran[0].sent_us + cls.window_us:
-            return False
-        level = {api.Scope.ALL: 0, api.Scope.ZONE: 1, api.Scope.CELL: 2}[cls.scope]
-        here = (attempt.place or ())[:level]
-        return all(len(here) == level and here == (a.place or ())[:level] for a in ran)
+        others = [a for a in request.attempts if a is not attempt and a.writes]
+        ran = [a for a in others if a.status is not None and a.status.may_have_run]
+        if not ran or cls is None or cls.repeat is api.Repeat.UNSAFE:
+            return not ran
+        here, within = attempt.at, now_us < ran[0].sent_us + cls.window_us
+        joined = (here and a.at and cls.scope.joins(here, a.at) for a in ran)
+        return within and (cls.scope is api.Scope.ALL or all(joined))
 
     def dial_us(self, request: Request, most_us: int) -> int:
         """How long a connection for this request may take to come up.
@@ -379,8 +375,7 @@
         left_us = request.arrival.deadline_us - now_us
         attempt = Attempt(request, len(request.attempts), server, min(timeout_us, left_us), now_us)
         attempt.reads, attempt.writes = self.reads(server), self.writes(server)
-        if (known := self.servers.get(server)) is not None:
-            attempt.place = (known.zone, known.cell)
+        attempt.at = self.servers.get(server)
         attempt.view = self.view
         request.attempts.append(attempt)
         why = "another one is out" if request.out or request.committed else self.barred(attempt)
@@ -401,10 +396,9 @@
     def _refuse(self, request: Request, retry_after_us: int) -> None:
         # Guards against telling a client that asking again is harmless when an attempt may have run or could,
         # at a reader as well: what was broken off there proves nothing either.
-        repeat, may_run = self.repeat_of(request), request.out is not None
+        cls, repeat, may_run = self._class_of(request), self.repeat_of(request), request.out is not None
         ran = any(a.status is not None and a.status.may_have_run for a in request.attempts)
-        cls = self._class_of(request)
-        everywhere = repeat is api.Repeat.KEYED and cls is not None and cls.scope is api.Scope.ALL
+        everywhere = cls is not None and cls.everywhere
         if repeat is not api.Repeat.SAFE and (may_run or (ran and not everywhere)):
             self._fail(request, "it may have run")
             return
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -47,7 +47,7 @@
     status: Status | None = None  # how it ended
     reads: bool = False  # whether its server reads prompts, by the list at the send
     writes: bool = True  # whether it may write answers
-    place: tuple[str, int] | None = None  # its server's zone and cell, by the list at the send
+    at: api.Server | None = None  # its server, by the list at the send
     view: int = 0  # the number of the view that it was sent by, where views are numbered
     first_us: int = 0  # from the send to the first event
     parts: int = 0  # of its stream, so far
--- a/onyxpass/interface.py
+++ b/onyxpass/interface.py
@@ -31,6 +31,11 @@
     ZONE = "zone"
     CELL = "cell"
 
+    def joins(self, here: "Server", there: "Server") -> bool:
+        """Whether the two of them discard each other's duplicates."""
+        same_zone = here.zone == there.zone
+        return self is Scope.ALL or (same_zone and (self is Scope.ZONE or here.cell == there.cell))
+
 
 class Status(Enum):
     """How an attempt ended."""
@@ -92,6 +97,11 @@
     aim_per_k_us: int = 0
     token_us: int = 0
 
+    @property
+    def everywhere(self) -> bool:
+        """Whether every server discards duplicates: then a refusal does no harm, whatever has run."""
+        return self.repeat is Repeat.KEYED and self.scope is Scope.ALL
+
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
