Ask the kernel about a connection in one place, and keep one farewell time

Read again: Wire.stale and hung_up each asked what this process knows and polled the kernel in their own words; both fronts had a farewell time of 0.25 s; net/watch.py turned milliseconds into a time by hand twice and checked that what begins with a brace is an object. Change: ended and kernel_tells serve both questions, FAREWELL_US stands in net/http.py, ListActor._in gives the time, the dead check is gone. The tests of the crossings, parsers and fronts pass unchanged (196).

--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -15,7 +15,7 @@
 from onyxpass.core.requests import Request
 from onyxpass.core.wheel import Limit
 from onyxpass.net.arrivals import BadRequest, check_body, check_framing, read_arrival
-from onyxpass.net.http import CHUNK, Broken, Wire, body, drain_input, header
+from onyxpass.net.http import CHUNK, FAREWELL_US, Broken, Wire, body, drain_input, header
 from onyxpass.net.listen import Listener
 from onyxpass.net.replica import Payload, passed_on
 
@@ -33,7 +33,6 @@
 FIRST_US = 2_500_000  # from connecting, or from a later request's first byte, to a request's last byte
 IDLE_US = 8_000_000  # between requests
 LEAVE_US = 2_000_000  # for a client to take the rest of its answer
-FAREWELL_US = 250_000  # for it to close once our side has; what it sends meanwhile is read and not served
 REST_MOST = 16  # past the limit, of what still waits in the kernel as the listener closes
 BACKLOG = 512  # connections that may wait in the kernel while there is no room
 ROOM_US, SHORT_US = 20_000, 200_000  # between looks whether there is room, or descriptors again
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -12,6 +12,7 @@
 HEAD_LIMIT = 32 * 1024
 BODY_LIMIT = 256 * 1024
 CHUNK = 32 * 1024
+FAREWELL_US = 250_000  # for a client to close once our side has; what it sends meanwhile is read, not served
 DRAIN_US, DRAIN_PARTS = 300_000, 16  # what is still read of a bad message, so that its answer arrives
 HOP_BY_HOP = frozenset(
     b"connection keep-alive proxy-connection te trailer transfer-encoding".split()
@@ -120,18 +121,13 @@
     @property
     def stale(self) -> bool:
         """An idle connection that the other side has closed, or on which it has spoken out of turn."""
-        if self.writer.is_closing() or self.reader.at_eof() or self.reader.exception() is not None:
-            return True
-        if getattr(self.reader, "_buffer", b"") or self.pending:
+        if ended(self.reader, self.writer) or self.pending or len(getattr(self.reader, "_buffer", b"")) > 0:
             return True
         # Guards against a close or a second answer that the loop has not read yet: the kernel knows of it.
-        waiting = select.poll()
-        waiting.register(self.writer.get_extra_info("socket"), select.POLLIN)
-        return bool(waiting.poll(0))
+        return bool(kernel_tells(self.writer, select.POLLIN))
 
     @property
     def hung_up(self) -> bool:
-        """Whether the other side has ended its sending or broken, by the kernel's word if not yet by ours."""
         return hung_up(self.reader, self.writer)
 
     def abort(self) -> None:
@@ -143,11 +139,20 @@
 
 
 def hung_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
-    if writer.is_closing() or reader.at_eof() or reader.exception() is not None:
-        return True
+    """Whether the other side has ended its sending or broken, by the kernel's word if not yet by ours."""
+    return ended(reader, writer) or bool(kernel_tells(writer, select.POLLRDHUP))
+
+
+def ended(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    """Whether this process knows that nothing more comes."""
+    return writer.is_closing() or reader.at_eof() or reader.exception() is not None
+
+
+def kernel_tells(writer: asyncio.StreamWriter, events: int) -> int:
+    """Which of these events, or a break, the kernel knows of on a connection that is open here."""
     asked = select.poll()
-    asked.register(writer.get_extra_info("socket"), select.POLLRDHUP)
-    return any(found & (select.POLLRDHUP | select.POLLHUP | select.POLLERR) for _, found in asked.poll(0))
+    asked.register(writer.get_extra_info("socket"), events)
+    return sum(found for _, found in asked.poll(0))
 
 
 async def drain_input(wire: Wire, wheel: Wheel, most_us: int = DRAIN_US) -> None:
--- a/onyxpass/net/watch.py
+++ b/onyxpass/net/watch.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, cast
 
 import h11
 import structlog
@@ -100,9 +100,7 @@
                 return None  # a brace within a word, or the end of an entry
             raise
         self._begun, self._size, self._depth = [], 0, 0
-        if not isinstance(message, dict):
-            raise ListError("not an object")
-        return message
+        return cast("dict[str, Any]", message)  # it begins with a brace
 
 
 @dataclass(frozen=True, slots=True)
@@ -259,7 +257,10 @@
         """Ask; by when there has to be an answer."""
         host = str(self.discovery).encode()
         wire.write(h11.Request(method=b"GET", target=target, headers=[(b"host", host)]), h11.EndOfMessage())
-        return self.core.clock.now_us() + round(self.pace.answer_ms * 1000)
+        return self._in(self.pace.answer_ms)
+
+    def _in(self, wait_ms: float) -> int:
+        return self.core.clock.now_us() + round(wait_ms * 1000)
 
     async def _part(self, wire: Wire, due_us: int) -> bytes | None:
         """What comes next of an answer; None at its end. Whatever else comes does not put off ``due_us``."""
@@ -294,7 +295,7 @@
             for message in lines.feed(part):
                 self._hear(message)
             if lines.ended > ended:  # guards against bytes that never make a line and keep a dead watch alive
-                due_us = self.core.clock.now_us() + round(SILENT_MS * 1000)
+                due_us = self._in(SILENT_MS)
                 self.pace.heard()
                 if not self.ready:
                     self.tell(News(None, self.era))
--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -12,7 +12,7 @@
 from onyxpass.config import Address
 from onyxpass.core.dispatcher import ANSWER_ROOM_US, Core
 from onyxpass.core.requests import Request
-from onyxpass.net.http import hung_up
+from onyxpass.net.http import FAREWELL_US, hung_up
 from onyxpass.toolcalls import rpc
 from onyxpass.toolcalls.desk import Desk, State
 from onyxpass.toolcalls.peers import Payload
@@ -22,7 +22,6 @@
 ID_MOST = 128
 LINGER_US = 50_000  # at the end, for the system's queue of connections to be taken in
 LOOKS = 8  # rounds of the loop, which leaves out a few looks at the sockets
-FAREWELL_US = 250_000  # for clients to close once our side has; what they send meanwhile is read, not heard
 MOST_OPEN = 256  # requests that one connection may have open
 log = structlog.get_logger("rpc")
 
