Build each test fleet once, and give tests of idle connections one way there

Read again: tests/test_fairness.py built the tight fleet's routers twice, two tests of idle connections began with the same four lines, and tests/fleets.py kept who sent, which nobody asked.

--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -34,7 +34,7 @@
         self.weights = [self.chance.lognormvariate(0, 0.8) for _ in range(routers)]
         self.rate, self.numbers, self.asks = rate, count(1), dict[int, api.Arrival]()
         self.answered: dict[int, bool] = {}  # whether an answer began
-        self.sent: list[tuple[int, int]] = []  # to the cold one: when, by whom
+        self.sent: list[int] = []  # to the cold one: when
         self.routers: list[Router] = []
         for n in range(routers):
             self.start(n)
@@ -96,7 +96,7 @@
     def send(self, router: Router, who: int, number: int, server: str) -> None:
         attempt = router.jobs[number].attempts - 1
         if server == self.cold:
-            self.sent.append((self.now, who))
+            self.sent.append(self.now)
         if router.jobs[number].holder is None and not server.startswith("w"):
             us = self.read_us(server, router.jobs[number].ask.prompt_tokens)
             self.later(us, who, api.Outcome(number, attempt, server, api.Status.READ, us))
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -14,7 +14,7 @@
 def worst(fleet: Fleet, since_us: int, share: float) -> tuple[float, int, float]:
     """The window that is most over its budget: by how much, what was sent, and what it bears."""
     s = fleet.settings[0]
-    times, found = [at for at, _ in fleet.sent], (-math.inf, 0, 0.0)
+    times, found = fleet.sent, (-math.inf, 0, 0.0)
     for i, start in enumerate(times):
         n = sum(start <= at < start + s.fall_us for at in times[i:])
         age = min(1.0, (start - since_us) / s.cold_us)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -129,12 +129,18 @@
 # Closing
 
 
+async def resting(w: World) -> socket.socket:
+    """A client that has had its answer and keeps its connection."""
+    client = raw(w, ask("a1"))
+    assert b"[DONE]" in await received(client, b"\r\n0\r\n\r\n")
+    await until(lambda: all(p.stage is Stage.IDLE for p in w.dispatcher.front.open.values()))
+    return client
+
+
 def test_a_request_that_crosses_the_close_of_its_idle_connection_is_not_sent_on_and_resets_nothing() -> None:
     async def go() -> None:
         async with world([Replica(READ)], [Replica(STREAM)]) as w:
-            client = raw(w, ask("a1"))
-            assert b"[DONE]" in await received(client, b"\r\n0\r\n\r\n")
-            await until(lambda: all(p.stage is Stage.IDLE for p in w.dispatcher.front.open.values()))
+            client = await resting(w)
             w.dispatcher.front.close_idle()
             assert await received(client) == b"", "its end is seen"
             client.setblocking(True)
@@ -149,9 +155,7 @@
 def test_a_request_that_is_there_as_its_idle_connection_is_closed_is_answered() -> None:
     async def go() -> None:
         async with world([Replica(READ)], [Replica(STREAM)]) as w:
-            client = raw(w, ask("a1"))
-            await received(client, b"\r\n0\r\n\r\n")
-            await until(lambda: all(p.stage is Stage.IDLE for p in w.dispatcher.front.open.values()))
+            client = await resting(w)
             client.setblocking(True)
             client.sendall(ask("a2"))
             w.dispatcher.front.closing = True
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -14,12 +14,36 @@
 
 
 class Readers(Fleet):
-    """Readers that take what comes first, at a pace; classes, prompts and sessions from the settings."""
+    """Readers that take what comes first, at a pace in us a token; ``load``: mean reads that go on at once."""
+
+    classes: tuple[api.TrafficClass, ...]
+
+    def __init__(self, seed: int, load: float, size: tuple[int, int], pace: float, mean: float) -> None:
+        (routers, readers), self.pace, self.free = size, pace, dict[str, int]()
+        rate = load * S / (pace * mean)
+        super().__init__("none", routers, readers, rate, seed, classes=self.classes)
+
+    def read_us(self, server: str, tokens: int) -> int:
+        start = max(self.now, self.free.get(server, 0))
+        self.free[server] = start + round(self.pace * (BASE_TOKENS + tokens))
+        return self.free[server] - self.now
+
+    def share(self, numbers: list[int]) -> float:
+        return sum(self.answered[n] for n in numbers) / len(numbers)
+
+    def by_size(self, cls: str) -> list[int]:
+        """Requests that have ended, those with the longest prompts first."""
+        ended = [n for n in self.answered if self.asks[n].cls == cls]
+        return sorted(ended, key=lambda n: -self.asks[n].prompt_tokens)
+
+
+class Drawn(Readers):
+    """Sizes, classes, prompts and sessions drawn by the seed, like the deployments'."""
 
     def __init__(self, seed: int, load: float) -> None:
         chance = random.Random(seed)
         routers, readers = chance.choice([3, 4, 6, 40]), chance.choice([5, 6, 8, 12])
-        self.pace, self.free = S / chance.uniform(13_000, 23_000), dict[str, int]()
+        pace = S / chance.uniform(13_000, 23_000)
         aims = [chance.uniform(0.6, 1.5), chance.uniform(1, 3), chance.uniform(0.8, 2.5)]
         kept = (api.Repeat.SAFE, api.Repeat.SAFE, api.Repeat.UNSAFE)
         self.classes = tuple(
@@ -36,8 +60,7 @@
             for n, aim in enumerate(aims)
         )
         mean = BASE_TOKENS + MEAN_TOKENS * math.exp(SPREAD**2 / 2)
-        rate = load * (readers + 2) * S / (self.pace * mean)
-        super().__init__("none", routers, readers, rate, seed, classes=self.classes)
+        super().__init__(seed, load * (readers + 2), (routers, readers), pace, mean)
 
     def ask(self, number: int) -> api.Arrival:
         cls = self.chance.choice(self.classes)
@@ -45,26 +68,13 @@
         session, begin = f"s{self.chance.randrange(30)}", f"p{self.chance.randrange(8)}"
         return api.Arrival(number, cls.name, session, self.now + cls.deadline_us, tokens, 200, begin, 900)
 
-    def read_us(self, server: str, tokens: int) -> int:
-        start = max(self.now, self.free.get(server, 0))
-        self.free[server] = start + round(self.pace * (BASE_TOKENS + tokens))
-        return self.free[server] - self.now
-
-    def share(self, numbers: list[int]) -> float:
-        return sum(self.answered[n] for n in numbers) / len(numbers)
-
-    def by_size(self, cls: str) -> list[int]:
-        """Requests that have ended, those with the longest prompts first."""
-        ended = [n for n in self.answered if self.asks[n].cls == cls]
-        return sorted(ended, key=lambda n: -self.asks[n].prompt_tokens)
-
 
 @pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize(("load", "least"), [(0.45, 2 / 3), (1.15, 1 / 2)])
 def test_the_longest_prompts_get_their_part_of_what_their_class_is_answered(
     seed: int, load: float, least: float
 ) -> None:
-    check_sizes(Readers(seed, load), load, least)
+    check_sizes(Drawn(seed, load), load, least)
 
 
 def check_sizes(fleet: Readers, load: float, least: float) -> None:
@@ -79,7 +89,7 @@
 
 @pytest.mark.parametrize("seed", range(6))
 def test_no_session_is_refused_throughout_while_there_is_room(seed: int) -> None:
-    check_sessions(Readers(seed, 0.45))
+    check_sessions(Drawn(seed, 0.45))
 
 
 def check_sessions(fleet: Readers) -> None:
@@ -105,21 +115,19 @@
                 lambda self, job, refused=refused: not refused(job.ask) and start(self, job),
             )
             with pytest.raises(AssertionError):
-                check(Readers(1, 0.45))
+                check(Drawn(1, 0.45))
 
 
 class Tight(Readers):
     """Aims that a tenth of the prompts take longer than to read, with 0.4 of the capacity asked for."""
 
     def __init__(self) -> None:
-        super().__init__(1, 0.4)
-        routers, readers, self.pace = 4, 8, 130.0
         self.classes = tuple(
             api.TrafficClass(name, aim * MS, wait * MS, value, 0.2, aim_per_k_us=per_k, token_us=60 * MS)
             for name, aim, wait, value, per_k in (("a", 700, 2_500, 3.0, 0), ("b", 1_000, 3_000, 1.0, 10_000))
         )
-        rate = 0.4 * readers * S / (self.pace * (BASE_TOKENS + 3_000 * math.exp(0.5)))
-        Fleet.__init__(self, "none", routers, readers, rate, 1, classes=self.classes)
+        mean, readers = BASE_TOKENS + 3_000 * math.exp(0.5), 8
+        super().__init__(1, 0.4 * readers, (4, readers), 130.0, mean)
 
     def ask(self, number: int) -> api.Arrival:
         cls, tokens = self.chance.choice(self.classes), round(self.chance.lognormvariate(math.log(3_000), 1))
