--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -14,7 +14,7 @@
 
 
 class Readers(Fleet):
-    """Readers that take what comes first, at a pace in us a token; ``load``: mean reads that go on at once."""
+    """Readers that take what comes first, at a pace in us a token; ``load``: reads that go on at once."""
 
     classes: tuple[api.TrafficClass, ...]
 
