--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -227,11 +227,14 @@
             request.out = None
         elapsed_us = attempt.took_us = self.clock.now_us() - attempt.sent_us
         request.interrupted = status in INTERRUPTED and attempt.reads
+        if status is Status.READ:
+            attempt.kept = note
         if status is Status.READ or request.interrupted:
             request.may_hold, request.holder = True, attempt.server
         if status not in (Status.UNREACHABLE, Status.NOT_SENT):
             request.held_us = self.clock.now_us()
-        told = {"id": request.id, "cls": request.arrival.cls, "n": attempt.number, "server": attempt.server}
+        told = {"id": request.id, "cls": request.arrival.cls, "n": attempt.number}
+        told |= {"server": attempt.server, "prompt": request.arrival.prompt_tokens}
         if attempt.view:
             told["view"] = attempt.view
         if status is Status.SERVED:
@@ -258,7 +261,7 @@
         if (
             read := next((a for a in reversed(request.attempts) if a.status is Status.READ), None)
         ) is not None:
-            told |= {"reader": read.server, "read_us": read.took_us}
+            told |= {"reader": read.server, "read_us": read.took_us, "kept": read.kept}
         if (cls := self._class_of(request)) is not None:
             judged = judge(cls, request.arrival.prompt_tokens, wait_us, pace)
             told |= {"worth": judged.timing.value, "for": judged.cause} if judged.cause else {}
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -54,6 +54,7 @@
     part_us: int = 0  # when the last one came
     gap_us: int = 0  # the longest time between two of them
     took_us: int = 0  # from the send to its end
+    kept: int = 0  # tokens of the prompt that a read found kept
     tokens: int = 0  # of its answer, as its last events told; 0 if they did not
 
     @property
--- a/tests/test_worth.py
+++ b/tests/test_worth.py
@@ -67,7 +67,7 @@
     bed = Bed()
     request = bed.ask(api.Send(7, "r0", 500_000), cls="light", wait_us=5_000_000)
     bed.clock.us += 300_000
-    bed.core.ended(bed.fleet.started[-1], Status.READ)
+    bed.core.ended(bed.fleet.started[-1], Status.READ, 512)
     bed.step([api.Send(7, "w0", 2_000_000)])
     attempt = bed.fleet.started[-1]
     bed.clock.us += 200_000
@@ -79,7 +79,7 @@
     bed.core._timed = lambda a: told.update(timed(a)) or told  # type: ignore[method-assign, func-returns-value]
     bed.core.ended(attempt, Status.SERVED)
     assert request.over and told["wait_us"] == 500_000 and told["first_us"] == 200_000
-    assert (told["reader"], told["read_us"]) == ("r0", 300_000)
+    assert (told["reader"], told["read_us"], told["kept"]) == ("r0", 300_000, 512)
     assert (told["worth"], told["for"]) == ("worthless", "pace")
     rows = bed.core.figures.rows(0, 0)
     assert rows["svc.served.light.worthless"] == 1 and rows["svc.served.light.late"] == 0
