Among few routers a cold server's peers are those of its own role, as they were

Cause: mixed servers counted among the peers of both roles left cold ones a smaller part than before where routers are few.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -211,9 +211,8 @@
         self.slow = defaultdict[str, float](float)  # by kind: part of the aim till a state's first token
         self.quota = {t.name: (t.quota_per_s / settings.routers, 0) for t in settings.tenants}
         self.probe_credit, self.ask_again_us, self.now_us, self.begun_us = 1.0, -1, 0, 0
-        # Guards against a budget that a few requests never fill: routers start spread out.
         self.blind = blind = settings.routers >= BLIND
-        self.call_credit = stable(f"calls|{settings.ordinal}") / 2**64 if blind else 0.0
+        self.call_credit = stable(f"calls|{settings.ordinal}") / 2**64 if blind else 0.0  # few asks fill none
         self.call_share, self.patience = (CALL_BLIND, PATIENCE_BLIND) if blind else (CALL_SHARE, PATIENCE)
         self.ticking, self.acts = False, list[api.Action]()
         self.on: dict[type, Callable[[Any], None]] = {api.Arrival: self._arrive, api.Outcome: self._ended}
@@ -295,9 +294,10 @@
                 self.up[host.role].append(host)
         self.lean = leaning(self.up[Role.READER], self.up[Role.WRITER] + self.up[Role.MIXED])
         reads, writes, mixed = (len(self.up[role]) for role in Role)
-        for role, pure in zip(Role, (reads, writes, max(reads, writes)), strict=True):
-            if pure + mixed >= self.most[role][0] or self.now_us > self.most[role][1]:
-                self.most[role] = (max(1, pure + mixed), self.now_us + self.settings.cold_us)
+        alike = (reads + mixed, writes + mixed, max(reads, writes) + mixed)
+        for role, peers in zip(Role, alike if self.blind else (reads, writes, mixed), strict=True):
+            if peers >= self.most[role][0] or self.now_us > self.most[role][1]:
+                self.most[role] = (max(1, peers), self.now_us + self.settings.cold_us)
         # Guards against mixed servers that answer more than writers do, as they answer all that they read.
         for host in (*self.up[Role.READER], *self.up[Role.MIXED]):  # homes by weight, and mixed ones fewer
             share = min(1.0, reads / writes) if writes and host.role is Role.MIXED else 1.0
