Tell a replica what is left as the bytes go, not as the attempt was chosen

Confirmed: 2,382 ms told after a dial of 200 ms where 2,182 were left. net/replica.py takes off what has passed; the attempt's own timer ran from the choice already. A loopback test fails without it.

--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -239,7 +239,10 @@
 
     def _write_head(self, wire: Wire, attempt: Attempt) -> None:
         payload: Payload = attempt.request.payload
-        wait_ms = max(1, attempt.timeout_us // 1000)
+        # What is left as the bytes go: guards against a replica that works on, after a dial or a release had
+        # its time, for a client that has left by then.
+        wait_us = attempt.sent_us + attempt.timeout_us - self.core.clock.now_us()
+        wait_ms = max(1, wait_us // 1000)
         headers = [
             *payload.headers,
             (b"x-timeout-ms", b"%d" % wait_ms),
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -1,6 +1,7 @@
 """Crossings at servers' connections and answers: dials, reuse, repeats, what is held, streams."""
 
 import asyncio
+import re
 import socket
 from dataclasses import replace
 from typing import Any
@@ -14,7 +15,7 @@
 from world import CHUNKS, HEAD, READ, STREAM, Answer, Replica, ask, breaks, run, silence, world
 
 from onyxpass import interface as api
-from onyxpass.core.requests import Request
+from onyxpass.core.requests import Attempt, Request
 from onyxpass.interface import Status
 from onyxpass.net import replica as net_replica
 
@@ -380,3 +381,29 @@
             assert not w.writers[0].heads
 
     run(go)
+
+
+def test_an_attempt_tells_what_is_left_as_its_bytes_go_and_not_as_it_was_chosen() -> None:
+    """Found by reading: a dial, or the release before a send, took its time out of what was told."""
+
+    async def go() -> None:
+        reader, waited_us, attempts = Replica(READ), 200_000, list[Attempt]()
+        async with world([reader], [Replica(STREAM)]) as w:
+            actor = w.dispatcher.replicas.actors["r0"]
+            open_one, carry = actor._open, actor.carry
+
+            async def slowly(most_us: int | None = None) -> Any:
+                await asyncio.sleep(waited_us / S)
+                return await open_one(most_us)
+
+            async def carried(attempt: Attempt, resumed: Any = None) -> None:
+                attempts.append(attempt)
+                await carry(attempt, resumed)
+
+            actor._open, actor.carry = slowly, carried  # type: ignore[method-assign]
+            assert b" 200 " in await w.ask("a1")
+        told = re.search(rb"x-timeout-ms: (\d+)", reader.heads[0])
+        assert told is not None and attempts[0].timeout_us > 2 * waited_us
+        assert 1 < int(told[1]) <= (attempts[0].timeout_us - waited_us) // 1000
+
+    run(go)
