Tell what is left for an attempt in one place, for both fronts

Core.left_ms is asked by both now; a test of it beside the loopback one. No other behaviour changed.

--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -196,6 +196,14 @@
         joined = (here and a.at and cls.scope.joins(here, a.at) for a in ran)
         return within and (cls.scope is api.Scope.ALL or all(joined))
 
+    def left_ms(self, attempt: Attempt) -> int:
+        """What an attempt whose bytes go now may tell its server that is left for it.
+
+        Guards against a server that works on, after a dial or a release had its time, for a client that has
+        left by then.
+        """
+        return max(1, (attempt.sent_us + attempt.timeout_us - self.clock.now_us()) // 1000)
+
     def dial_us(self, request: Request, most_us: int) -> int:
         """How long a connection for this request may take to come up.
 
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -239,13 +239,9 @@
 
     def _write_head(self, wire: Wire, attempt: Attempt) -> None:
         payload: Payload = attempt.request.payload
-        # What is left as the bytes go: guards against a replica that works on, after a dial or a release had
-        # its time, for a client that has left by then.
-        wait_us = attempt.sent_us + attempt.timeout_us - self.core.clock.now_us()
-        wait_ms = max(1, wait_us // 1000)
         headers = [
             *payload.headers,
-            (b"x-timeout-ms", b"%d" % wait_ms),
+            (b"x-timeout-ms", b"%d" % self.core.left_ms(attempt)),
             (b"content-length", b"%d" % len(payload.body)),
         ]
         if attempt.view:
--- a/onyxpass/toolcalls/peers.py
+++ b/onyxpass/toolcalls/peers.py
@@ -95,7 +95,7 @@
             "class": payload.cls,
             "prompt": payload.prompt,
             "max_tokens": payload.max_tokens,
-            "timeout_ms": max(1, attempt.timeout_us // 1000),
+            "timeout_ms": self.core.left_ms(attempt),
         }
         if attempt.view:
             params["view"] = attempt.view
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -411,3 +411,14 @@
     bed.step([api.Refuse(7)])
     assert bed.client.finals == ["refuse"]
     assert not bed.core.requests and not bed.core.live_ids
+
+
+def test_what_is_left_for_an_attempt_shrinks_while_it_is_dialled_and_is_never_nothing() -> None:
+    bed = Bed()
+    bed.ask(api.Send(7, "w0", 500_000))
+    attempt = bed.fleet.started[0]
+    assert bed.core.left_ms(attempt) == attempt.timeout_us // 1000
+    bed.clock.us += 200_000
+    assert bed.core.left_ms(attempt) == (attempt.timeout_us - 200_000) // 1000
+    bed.clock.us += attempt.timeout_us
+    assert bed.core.left_ms(attempt) == 1
