Count who bore the work by warmth, so that a fleet that is being replaced uses its cold servers

Change: parts go by the most warmth that was up of late, at least by the warmth that is up now, within half of what may be sent.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -24,8 +24,7 @@
 WAIT_SHARE, IN_TIME = 0.35, 0.8  # of the aim: may pass in waiting for room; may be planned for reading
 PACE_HALVES_US, FULL_US = 1_000_000, 8_000_000  # unseen queues halve; who turned a class away rests from it
 PATIENCE, PATIENCE_AIM = 5.0, 0.40  # usual times, or share of the aim if more, till it counts as silent
-# calls off a request: more speak of a jam, which reading anew makes worse; BLIND: it is one home's, unseen
-CALL_SHARE, CALL_BLIND, PATIENCE_BLIND = 0.03, 0.2, 2.0
+CALL_SHARE, CALL_BLIND, PATIENCE_BLIND = 0.03, 0.2, 2.0  # calls off a request: more feed a jam; BLIND: unseen
 OVERTAKEN = 3  # later sends answered first that tell of a lost connection rather than of a queue
 TIMEOUT_SHARE = 0.8  # of the time left may go into an attempt at a server that answers others meanwhile
 BLEND, USUAL_BLEND = 0.3, 0.05  # weight of the newest sample: a server's mean, the pool's usual times
@@ -204,7 +203,9 @@
         self.heard = deque[str](maxlen=HEARD)  # beginnings asked for last
         self.table = OrderedDict[str, tuple[Host, int, int]]()  # key -> reader, stored at, tokens
         self.up: dict[Role, list[Host]] = {role: [] for role in Role}  # may get work by the list, by id
-        self.most = dict.fromkeys(Role, (1, 0))  # servers that shared a role's work: how many, till when
+        self.most = dict.fromkeys(
+            Role, (1.0, 0)
+        )  # warm servers that shared a role's work: how many, till when
         self.lean: dict[object, float] = {}  # what readers of a cell or zone send, over what its writers bear
         self.usual = dict.fromkeys(Role, 0.0)  # mean times of reads and first tokens
         self.swift = defaultdict[str, float](float)  # by kind: pace of a read that waits for no other, so far
@@ -293,14 +294,15 @@
             if host.spec.condition is api.Condition.UP and host.id not in self.banned:
                 self.up[host.role].append(host)
         self.lean = leaning(self.up[Role.READER], self.up[Role.WRITER] + self.up[Role.MIXED])
-        reads, writes, mixed = (len(self.up[role]) for role in Role)
+        reads, writes, mixed = (sum(h.warmth(self.now_us) for h in self.up[role]) for role in Role)
         alike = (reads + mixed, writes + mixed, max(reads, writes) + mixed)
         for role, peers in zip(Role, alike if self.blind else (reads, writes, mixed), strict=True):
             if peers >= self.most[role][0] or self.now_us > self.most[role][1]:
-                self.most[role] = (max(1, peers), self.now_us + self.settings.cold_us)
+                self.most[role] = (max(1.0, peers), self.now_us + self.settings.cold_us)
         # Guards against mixed servers that answer more than writers do, as they answer all that they read.
         for host in (*self.up[Role.READER], *self.up[Role.MIXED]):  # homes by weight, and mixed ones fewer
-            share = min(1.0, reads / writes) if writes and host.role is Role.MIXED else 1.0
+            share = len(self.up[Role.READER]) / max(1, len(self.up[Role.WRITER]))
+            share = min(1.0, share) if self.up[Role.WRITER] and host.role is Role.MIXED else 1.0
             host.part = max(LEAST_PART, share) * max(LEAST_PART, host.spec.weight)
 
     def _well(self, *roles: Role) -> list[Host]:
@@ -313,13 +315,13 @@
     def _drawn(self, job: Job, hosts: list[Host], holder: Host | None) -> list[Host]:
         """Slow start: a cold server gets its part by lot; what each router had saved up would come at once.
 
-        Its part of all requests goes by who bore the work before some left. Reads go by session, and all as
-        warm share them. A writer that is drawn is preferred, so its part comes from its zone's readers.
-        """
+        Its part goes by who bore the work before some left. Reads go by session, and all as warm share them;
+        a writer that is drawn is preferred, so its part comes from its zone's readers."""
         zones, chosen, as_warm = [h.spec.zone for h in self.up[Role.READER]], set[Host](), 0.0
+        whole = sum(h.warmth(self.now_us) for h in hosts)
         for h in sorted(hosts, key=lambda h: -h.warmth(self.now_us)):
-            warmth, as_warm = h.warmth(self.now_us), as_warm + h.part
-            part = warmth * min(1.0, self.settings.fall_multiple / 2) / self.most[h.role][0]
+            warmth, as_warm, most = h.warmth(self.now_us), as_warm + h.part, self.most[h.role][0]
+            part = warmth * min(max(1 / most, 1 / whole), self.settings.fall_multiple / 2 / most)
             if holder is None:
                 part *= as_warm / h.part
             elif h.role is Role.WRITER and (sends := zones.count(h.spec.zone)):
@@ -413,15 +415,14 @@
         matched, kept = self._match(job, homes)
         target, tokens = divert(matched, ready), job.ask.prompt_tokens
         swift = {h: self.swift[h.spec.kind] for h in ready}
-        takes = {h: h.expects(tokens - kept * (h is matched), self.now_us, swift[h]) for h in ready}
+        eta = {h: h.expects(tokens - kept * (h is matched), self.now_us, swift[h]) for h in ready}
         # Guards against queues: what can't be in time at its match, or would make those of as much worth and
         # a shorter aim late, takes the quickest reader, else waits; its own length is no queue. Jams fade.
         jam_us = self.usual[Role.WRITER] * 0.5 ** ((self.now_us - self.begun_us) / PACE_HALVES_US)
         short_us = self.short.get(job.cls.name, job.aim_us) * IN_TIME - jam_us
         left = min(short_us, job.aim_us * IN_TIME - jam_us - (self.now_us - job.arrived_us))
         left = max(left, min(swift.values()) * (BASE_TOKENS + tokens))
-        quickest = min(ready, key=takes.__getitem__)
-        if not job.attempts and takes[target] > left and takes[target := quickest] > left:
+        if not job.attempts and eta[target] > left and eta[target := min(ready, key=eta.__getitem__)] > left:
             return False
         self._send(job, target, tokens)
         return True
@@ -617,8 +618,7 @@
             # Guards against waiting on a connection that fell silent while its server answers others: servers
             # take what comes first, so reads that come later are no sooner done. Writers wait for memory too.
             due_us = job.sent_us + PATIENCE * (job.out.pace * job.work if job.out else 0.0)
-            # Where answers come at once, there is no queue in which one later send could pass by another.
-            brisk = job.out and PATIENCE * self.usual[job.out.role] < PATIENCE_AIM * job.aim_us
+            brisk = job.out and PATIENCE * self.usual[job.out.role] < PATIENCE_AIM * job.aim_us  # no queue
             lost = job.passed >= (1 if brisk else OVERTAKEN) and self.now_us >= due_us
             silent = lost or (job.out and job.out.answered_us < job.sent_us)
             free = lost and not job.holder
