--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -321,7 +321,7 @@
         whole = sum(h.warmth(self.now_us) for h in hosts)
         for h in sorted(hosts, key=lambda h: -h.warmth(self.now_us)):
             warmth, as_warm, most = h.warmth(self.now_us), as_warm + h.part, self.most[h.role][0]
-            part = warmth * min(max(1 / most, 1 / whole), self.settings.fall_multiple / 2 / most)
+            part = warmth * min(max(1 / most, self.blind / whole), self.settings.fall_multiple / 2 / most)
             if holder is None:
                 part *= as_warm / h.part
             elif h.role is Role.WRITER and (sends := zones.count(h.spec.zone)):
