--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -294,7 +294,7 @@
             if host.spec.condition is api.Condition.UP and host.id not in self.banned:
                 self.up[host.role].append(host)
         self.lean = leaning(self.up[Role.READER], self.up[Role.WRITER] + self.up[Role.MIXED])
-        reads, writes, mixed = (sum(h.warmth(self.now_us) ** self.blind for h in self.up[role]) for role in Role)
+        reads, writes, mixed = (sum(h.warmth(self.now_us) ** self.blind for h in self.up[r]) for r in Role)
         alike = (reads + mixed, writes + mixed, max(reads, writes) + mixed)
         for role, peers in zip(Role, alike if self.blind else (reads, writes, mixed), strict=True):
             if peers >= self.most[role][0] or self.now_us > self.most[role][1]:
