Sort no servers by warmth where all are warm, and ask each for its warmth once

Read again: _drawn ran for each pick of a reader or writer, sorted all servers and asked each three times for its warmth, also on the many picks with no cold server. It now takes each warmth once and returns at once where all are warm.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -203,9 +203,7 @@
         self.heard = deque[str](maxlen=HEARD)  # beginnings asked for last
         self.table = OrderedDict[str, tuple[Host, int, int]]()  # key -> reader, stored at, tokens
         self.up: dict[Role, list[Host]] = {role: [] for role in Role}  # may get work by the list, by id
-        self.most = dict.fromkeys(
-            Role, (1.0, 0)
-        )  # warm servers that shared a role's work: how many, till when
+        self.most = dict.fromkeys(Role, (1.0, 0))  # servers that shared a role's work: how many, till when
         self.lean: dict[object, float] = {}  # what readers of a cell or zone send, over what its writers bear
         self.usual = dict.fromkeys(Role, 0.0)  # mean times of reads and first tokens
         self.swift = defaultdict[str, float](float)  # by kind: pace of a read that waits for no other, so far
@@ -317,17 +315,19 @@
 
         Its part goes by who bore the work before some left. Reads go by session, and all as warm share them;
         a writer that is drawn is preferred, so its part comes from its zone's readers."""
+        warmth = {h: h.warmth(self.now_us) for h in hosts}
+        if (whole := sum(warmth.values())) >= len(hosts):  # all are warm
+            return hosts
         zones, chosen, as_warm = [h.spec.zone for h in self.up[Role.READER]], set[Host](), 0.0
-        whole = sum(h.warmth(self.now_us) for h in hosts)
-        for h in sorted(hosts, key=lambda h: -h.warmth(self.now_us)):
-            warmth, as_warm, most = h.warmth(self.now_us), as_warm + h.part, self.most[h.role][0]
-            part = warmth * min(max(1 / most, self.blind / whole), self.settings.fall_multiple / 2 / most)
+        for h in sorted(hosts, key=lambda h: -warmth[h]):
+            as_warm, most = as_warm + h.part, self.most[h.role][0]
+            part = warmth[h] * min(max(1 / most, self.blind / whole), self.settings.fall_multiple / 2 / most)
             if holder is None:
                 part *= as_warm / h.part
             elif h.role is Role.WRITER and (sends := zones.count(h.spec.zone)):
                 part *= (h.spec.zone == holder.spec.zone) * len(zones) / sends
             who = f"{job.ask.id}|{h.id}" if holder or h.due else job.ask.session
-            if warmth >= 1 or stable(f"lot|{who}") / 2**64 < part:
+            if warmth[h] >= 1 or stable(f"lot|{who}") / 2**64 < part:
                 chosen.add(h)
         return [h for h in hosts if h in chosen]
 
