Part the HTTP front by job: client, complaints, connections

HttpClient, Complaints and the connections' records have modules of their own; Peer is ClientConnection. No change of behaviour; tests next to it pass.

--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -3,48 +3,27 @@
 import asyncio
 import socket
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
-from enum import Enum
 
 import h11
 import structlog
 
 from onyxpass.config import Address
-from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.requests import Request
-from onyxpass.core.wheel import Limit
 from onyxpass.net.arrivals import BadRequest, check_body, check_framing, read_arrival
+from onyxpass.net.client import HttpClient
+from onyxpass.net.complaints import Complaints
+from onyxpass.net.connections import SPARED, ClientConnection, Stage
 from onyxpass.net.http import CHUNK, FAREWELL_US, Broken, Wire, body, drain_input, header
 from onyxpass.net.listen import Listener
 from onyxpass.net.replica import Payload, passed_on
 
-
-class Stage(Enum):
-    """What a client's connection is at."""
-
-    NEW = "new"  # nothing has come on it yet
-    READING = "reading"  # part of a request has
-    OPEN = "open"  # a request is being served
-    IDLE = "idle"  # between requests
-    LEAVING = "leaving"  # its last answer is given
-
-
 FIRST_US = 2_500_000  # from connecting, or from a later request's first byte, to a request's last byte
 IDLE_US = 8_000_000  # between requests
 LEAVE_US = 2_000_000  # for a client to take the rest of its answer
 REST_MOST = 16  # past the limit, of what still waits in the kernel as the listener closes
 BACKLOG = 512  # connections that may wait in the kernel while there is no room
 ROOM_US, SHORT_US = 20_000, 200_000  # between looks whether there is room, or descriptors again
-FRESH_US = 150_000  # so long after connecting a first request may still be on its way
-SPARED = (  # connections that may be closed for others, those missed least first, and from which age on
-    (Stage.LEAVING, 0),
-    (Stage.NEW, FRESH_US),
-    (Stage.IDLE, FRESH_US),
-    (Stage.READING, FRESH_US),
-)
-COMPLAINT_US, COMPLAINT_BURST_US, COMPLAINT_MOST_US = 20_000, 400_000, 1_000_000
-LINE_US = 1_000_000  # between log lines on bad requests
 LINGER_US = 450_000  # after SIGTERM new connections keep coming for up to 0.4 s, where the socket is our own
 LAST_US = 650_000  # after SIGTERM what comes so late may not be finished in time
 END_US, END_MOST_US = (
@@ -54,108 +33,6 @@
 log = structlog.get_logger("front")
 
 
-class HttpClient:
-    """The core's client over one HTTP exchange."""
-
-    def __init__(self, wire: Wire, closing: Callable[[], bool]) -> None:
-        self.wire, self._closing = wire, closing
-        self.done = asyncio.Event()
-        self.broken = False
-        self.begun = False  # whether the stream's head has gone out
-        self.keeps = True  # whether the client, and then that head, lets the connection stay open
-
-    def gone(self) -> bool:
-        return self.broken or self.wire.hung_up
-
-    def _headers(self, *more: tuple[bytes, bytes]) -> list[tuple[bytes, bytes]]:
-        return [*more, (b"connection", b"close")] if self._closing() else list(more)
-
-    async def relay(self, event: bytes) -> None:
-        if self.done.is_set():
-            return
-        if self.begun:
-            self.wire.write(h11.Data(data=event))
-        else:
-            self.begun, self.keeps = True, self.keeps and not self._closing()
-            kind = (b"content-type", b"text/event-stream")
-            headers = self._headers(kind, (b"transfer-encoding", b"chunked"))
-            self.wire.write(h11.Response(status_code=200, headers=headers), h11.Data(data=event))
-        try:
-            await self.wire.writer.drain()
-        except OSError:
-            log.debug("the client has gone")  # its reading side tells the core
-
-    def finish(self) -> None:
-        self.wire.write(h11.EndOfMessage())
-        self.done.set()
-
-    def cut(self, reason: str) -> None:
-        self.broken = True
-        self.wire.abort()  # guards against a broken stream that looks whole: no last chunk
-        self.done.set()
-
-    def leave(self) -> None:
-        """Another process goes on with it: close this one's hold on the connection and nothing else."""
-        self.cut("")
-
-    def refuse(self, retry_after_us: int) -> None:
-        advice = [(b"retry-after", b"%.3f" % (retry_after_us / 1e6))] if retry_after_us > 0 else []
-        self.answer(503, b"refused\n", *advice)
-
-    def fail(self, reason: str, late: bool) -> None:
-        self.answer(504 if late else 502, b"failed\n")
-
-    def answer(self, status: int, text: bytes, *more: tuple[bytes, bytes]) -> None:
-        headers = self._headers(*more, (b"content-length", b"%d" % len(text)))
-        self.wire.write(
-            h11.Response(status_code=status, headers=headers), h11.Data(data=text), h11.EndOfMessage()
-        )
-        self.done.set()
-
-
-class Complaints:
-    """Bounds the work and the log lines that clients with bad requests can cause."""
-
-    def __init__(self, clock: Clock) -> None:
-        self.clock = clock
-        self._free_us = self._line_us = self._untold = 0
-
-    def wait_us(self) -> int:
-        """How long to hold back one more complaint, so that who asks again at once comes no faster."""
-        now_us = self.clock.now_us()
-        self._free_us = max(self._free_us, now_us - COMPLAINT_BURST_US) + COMPLAINT_US
-        self._free_us = min(self._free_us, now_us + COMPLAINT_MOST_US)
-        return max(0, self._free_us - now_us)
-
-    def told(self, status: int, why: str) -> None:
-        """One line a while; it counts those that it stands for."""
-        now_us, self._untold = self.clock.now_us(), self._untold + 1
-        if now_us >= self._line_us:
-            log.info("bad request", status=status, why=why, n=self._untold)
-            self._line_us, self._untold = now_us + LINE_US, 0
-
-
-@dataclass(eq=False, slots=True)
-class Peer:
-    """One client's connection."""
-
-    since_us: int  # of the stage
-    due_us: int  # by when the request that is being read must be whole
-    wire: Wire | None = None
-    stage: Stage = Stage.NEW
-    resting: Limit | None = None  # while it waits for a next request
-    pieces: int = 0  # that had come on the wire before the request that is being read
-
-    def progress(self) -> tuple[int, int]:
-        """Guards against true requests that are written slowly and go for what a crowd has left behind.
-
-        In how many pieces its request has come so far: one that is never finished stops early, so among those
-        with the fewest the eldest is missed least.
-        """
-        reading = self.stage is Stage.READING and self.wire is not None
-        return (self.wire.pieces - self.pieces if reading and self.wire else 0), self.since_us
-
-
 UnderWay = tuple[HttpClient, Request] | None
 
 
@@ -173,7 +50,7 @@
         self.listener = Listener(passed) if passed is not None else None
         self.shared = passed is not None  # another process may take connections from the same socket
         self.accepting: asyncio.Task[None] | None = None
-        self.open: dict[asyncio.Task[None], Peer] = {}
+        self.open: dict[asyncio.Task[None], ClientConnection] = {}
         self.closing = False
         self.draining = False  # not ready, and each connection ends with its present answer
         self.complaints = Complaints(core.clock)
@@ -191,7 +68,7 @@
 
     def answering(self) -> int:
         """Connections on which a request is open, or its answer has not wholly left."""
-        return sum(peer.stage in (Stage.OPEN, Stage.LEAVING) for peer in self.open.values())
+        return sum(connection.stage in (Stage.OPEN, Stage.LEAVING) for connection in self.open.values())
 
     def close_idle(self) -> None:
         """Close the connections on which nothing is on its way.
@@ -199,9 +76,9 @@
         Guards against a reset of what is on its way: only where nothing has come is a connection closed; a
         new one was opened for a request, which is served, with ``Connection: close``.
         """
-        for peer in list(self.open.values()):
-            if peer.resting is not None and peer.stage is Stage.IDLE:
-                peer.resting.expire()
+        for connection in list(self.open.values()):
+            if connection.resting is not None and connection.stage is Stage.IDLE:
+                connection.resting.expire()
 
     @property
     def port(self) -> int:
@@ -249,8 +126,8 @@
 
     def _welcome(self, sock: socket.socket) -> None:
         now_us = self.clock.now_us()
-        peer = Peer(now_us, now_us + FIRST_US)
-        self._keep(peer, self._converse(sock, peer))
+        connection = ClientConnection(now_us, now_us + FIRST_US)
+        self._keep(connection, self._converse(sock, connection))
 
     def _gone(self, task: asyncio.Task[None]) -> None:
         self.open.pop(task, None)
@@ -272,28 +149,28 @@
                 return True
         return False
 
-    async def _converse(self, sock: socket.socket, peer: Peer) -> None:
+    async def _converse(self, sock: socket.socket, connection: ClientConnection) -> None:
         try:
-            wire = peer.wire = await Wire.over(sock, h11.SERVER)
+            wire = connection.wire = await Wire.over(sock, h11.SERVER)
         except OSError as problem:
             log.debug("connection ended", why=str(problem))
             return
-        await self._follow(peer, wire)
+        await self._follow(connection, wire)
 
     def adopt(self, wire: Wire, client: HttpClient, request: Request) -> None:
         """Go on with a connection whose request the process before this one was answering."""
         now_us = self.clock.now_us()
-        peer = Peer(now_us, now_us, wire, Stage.OPEN)
-        self._keep(peer, self._follow(peer, wire, (client, request)))
+        connection = ClientConnection(now_us, now_us, wire, Stage.OPEN)
+        self._keep(connection, self._follow(connection, wire, (client, request)))
 
-    def _keep(self, peer: Peer, work: Coroutine[object, object, None]) -> None:
+    def _keep(self, connection: ClientConnection, work: Coroutine[object, object, None]) -> None:
         task = asyncio.create_task(work)
-        self.open[task] = peer
+        self.open[task] = connection
         task.add_done_callback(self._gone)
 
-    async def _follow(self, peer: Peer, wire: Wire, under_way: UnderWay = None) -> None:
+    async def _follow(self, connection: ClientConnection, wire: Wire, under_way: UnderWay = None) -> None:
         try:
-            await self._serve(peer, wire, under_way)
+            await self._serve(connection, wire, under_way)
         except (Broken, OSError, TimeoutError) as problem:
             log.debug("connection ended", why=str(problem))
         except asyncio.CancelledError:  # the program ends; asyncio's own callback would print a traceback
@@ -301,15 +178,15 @@
         except Exception:
             log.exception("a client's connection failed")
         finally:
-            await self._end(peer, wire)
+            await self._end(connection, wire)
 
-    async def _end(self, peer: Peer, wire: Wire) -> None:
+    async def _end(self, connection: ClientConnection, wire: Wire) -> None:
         """End our side first, and read on till the client ends its own.
 
         Guards against a reset by bytes that nobody has read, which takes with it what is still on its way to
         the client; and against a descriptor held by a client that never takes the end of its answer.
         """
-        self._at(peer, Stage.LEAVING)
+        self._at(connection, Stage.LEAVING)
         try:
             if not wire.writer.is_closing():
                 async with self.wheel.limit(LEAVE_US):
@@ -321,13 +198,13 @@
         except (OSError, TimeoutError, asyncio.CancelledError):
             wire.abort()
 
-    def _at(self, peer: Peer, stage: Stage) -> None:
-        peer.stage, peer.since_us = stage, self.clock.now_us()
+    def _at(self, connection: ClientConnection, stage: Stage) -> None:
+        connection.stage, connection.since_us = stage, self.clock.now_us()
 
-    async def _serve(self, peer: Peer, wire: Wire, under_way: UnderWay = None) -> None:
+    async def _serve(self, connection: ClientConnection, wire: Wire, under_way: UnderWay = None) -> None:
         while True:
             if not wire.pending and under_way is None:
-                await self._next(peer, wire)
+                await self._next(connection, wire)
                 if not wire.pending:
                     return
             client = under_way[0] if under_way else HttpClient(wire, lambda: self.leaving)
@@ -336,16 +213,16 @@
                     await self._await_answer(wire, *under_way)
                     under_way = None
                 else:
-                    self._at(peer, Stage.READING)
-                    peer.pieces = wire.pieces - 1
-                    await self._exchange(peer, wire, client)
+                    self._at(connection, Stage.READING)
+                    connection.pieces = wire.pieces - 1
+                    await self._exchange(connection, wire, client)
             except (Broken, BadRequest, TimeoutError) as problem:
                 status = problem.status if isinstance(problem, Broken) else 400
                 if isinstance(problem, TimeoutError):
                     status = 408
                 if status and not client.done.is_set():
-                    self._at(peer, Stage.LEAVING)
-                    wait_us = min(self.complaints.wait_us(), peer.due_us - self.clock.now_us())
+                    self._at(connection, Stage.LEAVING)
+                    wait_us = min(self.complaints.wait_us(), connection.due_us - self.clock.now_us())
                     if wait_us > 0:  # never past the time that the client is owed its answer in
                         await self.wheel.sleep(wait_us)
                     self._complain(wire, status, str(problem) or "too slow")
@@ -361,24 +238,24 @@
             # Guards against a request that is here already and would get no answer.
             if self.leaving and not wire.stale:
                 return
-            self._at(peer, Stage.IDLE)
-            peer.due_us = self.clock.now_us() + IDLE_US + FIRST_US
+            self._at(connection, Stage.IDLE)
+            connection.due_us = self.clock.now_us() + IDLE_US + FIRST_US
 
-    async def _next(self, peer: Peer, wire: Wire) -> None:
+    async def _next(self, connection: ClientConnection, wire: Wire) -> None:
         """Wait for what comes next, be it the end; TimeoutError if nothing does."""
-        limit_us = IDLE_US if peer.stage is Stage.IDLE else peer.due_us - self.clock.now_us()
+        limit_us = IDLE_US if connection.stage is Stage.IDLE else connection.due_us - self.clock.now_us()
         limit = self.wheel.limit(limit_us)
-        peer.resting = limit
+        connection.resting = limit
         try:
             async with limit:
                 await wire.fill()
         except TimeoutError:
             # Guards against a request that came in the very moment in which its connection was to be closed.
-            if peer.stage is not Stage.IDLE or not wire.stale or wire.hung_up:
+            if connection.stage is not Stage.IDLE or not wire.stale or wire.hung_up:
                 raise
             await wire.fill()
         finally:
-            peer.resting = None
+            connection.resting = None
 
     def _complain(self, wire: Wire, status: int, why: str) -> None:
         text = why.encode("ascii", "replace")[:200] + b"\n"
@@ -389,9 +266,9 @@
             )
         self.complaints.told(status, why)
 
-    async def _exchange(self, peer: Peer, wire: Wire, client: HttpClient) -> None:
+    async def _exchange(self, connection: ClientConnection, wire: Wire, client: HttpClient) -> None:
         arrived_us = self.clock.now_us()
-        due_us = min(peer.due_us, arrived_us + FIRST_US)
+        due_us = min(connection.due_us, arrived_us + FIRST_US)
         async with self.wheel.limit(due_us - arrived_us):
             head = await wire.event()
             if not isinstance(head, h11.Request):
@@ -402,7 +279,7 @@
             text = await body(wire)
         if wire.pending:  # guards against a length that is wrong: what came behind is no request of its own
             raise Broken("bytes behind the request", 400)
-        self._at(peer, Stage.OPEN)
+        self._at(connection, Stage.OPEN)
         client.keeps = b"close" not in (header(head, b"connection") or b"").lower()
         path = bytes(head.target).partition(b"?")[0]
         if path in (b"/health/ready", b"/health/live"):
--- a/onyxpass/net/succession.py
+++ b/onyxpass/net/succession.py
@@ -19,7 +19,8 @@
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.net.answers import Events, Incoming
-from onyxpass.net.front import Front, HttpClient
+from onyxpass.net.client import HttpClient
+from onyxpass.net.front import Front
 from onyxpass.net.http import Wire
 from onyxpass.net.listen import Listener
 from onyxpass.net.replica import Replicas, Resumed
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -15,7 +15,7 @@
 from world import CHUNKS, HEAD, READ, STREAM, Discovery, Replica, World, ask, ends_with, run, world
 
 from onyxpass import interface as api
-from onyxpass.net.front import Stage
+from onyxpass.net.connections import Stage
 
 
 def raw(w: World, text: bytes = b"") -> socket.socket:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -35,14 +35,15 @@
 from onyxpass.core.clock import Clock
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.interface import Status
-from onyxpass.net import answers, budget, front, pacing
+from onyxpass.net import answers, budget, complaints, front, pacing
 from onyxpass.net import replica as net_replica
+from onyxpass.net.client import HttpClient
 from onyxpass.net.http import Wire
 from onyxpass.net.watch import News
 from onyxpass.serve import Dispatcher
 
 
-class Waits(front.HttpClient):
+class Waits(HttpClient):
     """A client that stays, with no connection."""
 
     def __init__(self) -> None:
@@ -451,14 +452,14 @@
 
 
 def test_a_next_request_that_comes_with_the_answers_end_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
-    finish = front.HttpClient.finish
+    finish = HttpClient.finish
 
-    def together(self: front.HttpClient) -> None:
+    def together(self: HttpClient) -> None:
         finish(self)
-        monkeypatch.setattr(front.HttpClient, "finish", finish)
+        monkeypatch.setattr(HttpClient, "finish", finish)
         self.wire.reader.feed_data(ask("a2", close=True))
 
-    monkeypatch.setattr(front.HttpClient, "finish", together)
+    monkeypatch.setattr(HttpClient, "finish", together)
 
     async def go() -> None:
         async with world([Replica(READ)], [Replica(STREAM)]) as w:
@@ -544,9 +545,9 @@
 
 def test_complaints_are_paced_and_their_lines_counted() -> None:
     clock = Clock()
-    made = front.Complaints(clock)
+    made = complaints.Complaints(clock)
     waits = [made.wait_us() for _ in range(200)]
-    assert waits[0] == 0 and waits == sorted(waits) and 900_000 <= waits[-1] <= front.COMPLAINT_MOST_US
+    assert waits[0] == 0 and waits == sorted(waits) and 900_000 <= waits[-1] <= complaints.COMPLAINT_MOST_US
     with structlog.testing.capture_logs() as lines:
         for _ in range(50):
             made.told(400, "x")
