Accept connections in batches, evict them in order, count their wait as used

Ruled out: descriptors (room was always made), a stalled loop. Connections stand in the order in which they entered their stage, up to 16 are accepted a turn; a request's time counts from the earliest moment at which it can have come (queue last empty, look before last at the sockets), and what is read is not closed unanswered.

--- a/onyxpass/core/loop.py
+++ b/onyxpass/core/loop.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import selectors
+import time
 
 SKIPS = 3  # looks at the sockets left out in a row while calls are ready
+BLOCKED_NS = 1_000_000  # a look that took longer had to wait: what it found came at its end
 
 
 class CalmSelector(selectors.DefaultSelector):
@@ -17,6 +19,8 @@
     def __init__(self) -> None:
         super().__init__()
         self._skipped = 0
+        self._looked_ns = time.monotonic_ns()
+        self.unseen_since_ns = self._looked_ns
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """As asyncio calls it: ``timeout`` 0 means that calls are ready."""
@@ -24,10 +28,32 @@
             self._skipped += 1
             return []
         self._skipped = 0
+        began_ns = time.monotonic_ns()
         found: list[tuple[selectors.SelectorKey, int]] = super().select(timeout)
+        ended_ns = time.monotonic_ns()
+        # What a look finds without waiting came at some time since the look before it.
+        self.unseen_since_ns = ended_ns if ended_ns - began_ns > BLOCKED_NS else self._looked_ns
+        self._looked_ns = ended_ns
         return found
 
 
+class CalmLoop(asyncio.SelectorEventLoop):
+    """Tells since when what it found last may have waited in the kernel."""
+
+    def __init__(self) -> None:
+        self.looks = CalmSelector()
+        super().__init__(self.looks)
+
+
 def make() -> asyncio.AbstractEventLoop:
     """For ``asyncio.Runner``."""
-    return asyncio.SelectorEventLoop(CalmSelector())
+    return CalmLoop()
+
+
+def unseen_since_ns() -> int:
+    """A lower bound, on the monotonic clock, of when what the running loop found last can have come.
+
+    Another loop than ours tells nothing: then it is the present.
+    """
+    loop = asyncio.get_running_loop()
+    return loop.looks.unseen_since_ns if isinstance(loop, CalmLoop) else time.monotonic_ns()
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -13,7 +13,7 @@
 from onyxpass.net.arrivals import BadRequest, check_body, check_framing, read_arrival
 from onyxpass.net.client import HttpClient
 from onyxpass.net.complaints import Complaints
-from onyxpass.net.connections import SPARED, ClientConnection, Stage
+from onyxpass.net.connections import ClientConnection, Connections, Stage
 from onyxpass.net.http import CHUNK, FAREWELL_US, Broken, Wire, body, drain_input, header
 from onyxpass.net.listen import Listener
 from onyxpass.net.replica import Payload, passed_on
@@ -23,6 +23,8 @@
 LEAVE_US = 2_000_000  # for a client to take the rest of its answer
 REST_MOST = 16  # past the limit, of what still waits in the kernel as the listener closes
 BACKLOG = 512  # connections that may wait in the kernel while there is no room
+ACCEPTS = 16  # connections taken in one turn of the loop: requests under way have theirs in between
+SETTLED_US = 1_000_000  # after an answer, till it has surely arrived
 ROOM_US, SHORT_US = 20_000, 200_000  # between looks whether there is room, or descriptors again
 LINGER_US = 450_000  # after SIGTERM new connections keep coming for up to 0.4 s, where the socket is our own
 LAST_US = 650_000  # after SIGTERM what comes so late may not be finished in time
@@ -33,9 +35,25 @@
 log = structlog.get_logger("front")
 
 
+INTERNAL_ERROR = 500
 UnderWay = tuple[HttpClient, Request] | None
 
 
+def status_of(problem: Exception) -> int:
+    """What a client is answered whose request can't be served; 0: nothing, as its connection is no use."""
+    match problem:
+        case Broken(status=status):
+            return status
+        case BadRequest():
+            return 400
+        case TimeoutError():
+            return 408
+        case OSError():
+            return 0
+        case _:
+            return INTERNAL_ERROR
+
+
 class Front:
     def __init__(
         self,
@@ -50,7 +68,7 @@
         self.listener = Listener(passed) if passed is not None else None
         self.shared = passed is not None  # another process may take connections from the same socket
         self.accepting: asyncio.Task[None] | None = None
-        self.open: dict[asyncio.Task[None], ClientConnection] = {}
+        self.open = Connections()
         self.closing = False
         self.draining = False  # not ready, and each connection ends with its present answer
         self.complaints = Complaints(core.clock)
@@ -68,7 +86,7 @@
 
     def answering(self) -> int:
         """Connections on which a request is open, or its answer has not wholly left."""
-        return sum(connection.stage in (Stage.OPEN, Stage.LEAVING) for connection in self.open.values())
+        return self.open.count(Stage.OPEN, Stage.LEAVING)
 
     def close_idle(self) -> None:
         """Close the connections on which nothing is on its way.
@@ -100,7 +118,7 @@
                 break
             if sock is None:
                 break
-            self._welcome(sock)
+            self._welcome(sock, self.listener.waited_since_ns)
         self.listener.close()
 
     # Connections
@@ -110,27 +128,31 @@
         while self.shared and not self.ready():  # till then the other process, if there is one, serves
             await self.wheel.sleep(ROOM_US)
         while True:
-            await listener.newcomer()  # guards against a connection closed for a newcomer that never comes
-            while len(self.open) >= self.most and not self._make_room():
-                await self.wheel.sleep(ROOM_US)
-            try:
-                sock = listener.take()
-            except OSError as problem:  # guards against a front that ends when descriptors run out
-                log.warning("can't accept", why=str(problem))
-                await self.wheel.sleep(SHORT_US)
-                continue
-            if sock is None:
-                continue
-            self._welcome(sock)
+            await listener.newcomer()
+            for _ in range(ACCEPTS):
+                # Guards against a connection closed for a newcomer that never comes.
+                if len(self.open) >= self.most and listener.waiting_now:
+                    while len(self.open) >= self.most and not self._make_room():
+                        await self.wheel.sleep(ROOM_US)
+                try:
+                    sock = listener.take()
+                except OSError as problem:  # guards against a front that ends when descriptors run out
+                    log.warning("can't accept", why=str(problem))
+                    await self.wheel.sleep(SHORT_US)
+                    break
+                if sock is None:
+                    break
+                self._welcome(sock, listener.waited_since_ns)
             await asyncio.sleep(0)  # guards against a flood of connections that lets nothing else run
 
-    def _welcome(self, sock: socket.socket) -> None:
+    def _welcome(self, sock: socket.socket, waited_since_ns: int) -> None:
         now_us = self.clock.now_us()
         connection = ClientConnection(now_us, now_us + FIRST_US)
+        connection.arrived_us = self.clock.at_us(waited_since_ns)
         self._keep(connection, self._converse(sock, connection))
 
     def _gone(self, task: asyncio.Task[None]) -> None:
-        self.open.pop(task, None)
+        self.open.remove(task)
 
     def _make_room(self) -> bool:
         """Close the connection that is missed least, if there is one that may be closed.
@@ -138,20 +160,18 @@
         Guards against silent, slow and idle clients that hold every descriptor. One on which a request may be
         on its way, or is being served, is never closed for another: then the newcomer waits.
         """
-        now_us = self.clock.now_us()
-        for stage, least_us in SPARED:
-            held = [t for t, p in self.open.items() if p.stage is stage and now_us - p.since_us >= least_us]
-            if held:
-                task = min(held, key=lambda t: self.open[t].progress())
-                if (wire := self.open.pop(task).wire) is not None:
-                    wire.abort()
-                task.cancel()
-                return True
-        return False
+        if (found := self.open.take_least_missed(self.clock.now_us())) is None:
+            return False
+        task, connection = found
+        if connection.wire is not None:
+            connection.wire.abort()
+        task.cancel()
+        return True
 
     async def _converse(self, sock: socket.socket, connection: ClientConnection) -> None:
         try:
             wire = connection.wire = await Wire.over(sock, h11.SERVER)
+            connection.watched_us = self.clock.now_us()
         except OSError as problem:
             log.debug("connection ended", why=str(problem))
             return
@@ -165,7 +185,7 @@
 
     def _keep(self, connection: ClientConnection, work: Coroutine[object, object, None]) -> None:
         task = asyncio.create_task(work)
-        self.open[task] = connection
+        self.open.add(task, connection)
         task.add_done_callback(self._gone)
 
     async def _follow(self, connection: ClientConnection, wire: Wire, under_way: UnderWay = None) -> None:
@@ -186,9 +206,13 @@
         Guards against a reset by bytes that nobody has read, which takes with it what is still on its way to
         the client; and against a descriptor held by a client that never takes the end of its answer.
         """
+        silent_us = self.clock.now_us() - connection.since_us
+        silent = connection.stage is Stage.NEW or (connection.stage is Stage.IDLE and silent_us >= SETTLED_US)
         self._at(connection, Stage.LEAVING)
         try:
-            if not wire.writer.is_closing():
+            # Where nothing is on its way to the client, what it sends from now on must not be read: a request
+            # that is read and gets no answer is lost, one that meets a closed connection is sent again.
+            if not silent and not wire.writer.is_closing():
                 async with self.wheel.limit(LEAVE_US):
                     await wire.flush()
                 await drain_input(wire, self.wheel, FAREWELL_US)
@@ -199,7 +223,7 @@
             wire.abort()
 
     def _at(self, connection: ClientConnection, stage: Stage) -> None:
-        connection.stage, connection.since_us = stage, self.clock.now_us()
+        self.open.enter(connection, stage, self.clock.now_us())
 
     async def _serve(self, connection: ClientConnection, wire: Wire, under_way: UnderWay = None) -> None:
         while True:
@@ -216,10 +240,10 @@
                     self._at(connection, Stage.READING)
                     connection.pieces = wire.pieces - 1
                     await self._exchange(connection, wire, client)
-            except (Broken, BadRequest, TimeoutError) as problem:
-                status = problem.status if isinstance(problem, Broken) else 400
-                if isinstance(problem, TimeoutError):
-                    status = 408
+            except Exception as problem:
+                status = status_of(problem)
+                if status == INTERNAL_ERROR:
+                    log.exception("a client's connection failed")
                 if status and not client.done.is_set():
                     self._at(connection, Stage.LEAVING)
                     wait_us = min(self.complaints.wait_us(), connection.due_us - self.clock.now_us())
@@ -251,7 +275,7 @@
                 await wire.fill()
         except TimeoutError:
             # Guards against a request that came in the very moment in which its connection was to be closed.
-            if connection.stage is not Stage.IDLE or not wire.stale or wire.hung_up:
+            if not wire.unread or wire.hung_up:
                 raise
             await wire.fill()
         finally:
@@ -266,10 +290,19 @@
             )
         self.complaints.told(status, why)
 
+    def _arrived_us(self, connection: ClientConnection, wire: Wire) -> int:
+        """Since when, at the earliest, the client may count its request.
+
+        Guards against telling a server more time than the client has left: a request may have waited in the
+        kernel while this process had no turn to look. What came before the loop watched its connection may
+        be as old as the connection.
+        """
+        since_us = self.clock.at_us(wire.since_ns) if wire.since_ns is not None else self.clock.now_us()
+        return since_us if since_us >= connection.watched_us else min(since_us, connection.arrived_us)
+
     async def _exchange(self, connection: ClientConnection, wire: Wire, client: HttpClient) -> None:
-        arrived_us = self.clock.now_us()
-        due_us = min(connection.due_us, arrived_us + FIRST_US)
-        async with self.wheel.limit(due_us - arrived_us):
+        arrived_us, now_us = self._arrived_us(connection, wire), self.clock.now_us()
+        async with self.wheel.limit(min(connection.due_us - now_us, FIRST_US)):
             head = await wire.event()
             if not isinstance(head, h11.Request):
                 raise Broken("closed")
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from onyxpass.core.loop import unseen_since_ns
 from onyxpass.core.wheel import Wheel
 
 HEAD_LIMIT = 32 * 1024
@@ -28,6 +29,21 @@
         self.status = status
 
 
+class TimedProtocol(asyncio.StreamReaderProtocol):
+    """Notes since when the bytes that come may have waited in the kernel."""
+
+    unseen_since_ns: int | None = None  # of the first bytes since ``take_since``
+
+    def data_received(self, data: bytes) -> None:
+        if self.unseen_since_ns is None:
+            self.unseen_since_ns = unseen_since_ns()
+        super().data_received(data)
+
+    def take_since(self) -> int | None:
+        since_ns, self.unseen_since_ns = self.unseen_since_ns, None
+        return since_ns
+
+
 class Wire:
     """One connection: an h11 state machine on a pair of asyncio streams."""
 
@@ -38,6 +54,8 @@
         self.born = 0  # which life of its server it was opened in
         self.pieces = 0  # in which what came so far has come
         self.last = b""  # the last two bytes that came
+        self.timed: TimedProtocol | None = None  # where a client's time counts from its first byte
+        self.since_ns: int | None = None  # a bound of when what was taken in last can have come
         self.kept_us = -1  # how long it stood idle before its present request; -1: it is new
 
     @classmethod
@@ -45,7 +63,7 @@
         """A wire on a connection that is there already."""
         loop = asyncio.get_running_loop()
         reader = asyncio.StreamReader(CHUNK, loop)
-        protocol = asyncio.StreamReaderProtocol(reader)
+        protocol = TimedProtocol(reader)
         try:
             transport, _ = await loop.connect_accepted_socket(lambda: protocol, sock)
         except BaseException:
@@ -55,7 +73,9 @@
             # Guards against events held back till the client has acknowledged the ones before: asyncio does
             # this only for sockets that name their protocol, and what a listener accepts does not.
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return cls(role, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+        wire = cls(role, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+        wire.timed = protocol
+        return wire
 
     async def event(self) -> h11.Event | type[h11.PAUSED]:
         """The next event. Broken if the other side ends within a message or breaks the protocol."""
@@ -78,6 +98,7 @@
         except OSError as problem:
             raise Broken(f"connection lost: {problem}") from problem
         self.pieces += 1
+        self.since_ns = self.timed.take_since() if self.timed is not None else None
         self.last = (self.last + data[-2:])[-2:]
         try:
             self.h11.receive_data(data)
@@ -121,10 +142,14 @@
     @property
     def stale(self) -> bool:
         """An idle connection that the other side has closed, or on which it has spoken out of turn."""
-        if ended(self.reader, self.writer) or self.pending or len(getattr(self.reader, "_buffer", b"")) > 0:
-            return True
         # Guards against a close or a second answer that the loop has not read yet: the kernel knows of it.
-        return bool(kernel_tells(self.writer, select.POLLIN))
+        return ended(self.reader, self.writer) or self.pending or self.unread
+
+    @property
+    def unread(self) -> bool:
+        """Whether bytes, or the end, wait in the stream's buffer or in the kernel."""
+        held = len(getattr(self.reader, "_buffer", b"")) > 0
+        return held or bool(kernel_tells(self.writer, select.POLLIN))
 
     @property
     def hung_up(self) -> bool:
--- a/onyxpass/net/listen.py
+++ b/onyxpass/net/listen.py
@@ -1,21 +1,30 @@
 """A listening socket whose connections are never taken and then lost."""
 
 import asyncio
+import select
 import socket
+import time
+from collections import deque
+
+from onyxpass.core.loop import unseen_since_ns
 
 
 class Listener:
     """``accept`` may be cancelled at any moment, and the socket may be shared with another process."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, backlog: int = socket.SOMAXCONN) -> None:
+        """``backlog``: how many connections the kernel keeps waiting at most."""
         self.sock = sock
+        self._empty_ns = time.monotonic_ns()  # when the queue was last known to be empty
+        self._taken_ns = deque[int](maxlen=backlog + 2)  # when the latest ones were taken
+        self._drained = True  # whether all that was there has been taken
         self.waiting = -1  # the descriptor that the loop watches for it at present
         sock.setblocking(False)
 
     @classmethod
     def at(cls, host: str, port: int, backlog: int) -> "Listener":
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        return cls(socket.create_server((host, port), family=family, backlog=backlog))
+        return cls(socket.create_server((host, port), family=family, backlog=backlog), backlog)
 
     @property
     def port(self) -> int:
@@ -33,20 +42,45 @@
     def take(self) -> socket.socket | None:
         """The connection that has waited for longest, if there is one."""
         try:
-            return self.sock.accept()[0]
+            sock = self.sock.accept()[0]
         except (BlockingIOError, InterruptedError):
+            self._empty_ns, self._drained = time.monotonic_ns(), True
             return None
+        self._taken_ns.append(time.monotonic_ns())
+        return sock
+
+    @property
+    def waited_since_ns(self) -> int:
+        """A lower bound of when the connection that was taken last can have come into the queue.
+
+        It came after the queue was last empty; and after that one was taken which would have filled the
+        queue together with all that have been taken since.
+        """
+        full = len(self._taken_ns) == self._taken_ns.maxlen
+        return max(self._empty_ns, self._taken_ns[0]) if full else self._empty_ns
+
+    @property
+    def waiting_now(self) -> bool:
+        """Whether the kernel holds a connection to be taken."""
+        asked = select.poll()
+        asked.register(self.sock, select.POLLIN)
+        return bool(asked.poll(0))
 
     async def newcomer(self) -> None:
         """Returns once a connection waits to be taken; another process may take it first."""
         ready = asyncio.Event()
         self.waiting = self.sock.fileno()
-        asyncio.get_running_loop().add_reader(self.waiting, ready.set)
+        asyncio.get_running_loop().add_reader(self.waiting, self._found, ready)
         try:
             await ready.wait()
         finally:
             self._unwatch()
 
+    def _found(self, ready: asyncio.Event) -> None:
+        if self._drained:  # till the look at the sockets before this one, nobody had come
+            self._empty_ns, self._drained = max(self._empty_ns, unseen_since_ns()), False
+        ready.set()
+
     def _unwatch(self) -> None:
         """Guards against a later socket left unwatched: once this one is closed, its number is another's."""
         if self.waiting >= 0:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -35,7 +35,7 @@
 from onyxpass.core.clock import Clock
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.interface import Status
-from onyxpass.net import answers, budget, complaints, front, pacing
+from onyxpass.net import answers, budget, complaints, connections, front, pacing
 from onyxpass.net import replica as net_replica
 from onyxpass.net.client import HttpClient
 from onyxpass.net.http import Wire
@@ -518,7 +518,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def go() -> None:
-        monkeypatch.setattr(front, "SPARED", [(stage, 0) for stage, _ in front.SPARED])
+        monkeypatch.setattr(connections, "SPARED", [(stage, 0) for stage, _ in connections.SPARED])
         async with world([Replica(READ)], [Replica(STREAM)]) as w:
             text, held = ask("slow", close=True), w.dispatcher.front
 
