Count a JSON-RPC call's wait in the kernel as its client's time

Its protocol now notes since when the bytes may have waited, on the loop that a dispatcher has. Its test fails without it (asyncio's own loop tells nothing).

--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -122,6 +122,7 @@
     log_level: Level = "info",
 ) -> None:
     """Run the JSON-RPC front in the foreground till SIGTERM; SIGHUP reads its servers again."""
+    from onyxpass.core import loop
     from onyxpass.toolcalls import service
 
     found = read_toml(service.load, config)
@@ -130,7 +131,8 @@
         typer.echo(f"servers: {', '.join(server.id for server, _ in found.servers)}")
         return
     logs.set_up(log_level)
-    asyncio.run(service.serve(found, lambda: service.load(config)))
+    with asyncio.Runner(loop_factory=loop.make) as runner:
+        runner.run(service.serve(found, lambda: service.load(config)))
 
 
 @agent_app.command("run")
--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -12,7 +12,7 @@
 from onyxpass.config import Address
 from onyxpass.core.dispatcher import ANSWER_ROOM_US, Core
 from onyxpass.core.requests import Request
-from onyxpass.net.http import FAREWELL_US, hung_up
+from onyxpass.net.http import FAREWELL_US, TimedProtocol, hung_up
 from onyxpass.toolcalls import rpc
 from onyxpass.toolcalls.desk import Desk, State
 from onyxpass.toolcalls.peers import Payload
@@ -93,6 +93,13 @@
     writer: asyncio.StreamWriter
     mine: dict[rpc.Id, RpcClient]
     ended: bool = False  # on our side
+    since_ns: int | None = None  # a bound of when what was read last can have come
+
+    def heard(self) -> None:
+        """Note since when the line that was just read may have waited in the kernel."""
+        protocol = self.writer.transport.get_protocol()
+        if isinstance(protocol, TimedProtocol) and (since_ns := protocol.take_since()) is not None:
+            self.since_ns = since_ns
 
 
 class RpcFront:
@@ -103,9 +110,13 @@
         self.closing = False
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(
-            self._accept, self.listen.host, self.listen.port, limit=rpc.LINE_LIMIT
-        )
+        loop = asyncio.get_running_loop()
+
+        def protocol() -> TimedProtocol:
+            reader = asyncio.StreamReader(rpc.LINE_LIMIT, loop)
+            return TimedProtocol(reader, self._accept, loop)
+
+        self.server = await loop.create_server(protocol, self.listen.host, self.listen.port)
 
     @property
     def port(self) -> int:
@@ -129,6 +140,7 @@
                 return
             while (line := await rpc.read_line(reader)) is not None:
                 self.open[task] = self.open.pop(task)
+                connection.heard()
                 if connection.ended:
                     continue
                 try:
@@ -212,11 +224,14 @@
         wait_ms = rpc.number_of(params, "timeout_ms", self.core.deadlines[cls] // 1000, least=1)
         max_tokens = rpc.number_of(params, "max_tokens", 256, least=1)
         prompt_tokens = rpc.number_of(params, "prompt_tokens", -(-len(prompt) // TOKEN_CHARACTERS))
+        clock, since_ns = self.core.clock, connection.since_ns
+        # Guards against telling a server more time than the client has left, as at the HTTP front.
+        arrived_us = clock.at_us(since_ns) if since_ns is not None else clock.now_us()
         arrival = api.Arrival(
             id=self.core.number_for(request_id),
             cls=cls,
             session=rpc.text_of(params, "session", request_id),
-            deadline_us=self.core.clock.now_us() + wait_ms * 1000 - min(ANSWER_ROOM_US, wait_ms * 500),
+            deadline_us=arrived_us + wait_ms * 1000 - min(ANSWER_ROOM_US, wait_ms * 500),
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
             prefix=rpc.text_of(params, "prefix", "") or None,
--- a/tests/test_client_time.py
+++ b/tests/test_client_time.py
@@ -1,6 +1,7 @@
 """What a client's time counts from, and that what was read of it is answered, on loopback sockets."""
 
 import asyncio
+import json
 import random
 import socket
 import time
@@ -9,12 +10,13 @@
 from typing import Any
 
 import pytest
+import test_toolcalls
 from standins import until
 from world import READ, STREAM, Replica, World, ask, world
 
 from onyxpass import interface as api
 from onyxpass.core import loop
-from onyxpass.core.dispatcher import ANSWER_ROOM_US
+from onyxpass.core.dispatcher import ANSWER_ROOM_US, Core
 from onyxpass.core.requests import Request
 from onyxpass.net import front
 from onyxpass.net.connections import ClientConnection, Connections, Stage
@@ -31,10 +33,9 @@
         runner.run(asyncio.wait_for(test(), 30))
 
 
-def deadlines(w: World) -> list[int]:
+def deadlines(core: Core) -> list[int]:
     """Fills with the deadline of each request that the core is given."""
-    core, found = w.dispatcher.core, list[int]()
-    submit = core.submit
+    found, submit = list[int](), core.submit
 
     def noted(request_id: str, arrival: api.Arrival, *more: Any) -> Request:
         found.append(arrival.deadline_us)
@@ -62,7 +63,7 @@
 def test_the_wait_of_a_new_connection_counts_as_the_clients_time() -> None:
     async def go() -> None:
         async with world([Replica(READ)], [Replica(STREAM)]) as w:
-            found, clock = deadlines(w), w.dispatcher.clock
+            found, clock = deadlines(w.dispatcher.core), w.dispatcher.clock
             with connected(w) as client:
                 client.sendall(ask("a1", ms=WAIT_MS))
                 sent_us = clock.now_us()
@@ -76,7 +77,7 @@
 def test_the_wait_of_a_kept_connection_counts_as_the_clients_time() -> None:
     async def go() -> None:
         async with world([Replica(READ)], [Replica(STREAM)]) as w:
-            found, clock = deadlines(w), w.dispatcher.clock
+            found, clock = deadlines(w.dispatcher.core), w.dispatcher.clock
             with connected(w) as client:
                 client.sendall(ask("a1", ms=WAIT_MS))
                 await answer(client)
@@ -93,7 +94,7 @@
 def test_a_quiet_time_before_a_request_is_not_counted() -> None:
     async def go() -> None:
         async with world([Replica(READ)], [Replica(STREAM)]) as w:
-            found, clock = deadlines(w), w.dispatcher.clock
+            found, clock = deadlines(w.dispatcher.core), w.dispatcher.clock
             await asyncio.sleep(2 * STALL_S)
             with connected(w) as client:
                 await asyncio.sleep(2 * STALL_S)
@@ -105,6 +106,27 @@
     run(go)
 
 
+def test_the_wait_of_a_json_rpc_call_counts_as_the_clients_time() -> None:
+    async def go() -> None:
+        async with test_toolcalls.world() as w:
+            service: Any = w.service
+            found, clock = deadlines(service.core), service.core.clock
+            params = {"class": next(iter(service.core.deadlines)), "prompt": "x", "timeout_ms": WAIT_MS}
+            call = {"jsonrpc": "2.0", "id": 1, "method": "generate", "params": params}
+            client = socket.create_connection(("127.0.0.1", service.front.port))
+            try:
+                await until(lambda: len(service.front.open) == 1)
+                client.sendall(json.dumps(call).encode() + b"\n")
+                sent_us = clock.now_us()
+                time.sleep(STALL_S)
+                await until(lambda: len(found) == 1)
+            finally:
+                client.close()
+            assert found[0] <= sent_us + WAIT_MS * 1000
+
+    run(go)
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_the_bound_of_a_connections_wait_is_never_too_late(seed: int) -> None:
     """Random connects and takes: the bound lies before the connect, and after an empty queue behind that."""
