Bound each router's own sends to a server in slow start within the window

SlowStart, without I/O and beneath the module, keeps each router to its share of the budget of N + 2 root N + 2 (3 root N + 3 below 30), N from what warm servers of the kind answered; below one call routers take turns.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -3,14 +3,15 @@
 Arrival -> `_start` (wait or be refused) -> `_read` (deepest prefix, else a hash; escape) -> READ -> `_write`
 (lowest projected memory, near) -> stream. `Host`: a server as seen from here. `_well`: who may be used."""
 
-import hashlib
 import math
 from collections import Counter, OrderedDict, defaultdict, deque
 from collections.abc import Callable
 from typing import Any
 
 from onyxpass import interface as api
+from onyxpass.hashing import stable
 from onyxpass.interface import ListForm, Repeat, Role, Status
+from onyxpass.slowstart import SlowStart, warmth
 
 TABLE_CAP = 20_000  # keys; some minutes of sessions at hundreds of requests a second
 EXPIRY_US = 30_000_000  # the design's start value: a prefix unread for so long has likely been evicted
@@ -39,11 +40,6 @@
 TICK_US = 50_000  # how often waiting requests and servers put aside are looked at
 
 
-def stable(text: str) -> int:
-    """The same number in every process: all routers must agree where a prefix lives."""
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
-
-
 def median(values: "list[float]") -> float:  # without the 1.5 MB and the start time of ``statistics``
     ordered, half = sorted(values), len(values) // 2
     return (ordered[half] + ordered[~half]) / 2
@@ -170,8 +166,7 @@
         """The share of its capacity that a server which started lately has at least."""
         if (since_us := max(self.spec.started_us or -1, self.back_us)) < 0:
             return 1.0
-        age = (now_us - since_us) / max(1, self.settings.cold_us)
-        return self.settings.cold_from + (1 - self.settings.cold_from) * min(1.0, max(0.0, age))
+        return warmth(self.settings, since_us, now_us)
 
 
 class Job:
@@ -194,6 +189,7 @@
     """Feed it events with the time; carry out the actions it returns, in order."""
 
     def __init__(self, settings: api.Settings, seed: int = 0) -> None:
+        self.slow_start = SlowStart(settings)
         self._retuned(settings)
         self.kinds = {k.name: k for k in settings.kinds}
         self.fates = {c.name: Fate() for c in (*settings.classes, UNKNOWN)}
@@ -215,15 +211,13 @@
         self.call_share, self.patience = (CALL_BLIND, PATIENCE_BLIND) if blind else (CALL_SHARE, PATIENCE)
         self.ticking, self.acts = False, list[api.Action]()
         self.on: dict[type, Callable[[Any], None]] = {api.Arrival: self._arrive, api.Outcome: self._ended}
-        self.on |= {
-            api.ProbeResult: self._probed,
-            api.ListUpdate: self._listed,
-            api.Exclusion: self._excluded,
-        }
-        self.on |= {api.TimerFired: lambda _: self._tick(), api.Retuned: lambda e: self._retuned(e.settings)}
+        self.on |= {api.ProbeResult: self._probed, api.ListUpdate: self._listed}
+        self.on |= {api.Exclusion: self._excluded, api.TimerFired: lambda _: self._tick()}
+        self.on[api.Retuned] = lambda event: self._retuned(event.settings)
 
     def _retuned(self, settings: api.Settings) -> None:  # requests under way keep the class they came with
-        self.settings, self.classes = settings, {c.name: c for c in settings.classes}
+        self.settings = self.slow_start.settings = settings
+        self.classes = {c.name: c for c in settings.classes}
         self.top_value = max((c.value for c in settings.classes), default=0) or 1.0
         aims = [(c.name, c.aim_us, c.value) for c in settings.classes if settings.routers < BLIND]
         self.short = {name: min(a for _, a, v in aims if v >= value) for name, _, value in aims}
@@ -315,19 +309,20 @@
 
         Its part goes by who bore the work before some left. Reads go by session, and all as warm share them;
         a writer that is drawn is preferred, so its part comes from its zone's readers."""
-        warmth = {h: h.warmth(self.now_us) for h in hosts}
-        if (whole := sum(warmth.values())) >= len(hosts):  # all are warm
+        shares = {h: h.warmth(self.now_us) for h in hosts}
+        if (whole := sum(shares.values())) >= len(hosts):  # all are warm
             return hosts
         zones, chosen, as_warm = [h.spec.zone for h in self.up[Role.READER]], set[Host](), 0.0
-        for h in sorted(hosts, key=lambda h: -warmth[h]):
+        for h in sorted(hosts, key=lambda h: -shares[h]):
             as_warm, most = as_warm + h.part, self.most[h.role][0]
-            part = warmth[h] * min(max(1 / most, self.blind / whole), self.settings.fall_multiple / 2 / most)
+            part = shares[h] * min(max(1 / most, self.blind / whole), self.settings.fall_multiple / 2 / most)
             if holder is None:
                 part *= as_warm / h.part
             elif h.role is Role.WRITER and (sends := zones.count(h.spec.zone)):
                 part *= (h.spec.zone == holder.spec.zone) * len(zones) / sends
             who = f"{job.ask.id}|{h.id}" if holder or h.due else job.ask.session
-            if warmth[h] >= 1 or stable(f"lot|{who}") / 2**64 < part:
+            drawn = shares[h] >= 1 or stable(f"lot|{who}") / 2**64 < part
+            if drawn and (h.due or self.slow_start.may_send(h.id, h.spec.kind, shares[h], self.now_us)):
                 chosen.add(h)
         return [h for h in hosts if h in chosen]
 
@@ -473,6 +468,7 @@
         job.out, job.sent_us, job.attempts, job.passed = host, self.now_us, job.attempts + 1, 0
         job.work = BASE_TOKENS + tokens + sum(host.flight.values())
         host.flight[job.ask.id], host.due = tokens, False
+        self.slow_start.sent(host.id, self.now_us)
         if host.role is Role.READER:
             self._ask_writers(host.spec)
         else:
@@ -488,6 +484,8 @@
             same = other.out is host and bool(other.holder) == bool(job.holder)
             other.passed += same and other.sent_us < job.sent_us
         job.spent_us += elapsed_us
+        shares = [h.warmth(self.now_us) for h in self.up[host.role] if h.spec.kind == host.spec.kind]
+        self.slow_start.answered(host.spec.kind, host.warmth(self.now_us), shares, self.now_us)
         host.good(self.now_us, pace := elapsed_us / max(BASE_TOKENS, job.work - kept))
         peers = [h.pace for h in self.hosts.values() if h.role is host.role and h.samples >= SAMPLES]
         if host.samples >= SAMPLES and len(peers) > 2 and host.pace > SLOW_LIMIT * median(peers):
--- /dev/null
+++ b/onyxpass/slowstart.py
@@ -0,0 +1,108 @@
+"""Bounds what one router sends to a server in slow start, without I/O.
+
+A server that has just started falls when all routers together send it more than its budget of calls in a
+window: the multiple that the settings allow, times its present share of capacity, times what a warm server of
+its kind bears, and a little more for chance. Routers on the platform can't count together, so each keeps to
+its own share of that budget, by construction and not by chance. Where its share is less than one call,
+routers take turns: each window belongs to as many of them as the budget bears.
+"""
+
+import math
+from collections import deque
+from collections.abc import Sequence
+
+from onyxpass import interface as api
+from onyxpass.hashing import stable
+
+RATE_HALVES_US = 8_000_000  # memory of what servers of a kind answer
+LEAST_AGE_US = 1_000_000  # of that memory, till it says anything
+SECOND_US = 1_000_000
+FEW = 30  # calls in a window, below which the budget has more room for chance
+MANY = 16  # routers whose sends by lot even out while none of them has seen what a server bears
+
+
+def budget(calls: float) -> float:
+    """Calls that a server bears in a window in which ``calls`` are expected: chance weighs more among few."""
+    spread = 3 if calls < FEW else 2
+    return calls + spread * math.sqrt(calls) + spread
+
+
+def warmth(settings: api.Settings, since_us: int, now_us: int) -> float:
+    """The share of its capacity that a server which started at ``since_us`` has at least."""
+    age = (now_us - since_us) / max(1, settings.cold_us)
+    return settings.cold_from + (1 - settings.cold_from) * min(1.0, max(0.0, age))
+
+
+class Rate:
+    """Events a second since ``from_us``, with a memory that fades."""
+
+    def __init__(self, from_us: int) -> None:
+        self._sum, self._from_us, self._seen_us = 0.0, from_us, from_us
+
+    def add(self, now_us: int, amount: float) -> None:
+        self._sum = self._sum * self._kept(now_us) + amount
+        self._seen_us = now_us
+
+    def _kept(self, now_us: int) -> float:
+        return math.exp2(-max(0, now_us - self._seen_us) / RATE_HALVES_US)
+
+    def per_second(self, now_us: int) -> float | None:
+        """What came a second; None while the memory is too short to tell."""
+        age_us = now_us - self._from_us
+        if age_us < LEAST_AGE_US:
+            return None
+        span_us = RATE_HALVES_US / math.log(2) * (1 - math.exp2(-age_us / RATE_HALVES_US))
+        return self._sum * self._kept(now_us) * SECOND_US / span_us
+
+
+class SlowStart:
+    """One router's own sends to servers in slow start, and what it has seen servers of each kind bear."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self._began_us = -1  # when it was first asked or told anything
+        self._rates: dict[str, Rate] = {}  # by kind: this router's good answers a server
+        self._learnt: set[str] = set()  # kinds of which a warm server has answered
+        self._sent = deque[tuple[int, str]]()  # when and to which server, in the last window
+
+    def answered(self, kind: str, share: float, shares: Sequence[float], now_us: int) -> None:
+        """A read or a first token came from a server with this share of its capacity.
+
+        ``shares``: of all servers of its kind. What a server in slow start answers tells what it bears only
+        while nothing is known of warm ones: else a budget would grow by what it let through.
+        """
+        warm = sum(other >= 1 for other in shares)
+        if share < 1 and kind in self._learnt:
+            return
+        if share >= 1:
+            self._learnt.add(kind)
+        self._rate(kind, now_us).add(now_us, 1 / max(1, warm or len(shares)))
+
+    def _rate(self, kind: str, now_us: int) -> Rate:
+        if self._began_us < 0:
+            self._began_us = now_us
+        return self._rates.setdefault(kind, Rate(self._began_us))
+
+    def sent(self, server: str, now_us: int) -> None:
+        while self._sent and self._sent[0][0] <= now_us - self.settings.fall_us:
+            self._sent.popleft()
+        self._sent.append((now_us, server))
+
+    def may_send(self, server: str, kind: str, share: float, now_us: int) -> bool:
+        """Whether one more call fits into this router's share; ``share``: of its capacity that it has now."""
+        if share >= 1:
+            return True
+        window_us, routers = max(1, self.settings.fall_us), max(1, self.settings.routers)
+        rate = self._rate(kind, now_us).per_second(now_us)
+        if rate is None and routers >= MANY:
+            return True
+        own = (rate or 0.0) * window_us / SECOND_US * self.settings.fall_multiple * share
+        whole = budget(own * routers)
+        mine = own + (whole - own * routers) / routers
+        already = sum(name == server and at_us > now_us - window_us for at_us, name in self._sent)
+        if mine >= 1:
+            return already < math.floor(mine)
+        # Any window overlaps two turns, so each turn has half of the budget.
+        turns = math.ceil(routers / max(1, math.floor(whole / 2)))
+        ours = (now_us // window_us + self.settings.ordinal + stable(server)) % turns == 0
+        return ours and already == 0
