Leave the lot alone at many routers that have learnt nothing yet

Cause: a kind of which no answer had come counted as one that bears nothing. Where nothing is learnt, many routers go by lot alone, as before.

--- a/onyxpass/slowstart.py
+++ b/onyxpass/slowstart.py
@@ -93,7 +93,8 @@
         if share >= 1:
             return True
         window_us, routers = max(1, self.settings.fall_us), max(1, self.settings.routers)
-        rate = self._rate(kind, now_us).per_second(now_us)
+        learnt = self._rates.get(kind)
+        rate = learnt.per_second(now_us) if learnt is not None else None
         if rate is None and routers >= MANY:
             return True
         own = (rate or 0.0) * window_us / SECOND_US * self.settings.fall_multiple * share
