Bring configuration in force everywhere: a desired state pulled down a tree

Need: fleet reload is one push by hand; whoever is cut off or down is brought up to date by nobody, which no test or budget covers: it has no carrier. onyxpass/desired holds the state as a join of changes (any order of pulls ends alike, conflicts said alike), whom a node asks next, both without I/O; nodes over HTTP by the agents' call server, state on disk refused whole if torn; a host's node writes its dispatchers' files and has its agent reload them. onyxpass desired run, set, show. Off on the platform: nothing of serve imports it. Measured: tests/test_desired.py passes in 12 s with up to eight real nodes, cut regions, killed, stopped and restarted with old disks, and two real dispatchers under a real agent; a planted fault for each checker.

--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -31,10 +31,12 @@
 def main() -> None:
     """The whole command line; the operators' groups are loaded only where they are asked for."""
     if (sys.argv[1:2] or [""])[0] not in LIGHT:
+        from onyxpass.desired.cli import desired_app
         from onyxpass.fleet.cli import fleet_app
         from onyxpass.sources.cli import servers_app
         from onyxpass.standin.cli import standin_app
 
+        app.add_typer(desired_app, name="desired")
         app.add_typer(fleet_app, name="fleet")
         app.add_typer(servers_app, name="servers")
         app.add_typer(standin_app, name="standin")
--- /dev/null
+++ b/onyxpass/desired/config.py
@@ -0,0 +1,72 @@
+"""The operator's file of one node of the desired configuration."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import Field
+
+from onyxpass import tomlfile
+from onyxpass.agent.config import Name
+from onyxpass.config import Address
+
+
+class InstanceTable(tomlfile.Model):
+    name: Name
+    base: str  # the dispatcher's JSON without the desired values
+    config: str  # the file that its agent starts it with
+
+
+class NodeFile(tomlfile.Model):
+    """``control`` takes operators' changes; ``relay`` passes on; ``host`` brings them into dispatchers."""
+
+    name: Name
+    role: Literal["control", "relay", "host"]
+    listen: tomlfile.AddressText
+    key: str  # the same file as the agents' key
+    folder: str
+    upstreams: Annotated[list[tomlfile.PlaceText], Field(max_length=32)] = Field(default_factory=list)
+    agent: tomlfile.PlaceText | None = None
+    instances: list[InstanceTable] = Field(default_factory=list)
+
+    def faults(self) -> Iterable[tuple[tuple[tomlfile.Step, ...], str]]:
+        if self.role != "control" and not self.upstreams:
+            yield ("upstreams",), f"upstreams: a {self.role} needs at least one"
+        if self.instances and (self.role != "host" or self.agent is None):
+            yield ("instances",), "instances need role 'host' and an agent"
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    name: str
+    base: Path
+    config: Path
+
+
+@dataclass(frozen=True, slots=True)
+class NodeConfig:
+    name: str
+    role: str
+    listen: Address
+    key: Path
+    folder: Path
+    upstreams: tuple[Address, ...]
+    agent: Address | None
+    targets: tuple[Target, ...]
+
+
+def load(path: Path) -> NodeConfig:
+    """ConfigError with file, key and reason."""
+    file = tomlfile.read(NodeFile, path)
+    here = path.parent
+    return NodeConfig(
+        file.name,
+        file.role,
+        Address.parse(file.listen),
+        here / file.key,
+        here / file.folder,
+        tuple(Address.parse(text) for text in file.upstreams),
+        Address.parse(file.agent) if file.agent is not None else None,
+        tuple(Target(row.name, here / row.base, here / row.config) for row in file.instances),
+    )
--- /dev/null
+++ b/onyxpass/hollow/dispatchers.py
@@ -0,0 +1,83 @@
+"""Hollow dispatchers: each keeps its real watch on the list and has its real module, but serves nobody."""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import replace
+
+from onyxpass import interface as api
+from onyxpass.config import Address
+from onyxpass.core.clock import Clock
+from onyxpass.core.dispatcher import Core
+from onyxpass.core.wheel import Wheel
+from onyxpass.net.watch import ListActor
+
+
+class NoReplicas:
+    """Stands where connections to replicas would be: the list is told to it and nothing is opened."""
+
+    def __init__(self) -> None:
+        self.known: dict[str, Address] = {}
+
+    def told(self, name: str, address: Address, left: bool) -> None:
+        if left:
+            self.known.pop(name, None)
+        else:
+            self.known[name] = address
+
+    def only(self, addresses: Mapping[str, Address]) -> None:
+        self.known = dict(addresses)
+
+
+class HollowDispatcher:
+    """One dispatcher's module and its list actor over a socket of its own."""
+
+    def __init__(self, settings: api.Settings, discovery: Address, clock: Clock, wheel: Wheel) -> None:
+        self.core = Core(settings, settings.ordinal, clock, wheel)
+        self.list = ListActor(self.core, NoReplicas(), discovery, settings.ordinal)  # type: ignore[arg-type]
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        for work in (self.core.run(), self.list.run(), self.list.follow()):
+            self.tasks.append(asyncio.create_task(work))
+
+    def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+    @property
+    def version(self) -> int:
+        """Of the list that is in force here; -1 before the first."""
+        return -1 if self.list.seq is None else self.list.seq
+
+
+class HollowFleet:
+    """Hollow dispatchers in one process, on one clock and one wheel."""
+
+    def __init__(self, settings: api.Settings, discovery: Address, count: int) -> None:
+        self.clock = Clock()
+        self.wheel = Wheel(self.clock)
+        self.members = [
+            HollowDispatcher(
+                replace(settings, ordinal=ordinal, routers=max(count, settings.routers)),
+                discovery,
+                self.clock,
+                self.wheel,
+            )
+            for ordinal in range(count)
+        ]
+        self._wheel_task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        self._wheel_task = asyncio.create_task(self.wheel.run())
+        for member in self.members:
+            member.start()
+
+    def at_least(self, version: int) -> int:
+        """How many have this version of the list, or a newer one, in force."""
+        return sum(member.version >= version for member in self.members)
+
+    def stop(self) -> None:
+        for member in self.members:
+            member.stop()
+        if self._wheel_task is not None:
+            self._wheel_task.cancel()
--- /dev/null
+++ b/onyxpass/lab/capacity.py
@@ -0,0 +1,185 @@
+"""The page on capacity, made from measured data: lines through sizes, drawn out, against the budgets."""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from onyxpass.lab import whole
+from onyxpass.lab.slopes import Point, Slope, fit
+
+DATA = Path("docs/measurements/capacity.json")
+PAGE = Path("docs/CAPACITY.md")
+TEMPLATE = "capacity.md.j2"
+Run = dict[str, Any]
+
+REGIONS, CONTROL_MACHINES = 2, 6
+CHANGES_A_DAY, IN_FORCE_S = 840, 12.0
+CORE_MS_A_S, MEMORY_MB, BYTES_A_S = 26.0, 32.0, 3_000.0  # of a dispatcher, for control
+HANDOVER_GB_A_S = 2_900.0
+FAILED_A_DAY, REPLACED_A_DAY = 17, 58
+REPLICA_TURNS_A_DAY = 2 * (FAILED_A_DAY + REPLACED_A_DAY)  # each leaves the list and comes back
+DAY_S = 86_400
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One row of a role's table."""
+
+    what: str
+    by: str
+    slope: Slope
+    sizes: tuple[float, ...]
+    size: float
+    budget: float | None = None
+    unit: str = ""
+
+    @property
+    def value(self) -> float:
+        return self.slope.at(self.size)
+
+    @property
+    def ratio(self) -> str:
+        return f"{self.value / self.budget:.2f}" if self.budget else ""
+
+    @property
+    def reach(self) -> str:
+        return "" if self.slope.reaches(self.size) else ", beyond twice the largest size"
+
+
+class Data:
+    """The committed runs."""
+
+    def __init__(self, told: dict[str, Any]) -> None:
+        self.machine: str = told["machine"]
+        self.runs: list[Run] = told["runs"]
+
+    @classmethod
+    def read(cls, root: Path) -> "Data":
+        return cls(json.loads((root / DATA).read_text()))
+
+    def rows(self, name: str) -> list[Run]:
+        return [run for run in self.runs if run["name"] == name]
+
+    def at(self, name: str, size: float) -> Run:
+        return next(run for run in self.rows(name) if run["size"] == size)
+
+    def line(
+        self, name: str, key: str, what: str, size: float, budget: float | None = None, unit: str = ""
+    ) -> Line:
+        points = [Point(run["size"], float(run[key])) for run in self.rows(name)]
+        by = name.rpartition(" by ")[2]
+        return Line(what, by, fit(points), tuple(point.size for point in points), size, budget, unit)
+
+
+def roles(data: Data) -> dict[str, list[Line]]:
+    """The lines of each role's table."""
+    servers, dispatchers = whole.REPLICAS, whole.DISPATCHERS
+    dispatcher = [
+        data.line("dispatcher by servers", "mb", "memory, whole process", servers, MEMORY_MB, "MB"),
+        data.line("dispatcher by tenants", "mb", "the same, 600 servers", whole.TENANTS, MEMORY_MB, "MB"),
+        data.line(
+            "dispatcher by servers", "rest_cpu_ms_a_s", "processor at rest", servers, CORE_MS_A_S, "ms/s"
+        ),
+        data.line("dispatcher by servers", "rest_bytes_a_s", "bytes at rest", servers, BYTES_A_S, "B/s"),
+        data.line("dispatcher by servers", "change_cpu_ms", "processor, one change", servers, None, "ms"),
+        data.line("dispatcher by tenants", "file_kb", "its configuration", whole.TENANTS, None, "KB"),
+        data.line("choosing by servers", "us_a_request", "choosing, a request", servers, None, "us"),
+    ]
+    lists = [
+        data.line(
+            "list by dispatchers", "rest_cpu_ms_a_s", "processor at rest", dispatchers, 1_000.0, "ms/s"
+        ),
+        data.line("list by dispatchers", "change_cpu_ms", "processor, one change", dispatchers, None, "ms"),
+        data.line("list by dispatchers", "change_s", "a change at all", dispatchers, IN_FORCE_S, "s"),
+        data.line(
+            "list by dispatchers", "restart_s", "its restart, till all have it", dispatchers, IN_FORCE_S, "s"
+        ),
+        data.line("list by servers", "start_kb_each", "whole list, each dispatcher", servers, None, "KB"),
+        data.line("list by servers", "change_bytes_each", "one change, each dispatcher", servers, None, "B"),
+        data.line("list by dispatchers", "server_mb", "memory", dispatchers, None, "MB"),
+    ]
+    agents = [
+        data.line("agent by instances", "cpu_ms_a_s", "processor at rest", 6, None, "ms/s"),
+        data.line("agent by instances", "mb", "memory", 6, None, "MB"),
+    ]
+    tool = [
+        data.line("order by instances", "seconds", "a reload of all", dispatchers, IN_FORCE_S, "s"),
+        data.line(
+            "order, a tenth silent", "seconds", "the same, a tenth silent", dispatchers, IN_FORCE_S, "s"
+        ),
+        data.line("order by instances", "mb", "memory", dispatchers, None, "MB"),
+    ]
+    return {"dispatcher": dispatcher, "list": lists, "agent": agents, "tool": tool}
+
+
+def table(lines: list[Line]) -> str:
+    """Rows of Markdown."""
+    found = [
+        "| what | grows by | measured at | constant | each | residual | at the size | budget | ratio |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for line in lines:
+        sizes = ", ".join(f"{size:g}" for size in line.sizes)
+        budget = f"{line.budget:g} {line.unit}" if line.budget else ""
+        drawn = f"{line.slope.constant:.3g} | {line.slope.each:.3g} | {line.slope.residual:.2f}"
+        value = f"{line.value:.3g} {line.unit}{line.reach}"
+        found.append(f"| {line.what} | {line.by} | {sizes} | {drawn} | {value} | {budget} | {line.ratio} |")
+    return "\n".join(found)
+
+
+def figures(data: Data) -> dict[str, Any]:
+    """What the page's sentences need besides the tables."""
+    servers, dispatchers = whole.REPLICAS, whole.DISPATCHERS
+    lists = data.at("list by dispatchers", dispatchers)
+    rate = whole.RATE / dispatchers
+    change_bytes = lists["change_bytes_each"]
+    changes_a_day = REPLICA_TURNS_A_DAY
+    pair_gap_s = servers / (2 * rate)  # a request is two attempts
+    kept_s = 15.0  # the replicas' own idle limit in the trials' settings
+    return {
+        "rate": rate,
+        "rest": lists["rest_bytes_a_s_each"],
+        "whole_kb": lists["start_kb_each"],
+        "restart_kb": lists["restart_kb_each"],
+        "restart_s": lists["restart_s"],
+        "change_bytes": change_bytes,
+        "changes_a_day": changes_a_day,
+        "day_bytes_a_s": lists["rest_bytes_a_s_each"] + change_bytes * changes_a_day / DAY_S,
+        "zone_kb": change_bytes * servers / 6 / 1e3,
+        "rack_kb": change_bytes * 8 / 1e3,
+        "minute_kb": BYTES_A_S * 60 / 1e3,
+        "hour_mb": BYTES_A_S * 3_600 / 1e6,
+        "config_kb": data.at("dispatcher by tenants", whole.TENANTS)["file_kb"],
+        "config_bytes_a_s": data.at("dispatcher by tenants", whole.TENANTS)["file_kb"]
+        * 1e3
+        * CHANGES_A_DAY
+        / DAY_S,
+        "pair_gap_s": pair_gap_s,
+        "warm": 1 - 2.718281828 ** (-kept_s / pair_gap_s),
+        "handshakes": 2 * whole.RATE / servers * 2.718281828 ** (-kept_s / pair_gap_s),
+        "pairs": servers * dispatchers,
+        "choosing": data.at("choosing by servers", servers)["us_a_request"] * rate / 1e4,
+        "emulated": data.rows("emulated, part of the size"),
+        "real": data.rows("real and hollow"),
+        "handover": HANDOVER_GB_A_S,
+        "in_force_s": IN_FORCE_S,
+        "changes": CHANGES_A_DAY,
+    }
+
+
+def page(root: Path) -> str:
+    """The whole page; it depends on the committed data and nothing else."""
+    import jinja2
+
+    data = Data.read(root)
+    environment = jinja2.Environment(
+        loader=jinja2.FileSystemLoader(Path(__file__).parent / "templates"),
+        undefined=jinja2.StrictUndefined,
+        keep_trailing_newline=True,
+        trim_blocks=True,
+        lstrip_blocks=True,
+    )
+    tables = {name: table(lines) for name, lines in roles(data).items()}
+    template = environment.get_template(TEMPLATE)
+    return template.render(machine=data.machine, tables=tables, **figures(data))
--- a/onyxpass/lab/servers.py
+++ b/onyxpass/lab/servers.py
@@ -6,9 +6,10 @@
 """
 
 import math
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from onyxpass import interface as api
 from onyxpass.interface import Status
@@ -19,6 +20,31 @@
 EPSILON = 1e-6
 
 
+class Reach(Enum):
+    """How far a state moves: the widest boundary that it crosses."""
+
+    NONE = "same server"
+    CELL = "same cell"
+    ZONE = "other cell"
+    REGION = "other zone"
+    FAR = "other region"
+
+
+def region_of(zone: str) -> str:
+    """A zone is named ``region/zone`` where there are several regions."""
+    return zone.partition("/")[0] if "/" in zone else ""
+
+
+def reach(there: api.Server, here: api.Server) -> Reach:
+    if there.id == here.id:
+        return Reach.NONE
+    if region_of(there.zone) != region_of(here.zone):
+        return Reach.FAR
+    if there.zone != here.zone:
+        return Reach.REGION
+    return Reach.CELL if there.cell == here.cell else Reach.ZONE
+
+
 @dataclass(eq=False, slots=True)
 class Ask:
     """One request as servers see it. ``id`` names it at its dispatcher only; ``key`` is the whole world's."""
@@ -113,6 +139,7 @@
         self.coming: dict[Visit, None] = {}  # their state is on its way, or they are read anew
         self.overflow: Handle | None = None
         self.reads = self.rereads = self.tokens = 0
+        self.moved = Counter[Reach]()  # tokens of states fetched, by how far they came
         self.asked: deque[Visit] = deque()  # at a writer: waiting for a slot and memory
 
     # Speed
@@ -247,6 +274,7 @@
     def _fetch(self, visit: Visit, state: State) -> None:
         """Move the state here. A move out of the cell takes the cell's link, and longer to another hall."""
         reader, size = state.reader, float(state.tokens)
+        self.moved[reach(reader.spec, self.spec)] += state.tokens
         if reader is self:
             size, visit.link = 0.0, self.port
         elif reader.spec.cell == self.spec.cell:
--- a/onyxpass/lab/site.py
+++ b/onyxpass/lab/site.py
@@ -90,6 +90,7 @@
     rate: float = 25.0  # first tries a second
     seconds: float = 60.0
     think_s: float = 5.0
+    tenants: int = 0  # customers, drawn by Zipf's law as well
     prefixes: int = 40  # shared texts, drawn by Zipf's law
     zipf: float = 0.9
     near_rate: float = 300_000.0
--- a/onyxpass/lab/traffic.py
+++ b/onyxpass/lab/traffic.py
@@ -28,6 +28,7 @@
     out: int
     front: int  # the dispatcher that its client goes to
     patience: float  # of its class's give-up time
+    tenant: str | None = None
 
 
 class Streams:
@@ -54,6 +55,7 @@
     weights = np.array([c.share / c.turns for c in site.classes])
     sessions_a_s = site.rate * float(weights.sum()) / mean_turns
     ranks = np.arange(1, site.prefixes + 1) ** -site.zipf
+    tenants, sizes_of = streams.of("tenants"), np.arange(1, site.tenants + 1) ** -site.zipf
     found: list[tuple[float, int, Turn]] = []
     at_s, session, order = 0.0, 0, 0
     while True:
@@ -72,6 +74,9 @@
         hot = hot_at(site, at_s)
         if hot > 0 and texts.random() < hot:
             prefix, prefix_tokens = f"hot-{cls.traffic.name}", int(cls.shared_tokens * 1.5)
+        tenant = None
+        if site.tenants:
+            tenant = f"t{int(tenants.choice(site.tenants, p=sizes_of / sizes_of.sum()))}"
         context, front = prefix_tokens, int(fronts.integers(site.dispatchers))
         when_s = at_s
         new, out = lengths(sizes, cls.new_tokens, turns), lengths(sizes, cls.out_tokens, turns)
@@ -82,7 +87,7 @@
                 patience = 0.5 + 0.5 * float(fronts.random())
                 made = Turn(
                     round(when_s * 1e6), order, number, f"s{session}", prefix, prefix_tokens, context,
-                    out[turn], front, patience,
+                    out[turn], front, patience, tenant,
                 )  # fmt: skip
                 found.append((when_s, order, made))
             context += out[turn]
--- a/onyxpass/lab/world.py
+++ b/onyxpass/lab/world.py
@@ -58,6 +58,8 @@
     worth_asked: float = 0.0
     attempts: int = 0
     decisions: int = 0
+    waits_us: list[int] = field(default_factory=list)  # of served first tries, till the first token
+    paces_us: list[float] = field(default_factory=list)  # of the same, a token
     by_second: dict[int, list[float]] = field(default_factory=dict)  # worth answered and asked
 
     @property
@@ -304,6 +306,7 @@
             max_tokens=2 * turn.out,
             prefix=turn.prefix,
             prefix_tokens=turn.prefix_tokens,
+            tenant=turn.tenant,
             is_retry=not first,
         )
         found = Try(turn, ask, arrival, first, now_us)
@@ -360,6 +363,8 @@
         cls = self.site.classes[turn.cls].traffic
         aim_us = cls.aim_us + cls.aim_per_k_us * turn.prompt / 1000
         stream_us = self.queue.now_us - found.first_us
+        self.tally.waits_us.append(found.first_us - turn.at_us)
+        self.tally.paces_us.append(stream_us / max(1, turn.out))
         in_time = found.first_us - turn.at_us <= aim_us and stream_us <= cls.token_us * max(1, turn.out)
         worth = self._worth(turn) * (1.0 if in_time else cls.late_worth)
         self.tally.late += not in_time
--- /dev/null
+++ b/onyxpass/rules/configuration.py
@@ -0,0 +1,89 @@
+"""What must hold of the desired configuration at many nodes, read from their logs after the fact."""
+
+import json
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """One line of a node's log: what it ordered, merged or brought in force, and what it had seen then."""
+
+    at_ns: int
+    node: str
+    what: str
+    digest: str
+    seen: Mapping[str, int]
+
+
+WORDS = ("ordered", "merged", "in force")
+
+
+def read(files: Iterable[Path]) -> list[Word]:
+    """All such lines, by time; a line that is cut off or of another kind is passed over."""
+    found: list[Word] = []
+    for path in files:
+        for text in path.read_text(errors="replace").splitlines():
+            try:
+                raw = json.loads(text[text.index("{") :])
+            except ValueError:
+                continue
+            if isinstance(raw, dict) and raw.get("event") in WORDS and "seen" in raw:
+                found.append(Word(raw["at_ns"], raw["node"], raw["event"], raw["digest"], raw["seen"]))
+    return sorted(found, key=lambda word: word.at_ns)
+
+
+def never_back(words: Sequence[Word]) -> Iterable[str]:
+    """No node brings in force what lacks a change that it had in force before, in any of its lives."""
+    last: dict[str, Word] = {}
+    for word in words:
+        if word.what != "in force":
+            continue
+        before = last.get(word.node)
+        if before is not None and any(word.seen.get(o, 0) < n for o, n in before.seen.items()):
+            yield f"{word.node} went back from {dict(before.seen)} to {dict(word.seen)}"
+        last[word.node] = word
+
+
+def in_force_everywhere(words: Sequence[Word], hosts: Iterable[str]) -> Iterable[str]:
+    """In the end each host has every change that was ordered, and all have the same."""
+    ends: dict[str, Word] = {word.node: word for word in words if word.what == "in force"}
+    ordered: dict[str, int] = {}
+    for word in words:
+        if word.what == "ordered":
+            for origin, number in word.seen.items():
+                ordered[origin] = max(number, ordered.get(origin, 0))
+    digests = {ends[host].digest for host in hosts if host in ends}
+    if len(digests) > 1:
+        yield f"hosts differ: {sorted(digests)}"
+    for host in hosts:
+        if host not in ends:
+            yield f"{host} has nothing in force"
+        elif missed := {o: n for o, n in ordered.items() if ends[host].seen.get(o, 0) < n}:
+            yield f"{host} missed {missed}"
+
+
+def one_digest(words: Sequence[Word]) -> Iterable[str]:
+    """Who has seen the same changes has the same state, whatever way they came."""
+    found: dict[str, Word] = {}
+    for word in words:
+        key = json.dumps(sorted(word.seen.items()))
+        other = found.setdefault(key, word)
+        if other.digest != word.digest:
+            yield f"{word.node} and {other.node} have seen the same and hold {word.digest}, {other.digest}"
+
+
+def latency_s(words: Sequence[Word], hosts: Iterable[str]) -> list[float]:
+    """For each order: from it till the last host had it in force; those that never were are left out."""
+    found = []
+    everyone = set(hosts)
+    for order in (word for word in words if word.what == "ordered"):
+        first: dict[str, int] = {}
+        for word in words:
+            covered = all(word.seen.get(o, 0) >= n for o, n in order.seen.items())
+            if word.what == "in force" and covered and word.at_ns >= order.at_ns:
+                first.setdefault(word.node, word.at_ns)
+        if everyone <= first.keys():
+            found.append((max(first[host] for host in everyone) - order.at_ns) / 1e9)
+    return found
