Name the module's guards by the field's terms: throttle, eject, overload escape

Fate, put_aside and divert were names of our own: Throttle (adaptive throttling), eject (outlier ejection), escape_overload. Job stays: it is the emulator's word too.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -31,10 +31,10 @@
 BLEND, USUAL_BLEND = 0.3, 0.05  # weight of the newest sample: a server's mean, the pool's usual times
 FAIL_LIMIT, RESET_BLEND = 0.45, 0.2  # bad outcomes that put a server aside: two in a row; three broken off
 SLOW_LIMIT, SAMPLES = 3.0, 3  # times its peers' median pace that puts it aside; outcomes till one is believed
-ASIDE_US, ASIDE_MAX_US = 1_500_000, 12_000_000  # first pause with few routers, and the longest
+EJECT_US, EJECT_MAX_US = 1_500_000, 12_000_000  # first pause with few routers, and the longest
 HELD_SHARE = 0.6  # of the time that a state may be held, after which no further writer is dialled for it
 BASE_TOKENS, MEMORY_TOKENS = 1_500, 150_000  # a read costs besides its own; memory of a server not told
-FATE_HALVES_US, FATE_DOUBT, FATE_MOST = 4_000_000, 0.25, 0.9  # memory; requests of doubt; most to refuse
+THROTTLE_HALVES_US, THROTTLE_DOUBT, THROTTLE_MOST = 4_000_000, 0.25, 0.9  # memory; doubt; most refused
 PROBE_SPEND, NEAR_ASKED = 0.003, 2  # part of the result for probes; near writers asked, one more anywhere
 UNKNOWN = api.TrafficClass("unknown", 1_000_000, 5_000_000, repeat=Repeat.UNSAFE)
 TICK_US = 50_000  # how often waiting requests and servers put aside are looked at
@@ -51,7 +51,7 @@
     return sorted(servers, key=lambda h: (-math.log(draws[h]) / h.part, h.id))
 
 
-def divert(matched: "Host", ready: "list[Host]") -> "Host":
+def escape_overload(matched: "Host", ready: "list[Host]") -> "Host":
     """The twice-median escape: a matched server that is clearly busier than its peers is passed by."""
     middle, here = median([h.in_flight() for h in ready]), matched.in_flight()
     if here > 2 * middle and here > middle + FLOOR:
@@ -81,7 +81,7 @@
     return sum(own) * (1 + (routers - 1) * max(0.0, 1 - 2 / math.sqrt(max(1, len(own)))))
 
 
-class Fate:
+class Throttle:
     """How a class's requests fare, fading: those that ended and those whose answer began in time.
 
     Guards against overload that no report shows: as in adaptive throttling, what is beyond a multiple of
@@ -91,7 +91,7 @@
         self.ended, self.in_time, self.slow, self.seen_us = 0.0, 0.0, 0.0, 0
 
     def met(self, now_us: int, ended: int, in_time: int) -> None:
-        kept, self.seen_us = 0.5 ** ((now_us - self.seen_us) / FATE_HALVES_US), now_us
+        kept, self.seen_us = 0.5 ** ((now_us - self.seen_us) / THROTTLE_HALVES_US), now_us
         self.ended, self.in_time = self.ended * kept + ended, self.in_time * kept + in_time
 
     def jam(self) -> float:
@@ -100,8 +100,8 @@
     def too_much(self, now_us: int, worth: float) -> float:
         """The part to refuse, none while good attempts are quick: then answers are lost, not too many."""
         self.met(now_us, 0, 0)
-        over = (self.ended - (1 + worth) * self.in_time) / (self.ended + FATE_DOUBT)
-        return min(FATE_MOST, self.jam() * over)
+        over = (self.ended - (1 + worth) * self.in_time) / (self.ended + THROTTLE_DOUBT)
+        return min(THROTTLE_MOST, self.jam() * over)
 
 
 class Host:
@@ -147,13 +147,13 @@
         self.fail += (RESET_BLEND if broke else BLEND) * (1 - self.fail)
         silent, back = quiet and self.answered_us < sent_us, self.strikes and not broke
         if silent or back or self.fail >= FAIL_LIMIT:
-            self.put_aside(now_us, silent, ours)
+            self.eject(now_us, silent, ours)
 
-    def put_aside(self, now_us: int, silent: bool, brief: bool = False) -> None:
+    def eject(self, now_us: int, silent: bool, brief: bool = False) -> None:
         """Guards against whatever makes a server fail, stall or lag; longer each time its return fails."""
         if now_us >= self.out_until_us:
-            first_us = ASIDE_US if brief or self.settings.routers < BLIND else ASIDE_MAX_US
-            self.out_until_us = now_us + min(ASIDE_MAX_US, first_us << min(self.strikes // 2, 5))
+            first_us = EJECT_US if brief or self.settings.routers < BLIND else EJECT_MAX_US
+            self.out_until_us = now_us + min(EJECT_MAX_US, first_us << min(self.strikes // 2, 5))
             self.strikes, self.silent, self.proved = self.strikes + 2, silent, False
             self.fail, self.samples, self.reported = 0.0, 0, None
 
@@ -192,7 +192,7 @@
         self.slow_start = SlowStart(settings)
         self._retuned(settings)
         self.kinds = {k.name: k for k in settings.kinds}
-        self.fates = {c.name: Fate() for c in (*settings.classes, UNKNOWN)}
+        self.throttles = {c.name: Throttle() for c in (*settings.classes, UNKNOWN)}
         self.hosts: dict[str, Host] = {}
         self.banned: set[str] = set()  # taken out by operators, on the list or not
         self.jobs: dict[int, Job] = {}
@@ -226,13 +226,13 @@
         self.now_us, self.acts = now_us, []
         match event:
             case api.Withdrawn(request) if request in self.jobs:
-                self.fates[self.jobs[request].cls.name].met(now_us, 1, 0)
+                self.throttles[self.jobs[request].cls.name].met(now_us, 1, 0)
                 self._end(self.jobs[request])
             case api.StreamStarted(request) if job := self.jobs.pop(request, None):
                 self._good(job, event.elapsed_us, 0)  # the stream is the client's now
-                self.begun_us, fate = now_us, self.fates[job.cls.name]
-                fate.met(now_us, 1, now_us <= job.arrived_us + job.aim_us)
-                fate.slow += BLEND * (job.spent_us / job.aim_us - fate.slow)
+                self.begun_us, throttle = now_us, self.throttles[job.cls.name]
+                throttle.met(now_us, 1, now_us <= job.arrived_us + job.aim_us)
+                throttle.slow += BLEND * (job.spent_us / job.aim_us - throttle.slow)
             case api.Adopted(request, server, tokens) if host := self.hosts.get(server):
                 host.streams[request] = (now_us, tokens)  # it holds memory there all the same
             case _ if act := self.on.get(type(event)):
@@ -336,10 +336,10 @@
             else:
                 worth *= self.settings.over_share_worth
         job = self.jobs[ask.id] = Job(ask, cls, self.now_us, worth)
-        self.call_credit = min(2.0, self.call_credit + self.call_share * (1 - self.fates[cls.name].jam()))
+        self.call_credit = min(2.0, self.call_credit + self.call_share * (1 - self.throttles[cls.name].jam()))
         earned = PROBE_SPEND / max(PROBE_SPEND, self.settings.probe_price)
         self.probe_credit = min(3.0, self.probe_credit + earned)
-        doomed = stable(f"fate|{ask.id}") / 2**64 < self.fates[cls.name].too_much(self.now_us, worth)
+        doomed = stable(f"fate|{ask.id}") / 2**64 < self.throttles[cls.name].too_much(self.now_us, worth)
         (self._answer if doomed else self._try)(job)
         self.heard.append(ask.prefix or ask.session)
 
@@ -408,7 +408,7 @@
         homes = ranked(job.ask.prefix or job.ask.session, ready)
         ready = homes if self.blind else ready  # of equals the first: a beginning's next home, or one for all
         matched, kept = self._match(job, homes)
-        target, tokens = divert(matched, ready), job.ask.prompt_tokens
+        target, tokens = escape_overload(matched, ready), job.ask.prompt_tokens
         swift = {h: self.swift[h.spec.kind] for h in ready}
         eta = {h: h.expects(tokens - kept * (h is matched), self.now_us, swift[h]) for h in ready}
         # Guards against queues: what can't be in time at its match, or would make those of as much worth and
@@ -489,7 +489,7 @@
         host.good(self.now_us, pace := elapsed_us / max(BASE_TOKENS, job.work - kept))
         peers = [h.pace for h in self.hosts.values() if h.role is host.role and h.samples >= SAMPLES]
         if host.samples >= SAMPLES and len(peers) > 2 and host.pace > SLOW_LIMIT * median(peers):
-            host.put_aside(self.now_us, False)  # slow but answering; all slow together is no illness
+            host.eject(self.now_us, False)  # slow but answering; all slow together is no illness
         mean = self.usual[host.role] or float(elapsed_us)
         self.usual[host.role] = mean + USUAL_BLEND * (elapsed_us - mean)
         if job.holder:
@@ -560,7 +560,7 @@
         fails = job.ran and job.cls.repeat is not Repeat.SAFE and not job.cls.everywhere
         wait_us = self.settings.max_retry_after_us if self.settings.retry_after else 0
         self.acts.append(api.Fail(job.ask.id) if fails else api.Refuse(job.ask.id, wait_us))
-        self.fates[job.cls.name].met(self.now_us, 1, 0)
+        self.throttles[job.cls.name].met(self.now_us, 1, 0)
         self._end(job)
 
     def _end(self, job: Job) -> None:  # what it holds is let go, an attempt that is out is called off
@@ -608,7 +608,7 @@
         for host in ill:
             if self.settings.may_probe and self.now_us >= host.out_until_us and self.probe_credit >= 1:
                 self.probe_credit -= 1
-                host.out_until_us = self.now_us + ASIDE_US  # an answer opens the trial sooner
+                host.out_until_us = self.now_us + EJECT_US  # an answer opens the trial sooner
                 self.acts.append(api.Probe(host.id))
         for job in self.jobs.values() if self.settings.may_cancel else ():
             harmless = job.cls.repeat is Repeat.SAFE or (job.out and job.out.role is Role.READER)
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -53,7 +53,7 @@
     drive = Drive()
     seen = busy(drive, {"r1"}, status=Status.ERROR)
     assert seen.count("r1") < 15 and aside(drive) == {"r1"} and not drive.answers
-    drive.now += choice.ASIDE_MAX_US
+    drive.now += choice.EJECT_MAX_US
     later = busy(drive, set(), n=121)
     assert later.count("r1") > 15 and not aside(drive)
 
@@ -96,7 +96,7 @@
 def test_most_look_ill_so_routing_goes_on() -> None:
     drive = Drive()
     for name in ("r0", "r1", "r2"):
-        drive.router.hosts[name].put_aside(drive.now, False)
+        drive.router.hosts[name].eject(drive.now, False)
     assert len({drive.ask(i, f"s{i}", f"p{i}") for i in range(30)} - {None}) == 4
 
 
@@ -165,7 +165,7 @@
     """Found on days of ageing servers: a pause of 1.5 s is none where a router comes by twice a minute."""
     few, many = Drive(), Drive(routers=60)
     for drive in (few, many):
-        drive.router.hosts["r0"].put_aside(drive.now, False)
+        drive.router.hosts["r0"].eject(drive.now, False)
     assert many.router.hosts["r0"].out_until_us - few.router.hosts["r0"].out_until_us > 5 * S
 
 
@@ -199,8 +199,8 @@
 def test_a_probe_must_be_answered_before_a_trial() -> None:
     drive = Drive(may_probe=True)
     host = drive.router.hosts["r0"]
-    host.put_aside(drive.now, True)
-    drive.now += choice.ASIDE_US
+    host.eject(drive.now, True)
+    drive.now += choice.EJECT_US
     drive.tick()
     assert api.Probe("r0") in drive.last and not host.well(drive.now)
     drive.give(api.ProbeResult("r0", True, 1 * MS))
@@ -294,33 +294,33 @@
 
 
 def test_the_worthiest_class_is_held_back_less_and_no_class_by_what_another_meets() -> None:
-    fate = choice.Fate()
-    fate.slow = 1.0
+    throttle = choice.Throttle()
+    throttle.slow = 1.0
     for i in range(20):
-        fate.met(i, 1, i % 2)
-    assert fate.too_much(20, 0.1) > 0.3 and fate.too_much(20, 1.0) <= 0
+        throttle.met(i, 1, i % 2)
+    assert throttle.too_much(20, 0.1) > 0.3 and throttle.too_much(20, 1.0) <= 0
     drive = Drive(routers=191)
     for _ in range(20):
-        drive.router.fates["light"].met(drive.now, 1, 0)
+        drive.router.throttles["light"].met(drive.now, 1, 0)
     assert drive.ask(1, cls="heavy") is not None
 
 
 def test_a_held_back_class_is_tried_again_within_seconds() -> None:
     drive = Drive(routers=191)
-    drive.router.fates["light"].slow = 1.0
+    drive.router.throttles["light"].slow = 1.0
     for _ in range(50):
-        drive.router.fates["light"].met(drive.now, 1, 0)
-    assert drive.router.fates["light"].too_much(drive.now, 0.5) == choice.FATE_MOST
+        drive.router.throttles["light"].met(drive.now, 1, 0)
+    assert drive.router.throttles["light"].too_much(drive.now, 0.5) == choice.THROTTLE_MOST
     assert sum(drive.ask(i, f"s{i}") is not None for i in range(60)) >= 2, "some go on in the worst jam"
 
 
 def test_answers_that_are_lost_while_others_are_quick_hold_no_class_back() -> None:
     """Found on a day on which a third of the answers of most servers got lost: refusing saved nothing."""
-    fate = choice.Fate()
+    throttle = choice.Throttle()
     for i in range(40):
-        fate.met(i, 1, i % 2)
-        fate.slow += choice.BLEND * (0.15 - fate.slow)
-    assert fate.too_much(40, 0.1) <= 0
+        throttle.met(i, 1, i % 2)
+        throttle.slow += choice.BLEND * (0.15 - throttle.slow)
+    assert throttle.too_much(40, 0.1) <= 0
 
 
 def homes_of(drive: Drive, prefix: str, first: int) -> int:
@@ -368,14 +368,14 @@
 
 def test_a_ledger_of_few_requests_still_holds_a_jam_down() -> None:
     """Found on day i047fef: 249 routers each knew few requests of a class, and let a third through."""
-    fate = choice.Fate()
-    fate.slow = 1.0
+    throttle = choice.Throttle()
+    throttle.slow = 1.0
     for i in range(3):
-        fate.met(i, 1, 0)
-    assert fate.too_much(3, 0.5) == choice.FATE_MOST
+        throttle.met(i, 1, 0)
+    assert throttle.too_much(3, 0.5) == choice.THROTTLE_MOST
     for i in range(20):
-        fate.met(3 + i, 1, 1)
-    assert fate.too_much(23, 0.5) <= 0
+        throttle.met(3 + i, 1, 1)
+    assert throttle.too_much(23, 0.5) <= 0
 
 
 def test_mixed_servers_are_home_to_their_share_of_the_answers_only() -> None:
@@ -495,13 +495,13 @@
     drive.end(2, Status.CANCELLED, 600 * MS)
     host = drive.router.hosts[home]
     assert host.strikes and not host.well(drive.now)
-    drive.now += choice.ASIDE_US
+    drive.now += choice.EJECT_US
     drive.tick()
     assert api.Probe(home) in drive.last
     drive.give(api.ProbeResult(home, True, 1 * MS))
     assert host.well(drive.now) and drive.ask(3) == home
     drive.end(3, Status.TIMEOUT, 600 * MS)
-    assert not host.well(drive.now + choice.ASIDE_MAX_US - 1 * S), (
+    assert not host.well(drive.now + choice.EJECT_MAX_US - 1 * S), (
         "what timed out may be gone: left out for long"
     )
 
@@ -532,7 +532,7 @@
     earned = []
     for slow in (0.1, 0.4, 1.0):
         drive = Drive(routers=40)
-        drive.router.call_credit, drive.router.fates["light"].slow = 0.0, slow
+        drive.router.call_credit, drive.router.throttles["light"].slow = 0.0, slow
         for i in range(4):
             drive.ask(i, f"s{i}")
         earned.append(drive.router.call_credit)
