Measure what each role costs by size, and make docs/CAPACITY.md from it

Need: the operators' size (370 dispatchers, 600 replicas) against budgets, from lines through four sizes each. make bench-capacity plays the module alone, real dispatchers and agents, hollow ones up to 370 on the real wire, real nodes of the desired configuration up to 62 hosts, and the emulator up to the whole size with 6 zones and 4,000 tenants; a size beyond half of the memory is refused before it starts.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What a developer needs, by name. The platform uses deploy/balancer.toml.
-.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet bench-sources bench-lab bench-start bench-together bench-schedules
+.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet bench-sources bench-lab bench-start bench-together bench-schedules bench-capacity
 
 build:
 	test -d .venv || python3 -m venv .venv
@@ -56,3 +56,6 @@
 
 bench-schedules: dev
 	.venv-dev/bin/python benchmarks/schedules.py
+
+bench-capacity: dev
+	.venv-dev/bin/python benchmarks/capacity.py
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -6,6 +6,7 @@
     python benchmarks/capacity.py            # all runs, the data and the page; some minutes
     python benchmarks/capacity.py page       # the page anew from the committed data
     python benchmarks/capacity.py run NAME SIZE     # one run, as JSON
+    python benchmarks/capacity.py small NAME SIZE   # the same with short rests and few changes
 """
 
 import asyncio
@@ -26,13 +27,19 @@
 from onyxpass.hollow.dispatchers import HollowFleet
 from onyxpass.lab import capacity, whole
 from onyxpass.lab.choosing import measure_choosing
+from onyxpass.lab.site import Trouble
+from onyxpass.rules.configuration import latency_s
 from onyxpass.rules.trace import Trace
+from onyxpass.standin.configuration import Trial
 from onyxpass.standin.replicas import Listed, StandinDiscovery, StandinReplica, States
 from onyxpass.standin.settings import SETTINGS
 
 ROOT = Path(__file__).parent.parent
 SERVERS, DISPATCHERS = 600, 370
 IDLE_S, CHANGES = 6.0, 20
+SETTLE_S = 5.0  # after starts, till first checks and pulls are over
+PACE_S = 0.5  # between changes one by one
+OUTAGE_S = 12.0  # an hour that a region is cut off, shortened
 RATE = 8.0  # requests a second for a dispatcher
 SERVE = (sys.executable, "-m", "onyxpass", "serve")  # as the platform starts it
 Found = dict[str, float]
@@ -246,7 +253,7 @@
         try:
             children = Path(f"/proc/{process.pid}/task/{process.pid}/children")
             await until(lambda: len(children.read_text().split()) >= instances)
-            await asyncio.sleep(6.0)  # starts and first checks are over
+            await asyncio.sleep(SETTLE_S)
             rest = await resting(process.pid, IDLE_S)
             return {"cpu_ms_a_s": rest["cpu_ms_a_s"], "mb": memory_mb(process.pid)}
         finally:
@@ -265,6 +272,7 @@
 async def together(agents: int) -> Found:
     """Real dispatchers, six under each real agent's place, beside hollow ones up to the whole number."""
     count = 6 * agents
+    whole.check_processes(count)
     server = ListServer(SERVERS)
     settings = platform_settings.read_settings({**SETTINGS, "peersTotal": DISPATCHERS})
     fleet = HollowFleet(settings, Address("127.0.0.1", server.port), DISPATCHERS - count)
@@ -310,6 +318,70 @@
             server.end()
 
 
+async def configured(hosts: int) -> Found:
+    """Real nodes, so many hosts in each of two regions and three control nodes: orders till in force at all.
+
+    Then a tenth of the hosts are down while there are changes, and one region is cut off for OUTAGE_S.
+    """
+    whole.check_processes(2 * (hosts + 4))
+    with tempfile.TemporaryDirectory(prefix="onyxpass-capacity-") as name:
+        async with Trial(Path(name), controls=3, hosts=hosts) as t:
+            names = t.host_names
+            await t.order("north-c0", start=1)
+            await t.in_force(names, lambda values: values.get("start") == 1)
+            await asyncio.sleep(SETTLE_S)
+            before, across = loopback_bytes(), t.bytes_across
+            await asyncio.sleep(IDLE_S)
+            rest = (loopback_bytes() - before) / IDLE_S
+            rest_across = (t.bytes_across - across) / IDLE_S
+            before, began_ns = loopback_bytes(), time.monotonic_ns()
+            for number in range(CHANGES):
+                await t.order(f"{'north' if number % 2 else 'south'}-c{number % 3}", paced=number)
+                await asyncio.sleep(PACE_S)
+            paced_s, ended_ns = (time.monotonic_ns() - began_ns) / 1e9, time.monotonic_ns()
+            paced_bytes = loopback_bytes() - before - rest * paced_s
+            for number in range(CHANGES):
+                await t.order("north-c1", burst=number)
+            await t.in_force(names, lambda values: values.get("burst") == CHANGES - 1)
+            away = names[:: max(1, len(names) // max(1, len(names) // 10))][: max(1, len(names) // 10)]
+            for host in away:
+                await t.kill(host)
+            await t.order("south-c0", away=1)
+            await t.in_force([n for n in names if n not in away], lambda values: values.get("away") == 1)
+            began_s = time.monotonic()
+            for host in away:
+                await t.start(host)
+            await t.in_force(names, lambda values: values.get("away") == 1)
+            back_s = time.monotonic() - began_s
+            t.cut()
+            await t.order("north-c0", split=1)
+            await t.order("south-c0", other=1)
+            await asyncio.sleep(OUTAGE_S)
+            t.mend()
+            began_s = time.monotonic()
+            await t.in_force(names, lambda values: values.get("split") == 1 and values.get("other") == 1)
+            mended_s = time.monotonic() - began_s
+            mb = memory_mb(t.process_of(names[0]))
+            words = t.words()
+            times = sorted(latency_s(words, names))
+            paced = latency_s([word for word in words if began_ns <= word.at_ns <= ended_ns], names)
+            return {
+                "hosts": len(names),
+                "orders": len(times),
+                "paced_median_s": sorted(paced)[len(paced) // 2],
+                "paced_most_s": max(paced),
+                "paced_orders": len(paced),
+                "most_s": times[-1],
+                "rest_bytes_a_s": rest,
+                "rest_bytes_a_s_across": rest_across,
+                "change_bytes": paced_bytes / CHANGES,
+                "back_s": back_s,
+                "mended_s": mended_s,
+                "node_mb": mb,
+                "breaches": len(t.breaches()),
+            }
+
+
 def choosing(servers: int) -> Found:
     found = measure_choosing(servers, DISPATCHERS, RATE, 30.0, 1)
     return {"us_a_request": found.us_a_request, "requests": found.requests}
@@ -328,8 +400,8 @@
     return {"seconds": told["seconds"], "mb": told["mb"], "done": done, "asked": instances}
 
 
-def emulated(part: float, seconds: float) -> dict[str, object]:
-    return asdict(whole.play(whole.site_of(part, seconds), 1))
+def emulated(part: float, seconds: float, troubles: tuple[Trouble, ...] = ()) -> dict[str, object]:
+    return asdict(whole.play(whole.site_of(part, seconds, troubles), 1))
 
 
 # Which runs there are: a name, a size, and whether the small form has it
@@ -344,15 +416,28 @@
     "agent by instances": (lambda n: agent(round(n)), (1, 2, 4, 8), (1,)),
     "order by instances": (lambda n: ordered(round(n), 0.0), (60, 120, 240, 370), (6,)),
     "order, a tenth silent": (lambda n: ordered(round(n), 0.1), (60, 120, 240, 370), ()),
+    "configuration by hosts": (lambda n: configured(round(n)), (4, 8, 16, 31), (1,)),
     "real and hollow": (lambda n: together(round(n)), (1, 2, 4, 6), ()),
     "emulated, part of the size": (
-        lambda part: emulated(part, 6.0 if part <= 0.25 else 3.0 if part < 1 else 1.5),
+        lambda part: emulated(part, 40.0 if part <= 0.25 else 20.0),
         (0.125, 0.25, 0.5, 1.0),
         (0.02,),
     ),
+    "emulated, a zone cut off": (
+        lambda part: emulated(part, 40.0, (Trouble("cut", 20.0, 8.0, hall=whole.ZONES[0]),)),
+        (0.125, 0.25),
+        (),
+    ),
 }
 
 
+def shorten() -> None:
+    """For tests: what is measured says little then, and all that is checked is checked."""
+    global IDLE_S, CHANGES, OUTAGE_S, PACE_S, SETTLE_S, SERVERS, DISPATCHERS
+    SERVERS, DISPATCHERS = 60, 24
+    IDLE_S, CHANGES, OUTAGE_S, PACE_S, SETTLE_S = 0.3, 3, 0.5, 0.3, 0.3
+
+
 def run_one(name: str, size: float) -> dict[str, object]:
     made = RUNS[name][0](size)
     found = asyncio.run(made) if asyncio.iscoroutine(made) else made
@@ -376,6 +461,10 @@
         case ["run", name, size]:
             print(json.dumps(run_one(name, float(size))))
             return
+        case ["small", name, size]:
+            shorten()
+            print(json.dumps(run_one(name, float(size))))
+            return
         case ["page"]:
             pass
         case []:
--- a/onyxpass/lab/capacity.py
+++ b/onyxpass/lab/capacity.py
@@ -1,6 +1,7 @@
 """The page on capacity, made from measured data: lines through sizes, drawn out, against the budgets."""
 
 import json
+import math
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -20,6 +21,10 @@
 FAILED_A_DAY, REPLACED_A_DAY = 17, 58
 REPLICA_TURNS_A_DAY = 2 * (FAILED_A_DAY + REPLACED_A_DAY)  # each leaves the list and comes back
 DAY_S = 86_400
+KEPT_S = 15.0  # for which replicas keep an idle connection in the trials' settings, assumed
+DISPATCHERS_A_HOST = 6  # assumed
+RACK, ZONES = 8, 6  # replicas that one rack's failure takes, assumed
+CALL_S = 0.2  # of a shared discovery, for one call: ``net/pacing.py``
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +73,7 @@
         self, name: str, key: str, what: str, size: float, budget: float | None = None, unit: str = ""
     ) -> Line:
         points = [Point(run["size"], float(run[key])) for run in self.rows(name)]
-        by = name.rpartition(" by ")[2]
+        by = name.rpartition(" by ")[2] if " by " in name else "instances"
         return Line(what, by, fit(points), tuple(point.size for point in points), size, budget, unit)
 
 
@@ -110,7 +115,22 @@
         ),
         data.line("order by instances", "mb", "memory", dispatchers, None, "MB"),
     ]
-    return {"dispatcher": dispatcher, "list": lists, "agent": agents, "tool": tool}
+    hosts = dispatchers / DISPATCHERS_A_HOST / REGIONS
+    configuration = [
+        data.line("configuration by hosts", "paced_most_s", "a change at all", hosts, IN_FORCE_S, "s"),
+        data.line("configuration by hosts", "back_s", "all, after being away", hosts, IN_FORCE_S, "s"),
+        data.line("configuration by hosts", "mended_s", "all, after a cut", hosts, IN_FORCE_S, "s"),
+        data.line("configuration by hosts", "rest_bytes_a_s", "bytes at rest, all nodes", hosts, None, "B/s"),
+        data.line("configuration by hosts", "change_bytes", "bytes of a change, all nodes", hosts, None, "B"),
+        data.line("configuration by hosts", "node_mb", "memory of a host's node", hosts, None, "MB"),
+    ]
+    return {
+        "dispatcher": dispatcher,
+        "list": lists,
+        "agent": agents,
+        "tool": tool,
+        "configuration": configuration,
+    }
 
 
 def table(lines: list[Line]) -> str:
@@ -128,43 +148,85 @@
     return "\n".join(found)
 
 
+@dataclass(frozen=True, slots=True)
+class Event:
+    """What one thing that happens costs one dispatcher on its watch."""
+
+    what: str
+    messages: int
+    kb: float
+
+
+def events(change_bytes: float, restart_kb: float) -> list[Event]:
+    """Each replica that leaves or comes is one change of the list."""
+    zone = whole.REPLICAS // ZONES
+    changes = (
+        ("a replica's machine fails, and comes back", 2),
+        ("a rack goes, and comes back (8 replicas, assumed)", 2 * RACK),
+        ("a zone goes, and comes back (100 replicas)", 2 * zone),
+        ("the other region is away for an hour, and comes back (300 replicas)", 2 * 3 * zone),
+    )
+    found = [Event(what, number, number * change_bytes / 1e3) for what, number in changes]
+    return [*found, Event("the list's server is restarted", 1, restart_kb)]
+
+
 def figures(data: Data) -> dict[str, Any]:
     """What the page's sentences need besides the tables."""
     servers, dispatchers = whole.REPLICAS, whole.DISPATCHERS
     lists = data.at("list by dispatchers", dispatchers)
-    rate = whole.RATE / dispatchers
-    change_bytes = lists["change_bytes_each"]
-    changes_a_day = REPLICA_TURNS_A_DAY
-    pair_gap_s = servers / (2 * rate)  # a request is two attempts
-    kept_s = 15.0  # the replicas' own idle limit in the trials' settings
+    configured = [
+        {**run, "most_after_s": max(run["paced_most_s"], run["back_s"], run["mended_s"])}
+        for run in data.rows("configuration by hosts")
+    ]
+    rest = data.line("configuration by hosts", "rest_bytes_a_s", "", 1)
+    change = data.line("configuration by hosts", "change_bytes", "", 1)
+    silent = data.at("order, a tenth silent", dispatchers)
+    emulated = data.rows("emulated, part of the size")
     return {
-        "rate": rate,
+        **connections(servers, dispatchers),
+        "servers": servers,
         "rest": lists["rest_bytes_a_s_each"],
         "whole_kb": lists["start_kb_each"],
-        "restart_kb": lists["restart_kb_each"],
         "restart_s": lists["restart_s"],
-        "change_bytes": change_bytes,
-        "changes_a_day": changes_a_day,
-        "day_bytes_a_s": lists["rest_bytes_a_s_each"] + change_bytes * changes_a_day / DAY_S,
-        "zone_kb": change_bytes * servers / 6 / 1e3,
-        "rack_kb": change_bytes * 8 / 1e3,
+        "list_change_s": lists["change_s"],
+        "change_bytes": lists["change_bytes_each"],
+        "changes_run": 20,
+        "changes_a_day": REPLICA_TURNS_A_DAY,
+        "day_bytes_a_s": lists["rest_bytes_a_s_each"]
+        + lists["change_bytes_each"] * REPLICA_TURNS_A_DAY / DAY_S,
+        "events": events(lists["change_bytes_each"], lists["restart_kb_each"]),
         "minute_kb": BYTES_A_S * 60 / 1e3,
         "hour_mb": BYTES_A_S * 3_600 / 1e6,
-        "config_kb": data.at("dispatcher by tenants", whole.TENANTS)["file_kb"],
-        "config_bytes_a_s": data.at("dispatcher by tenants", whole.TENANTS)["file_kb"]
-        * 1e3
-        * CHANGES_A_DAY
-        / DAY_S,
-        "pair_gap_s": pair_gap_s,
-        "warm": 1 - 2.718281828 ** (-kept_s / pair_gap_s),
-        "handshakes": 2 * whole.RATE / servers * 2.718281828 ** (-kept_s / pair_gap_s),
-        "pairs": servers * dispatchers,
-        "choosing": data.at("choosing by servers", servers)["us_a_request"] * rate / 1e4,
-        "emulated": data.rows("emulated, part of the size"),
+        "choosing": data.at("choosing by servers", servers)["us_a_request"] * whole.RATE / dispatchers / 1e4,
+        "shared_s": dispatchers * CALL_S,
+        "emulated": emulated,
+        "largest": emulated[-1],
+        "cut": data.rows("emulated, a zone cut off"),
         "real": data.rows("real and hollow"),
+        "configured": configured,
+        "host_rest": rest.slope.each / REGIONS,
+        "host_change": change.slope.each / REGIONS,
+        "pushed_s": data.at("order by instances", dispatchers)["seconds"],
+        "pushed_silent_s": silent["seconds"],
+        "pushed_missed": silent["asked"] - silent["done"],
         "handover": HANDOVER_GB_A_S,
         "in_force_s": IN_FORCE_S,
-        "changes": CHANGES_A_DAY,
+    }
+
+
+def connections(servers: int, dispatchers: int) -> dict[str, float]:
+    """Of the data path: each request is two attempts, spread evenly over all pairs, by chance."""
+    rate = whole.RATE / dispatchers
+    gap_s = servers / (2 * rate)
+    attempts = 2 * whole.RATE / servers
+    cold = math.exp(-KEPT_S / gap_s)
+    return {
+        "rate": rate,
+        "pair_gap_s": gap_s,
+        "warm": 1 - cold,
+        "handshakes": attempts * cold,
+        "attempts_a_replica": attempts,
+        "pairs": servers * dispatchers,
     }
 
 
--- a/onyxpass/lab/whole.py
+++ b/onyxpass/lab/whole.py
@@ -15,8 +15,9 @@
 TENANTS = 4_000
 FIRST_TOKEN_US, TOKEN_US = 1_100_000, 25_000  # the aims, for 95 in 100
 ZONES = tuple(f"{region}/{zone}" for region in ("north", "south") for zone in ("a", "b", "c"))
-MB_A_PAIR = 0.0045  # memory of a run for each pair of dispatcher and server, measured
+MB_A_PAIR = 0.002  # for each pair of dispatcher and server; half of it was measured at the whole size
 MB_BASE = 120.0
+MB_A_PROCESS = 50.0  # the largest of ours, a node or an agent, measured
 
 
 class TooLarge(ValueError):
@@ -83,6 +84,14 @@
     )
 
 
+def check_processes(count: int, most_mb: float | None = None) -> None:
+    """TooLarge, with what would fit, where so many processes of ours are too many."""
+    most_mb = half_of_memory_mb() if most_mb is None else most_mb
+    if count * MB_A_PROCESS > most_mb:
+        fits = int(most_mb // MB_A_PROCESS)
+        raise TooLarge(f"{count} processes need some {count * MB_A_PROCESS:.0f} MB; {fits} would fit")
+
+
 def half_of_memory_mb() -> float:
     """Half of this machine's memory."""
     with open("/proc/meminfo", encoding="ascii") as lines:
--- a/onyxpass/standin/configuration.py
+++ b/onyxpass/standin/configuration.py
@@ -137,7 +137,7 @@
         return name
 
     async def aims(self, agent: Member) -> list[int]:
-        """The first class's aim that each dispatcher runs on, in microseconds; 0 on another file than its own.
+        """The first class's aim that each dispatcher runs on, in microseconds; 0 if on another file.
 
         What runs is told by the instance's own digest, which names all of its configuration.
         """
@@ -160,6 +160,11 @@
         assert process is not None
         process.send_signal(number)
 
+    def process_of(self, name: str) -> int:
+        process = self.members[name].process
+        assert process is not None
+        return process.pid
+
     async def call(
         self, name: str, method: str, path: str, message: dict[str, Any] | None = None
     ) -> Answer | None:
--- a/tests/test_client_time.py
+++ b/tests/test_client_time.py
@@ -207,6 +207,27 @@
     run(go)
 
 
+def test_a_crowd_frees_no_request_of_its_answer() -> None:
+    """Connections that ask nothing, or half of something, hold every place; each request still ends."""
+
+    async def go() -> None:
+        async with world([Replica(READ)], [Replica(STREAM)]) as w:
+            w.dispatcher.front.most = 8
+            crowd = []
+            answers = []
+            for number in range(40):
+                for text in (b"", b"POST /v1/chat HTTP/1.1\r\nHost"):
+                    crowd.append(await w.send(text))
+                answers.append(asyncio.create_task(w.ask(f"a{number}", ms=20_000)))
+                await asyncio.sleep(0.02)
+            ends = [answer[9:12] for answer in await asyncio.gather(*answers)]
+            assert set(ends) <= {b"200", b"503"} and ends.count(b"200") >= 35
+            for _, writer in crowd:
+                writer.close()
+
+    run(go)
+
+
 def test_a_wire_tells_what_is_unread() -> None:
     async def go() -> None:
         ours, theirs = socket.socketpair()
