--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -321,8 +321,8 @@
             elif h.role is Role.WRITER and (sends := zones.count(h.spec.zone)):
                 part *= (h.spec.zone == holder.spec.zone) * len(zones) / sends
             who = f"{job.ask.id}|{h.id}" if holder or h.due else job.ask.session
-            drawn = shares[h] >= 1 or stable(f"lot|{who}") / 2**64 < part
-            if drawn and (h.due or self.slow_start.may_send(h.id, h.spec.kind, shares[h], self.now_us)):
+            part *= h.due or self.slow_start.odds(h.id, h.spec.kind, shares[h], self.now_us)
+            if shares[h] >= 1 or stable(f"lot|{who}") / 2**64 < part:
                 chosen.add(h)
         return [h for h in hosts if h in chosen]
 
--- a/onyxpass/slowstart.py
+++ b/onyxpass/slowstart.py
@@ -4,7 +4,7 @@
 window: the multiple that the settings allow, times its present share of capacity, times what a warm server of
 its kind bears, and a little more for chance. Routers on the platform can't count together, so each keeps to
 its own share of that budget, by construction and not by chance. Where its share is less than one call,
-routers take turns: each window belongs to as many of them as the budget bears.
+routers take turns: each window belongs to as many of them as half of the budget bears.
 """
 
 import math
@@ -88,22 +88,26 @@
             self._sent.popleft()
         self._sent.append((now_us, server))
 
-    def may_send(self, server: str, kind: str, share: float, now_us: int) -> bool:
-        """Whether one more call fits into this router's share; ``share``: of its capacity that it has now."""
+    def odds(self, server: str, kind: str, share: float, now_us: int) -> float:
+        """By how much a call's chance by lot changes: 0 for not now, 1 as it is, more where it is our turn.
+
+        ``share``: of its capacity that the server has now. Where routers take turns, the one whose turn it is
+        draws as many times as often, so that the server gets what the lot alone would give it on average.
+        """
         if share >= 1:
-            return True
+            return 1.0
         window_us, routers = max(1, self.settings.fall_us), max(1, self.settings.routers)
         learnt = self._rates.get(kind)
         rate = learnt.per_second(now_us) if learnt is not None else None
         if rate is None and routers >= MANY:
-            return True
+            return 1.0
         own = (rate or 0.0) * window_us / SECOND_US * self.settings.fall_multiple * share
-        whole = budget(own * routers)
-        mine = own + (whole - own * routers) / routers
+        places = math.floor(budget(own * routers))  # of all routers in a window
+        each, left = divmod(places, routers)
         already = sum(name == server and at_us > now_us - window_us for at_us, name in self._sent)
-        if mine >= 1:
-            return already < math.floor(mine)
-        # Any window overlaps two turns, so each turn has half of the budget.
-        turns = math.ceil(routers / max(1, math.floor(whole / 2)))
-        ours = (now_us // window_us + self.settings.ordinal + stable(server)) % turns == 0
-        return ours and already == 0
+        # What is left goes by turns. Any window overlaps two turns, so each turn has half of it.
+        turns = math.ceil(routers / max(1, left // 2)) if left > 1 or not each else 0
+        ours = turns > 0 and (now_us // window_us + self.settings.ordinal + stable(server)) % turns == 0
+        if already >= each + ours:
+            return 0.0
+        return 1.0 if each else float(turns)
--- a/tests/test_slowstart.py
+++ b/tests/test_slowstart.py
@@ -45,13 +45,13 @@
     made = [SlowStart(replace(SETTINGS, routers=routers, ordinal=n)) for n in range(routers)]
     rate = calls * S / WINDOW_US / routers * WARM  # of good answers a second by each router
     for state in made:
-        state.may_send("r0", "r", 0.3, 0)
+        state.odds("r0", "r", 0.3, 0)
         phase = random.Random(f"{seed} {state.settings.ordinal}").random()
         for n in range(math.ceil(rate * WARM_US / S - phase)):
             state.answered("r", 1.0, [1.0] * WARM, round((n + phase) * S / rate))
     share, sent = 0.3, list[int]()
     for who, at_us in sorted(bursts(routers, calls, seed), key=lambda ask: ask[1]):
-        if made[who].may_send("r0", "r", share, at_us):
+        if made[who].odds("r0", "r", share, at_us) > 0:
             made[who].sent("r0", at_us)
             sent.append(at_us)
     bears = slowstart.budget(SETTINGS.fall_multiple * share * calls)
@@ -63,9 +63,9 @@
     made = [SlowStart(replace(SETTINGS, routers=10, ordinal=n)) for n in range(10)]
     for window in range(40):
         now_us = window * WINDOW_US
-        sends = [state for state in made for _ in range(5) if state.may_send("r0", "r", 0.3, now_us)]
+        sends = [state for state in made for _ in range(5) if state.odds("r0", "r", 0.3, now_us) > 0]
         assert len({id(state) for state in sends}) <= slowstart.budget(0) / 2
-    asked = [state.may_send("r0", "r", 0.3, n * WINDOW_US) for state in made for n in range(40)]
+    asked = [state.odds("r0", "r", 0.3, n * WINDOW_US) for state in made for n in range(40)]
     assert any(asked)
 
 
@@ -149,6 +149,6 @@
 
 def test_the_share_by_lot_alone_would_not_keep_the_budget(monkeypatch: pytest.MonkeyPatch) -> None:
     """The planted fault: without the bound on each router's own sends, the checker above finds a fall."""
-    monkeypatch.setattr(SlowStart, "may_send", lambda *_: True)
+    monkeypatch.setattr(SlowStart, "odds", lambda *_: 1.0)
     found = [over_budget(*fleet_with_a_start(r, s, 100 * r + n), s) for r, s in SIZES[:6] for n in range(2)]
     assert max(found) > 0
