--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -21,6 +21,8 @@
 from dataclasses import asdict
 from pathlib import Path
 
+from parties import Found, ListServer, cpu_s, loopback_bytes, memory_mb, resting, until
+
 from onyxpass import settings as platform_settings
 from onyxpass.agent.keys import make_key
 from onyxpass.config import Address
@@ -29,10 +31,9 @@
 from onyxpass.lab.choosing import measure_choosing
 from onyxpass.lab.site import Trouble
 from onyxpass.rules.configuration import latency_s
-from onyxpass.rules.trace import Trace
 from onyxpass.standin.configuration import Trial
-from onyxpass.standin.replicas import Listed, StandinDiscovery, StandinReplica, States
 from onyxpass.standin.settings import SETTINGS
+from onyxpass.standin.site import free_port
 
 ROOT = Path(__file__).parent.parent
 SERVERS, DISPATCHERS = 600, 370
@@ -42,87 +43,9 @@
 OUTAGE_S = 12.0  # an hour that a region is cut off, shortened
 RATE = 8.0  # requests a second for a dispatcher
 SERVE = (sys.executable, "-m", "onyxpass", "serve")  # as the platform starts it
-Found = dict[str, float]
-
-
-# What the system tells
-
-
-def cpu_s(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def memory_mb(pid: int) -> float:
-    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
-    return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS:")) / 1024
-
-
-def loopback_bytes() -> int:
-    lines = Path("/proc/net/dev").read_text().splitlines()
-    return next(int(line.split()[1]) for line in lines if line.strip().startswith("lo:"))
-
-
-async def until(done: Callable[[], bool], limit_s: float = 60.0) -> float:
-    began_s = time.monotonic()
-    while not done():
-        if time.monotonic() - began_s > limit_s:
-            raise TimeoutError
-        await asyncio.sleep(0.005)
-    return time.monotonic() - began_s
-
-
-# The server of the list, a process of its own; its parent orders changes line by line
 
 
-async def list_server(servers: int) -> None:
-    trace, states = Trace(), States()
-    discovery = StandinDiscovery(trace)
-    for number in range(servers):
-        kind, role = ("reader", "read") if number % 5 < 2 else ("writer", "write")
-        replica = StandinReplica(f"{kind}-{number}", role, trace, states, port=1_024 + number)
-        discovery.add(Listed(replica, kind, whole.ZONES[number % len(whole.ZONES)], number % 24))
-    await discovery.start()
-    print(discovery.port, flush=True)
-    health, names = "leaving", list(discovery.rows)
-    number = 0
-    while line := (await asyncio.to_thread(sys.stdin.readline)).strip():
-        if line == "restart":
-            await discovery.stop()
-            discovery.seq += 1
-            await discovery.start()
-        else:
-            discovery.change(names[number % len(names)], health)
-            number += 1
-        print(discovery.seq, flush=True)
-
-
-class ListServer:
-    """The process of ``list_server``."""
-
-    def __init__(self, servers: int) -> None:
-        self.process = subprocess.Popen(
-            [sys.executable, __file__, "list-server", str(servers)],
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            text=True,
-        )
-        self.port = self._line()
-
-    def _line(self) -> int:
-        assert self.process.stdout is not None
-        return int(self.process.stdout.readline())
-
-    def order(self, what: str) -> int:
-        assert self.process.stdin is not None
-        self.process.stdin.write(what + "\n")
-        self.process.stdin.flush()
-        return self._line()
-
-    def end(self) -> None:
-        assert self.process.stdin is not None
-        self.process.stdin.close()
-        self.process.wait(10)
+# Hollow dispatchers on the list
 
 
 async def watched(servers: int, dispatchers: int) -> Found:
@@ -165,13 +88,6 @@
         server.end()
 
 
-async def resting(pid: int, seconds: float) -> Found:
-    before, cpu = loopback_bytes(), cpu_s(pid)
-    await asyncio.sleep(seconds)
-    used = cpu_s(pid) - cpu
-    return {"bytes_a_s": (loopback_bytes() - before) / seconds, "cpu_ms_a_s": used / seconds * 1e3}
-
-
 # A real dispatcher, and a real agent with real dispatchers
 
 
@@ -262,13 +178,6 @@
             server.end()
 
 
-def free_port() -> int:
-    import socket
-
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return int(sock.getsockname()[1])
-
-
 async def together(agents: int) -> Found:
     """Real dispatchers, six under each real agent's place, beside hollow ones up to the whole number."""
     count = 6 * agents
@@ -455,9 +364,6 @@
 def main(words: list[str]) -> None:
     data_path = ROOT / capacity.DATA
     match words:
-        case ["list-server", servers]:
-            asyncio.run(list_server(int(servers)))
-            return
         case ["run", name, size]:
             print(json.dumps(run_one(name, float(size))))
             return
--- /dev/null
+++ b/benchmarks/parties.py
@@ -0,0 +1,107 @@
+"""What the measurements of capacity share: what the system tells of processes, and the list's server.
+
+The server is a process of its own: `python benchmarks/parties.py SERVERS`. It prints its port; then each line
+that it reads is an order, a change or a restart, and it prints the list's version after it.
+"""
+
+import asyncio
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from onyxpass.lab import whole
+from onyxpass.rules.trace import Trace
+from onyxpass.standin.replicas import Listed, StandinDiscovery, StandinReplica, States
+
+Found = dict[str, float]
+
+
+# What the system tells
+
+
+def cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def memory_mb(pid: int) -> float:
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS:")) / 1024
+
+
+def loopback_bytes() -> int:
+    lines = Path("/proc/net/dev").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.strip().startswith("lo:"))
+
+
+async def until(done: Callable[[], bool], limit_s: float = 60.0) -> float:
+    began_s = time.monotonic()
+    while not done():
+        if time.monotonic() - began_s > limit_s:
+            raise TimeoutError
+        await asyncio.sleep(0.005)
+    return time.monotonic() - began_s
+
+
+async def resting(pid: int, seconds: float) -> Found:
+    before, cpu = loopback_bytes(), cpu_s(pid)
+    await asyncio.sleep(seconds)
+    used = cpu_s(pid) - cpu
+    return {"bytes_a_s": (loopback_bytes() - before) / seconds, "cpu_ms_a_s": used / seconds * 1e3}
+
+
+async def list_server(servers: int) -> None:
+    trace, states = Trace(), States()
+    discovery = StandinDiscovery(trace)
+    for number in range(servers):
+        kind, role = ("reader", "read") if number % 5 < 2 else ("writer", "write")
+        replica = StandinReplica(f"{kind}-{number}", role, trace, states, port=1_024 + number)
+        discovery.add(Listed(replica, kind, whole.ZONES[number % len(whole.ZONES)], number % 24))
+    await discovery.start()
+    print(discovery.port, flush=True)
+    health, names = "leaving", list(discovery.rows)
+    number = 0
+    while line := (await asyncio.to_thread(sys.stdin.readline)).strip():
+        if line == "restart":
+            await discovery.stop()
+            discovery.seq += 1
+            await discovery.start()
+        else:
+            discovery.change(names[number % len(names)], health)
+            number += 1
+        print(discovery.seq, flush=True)
+
+
+class ListServer:
+    """The process of ``list_server``."""
+
+    def __init__(self, servers: int) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, __file__, str(servers)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.port = self._line()
+
+    def _line(self) -> int:
+        assert self.process.stdout is not None
+        return int(self.process.stdout.readline())
+
+    def order(self, what: str) -> int:
+        assert self.process.stdin is not None
+        self.process.stdin.write(what + "\n")
+        self.process.stdin.flush()
+        return self._line()
+
+    def end(self) -> None:
+        assert self.process.stdin is not None
+        self.process.stdin.close()
+        self.process.wait(10)
+
+
+if __name__ == "__main__":
+    asyncio.run(list_server(int(sys.argv[1])))
--- a/onyxpass/rules/configuration.py
+++ b/onyxpass/rules/configuration.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from onyxpass.rules.lines import objects
+
 
 @dataclass(frozen=True, slots=True)
 class Word:
@@ -22,15 +24,11 @@
 
 def read(files: Iterable[Path]) -> list[Word]:
     """All such lines, by time; a line that is cut off or of another kind is passed over."""
-    found: list[Word] = []
-    for path in files:
-        for text in path.read_text(errors="replace").splitlines():
-            try:
-                raw = json.loads(text[text.index("{") :])
-            except ValueError:
-                continue
-            if isinstance(raw, dict) and raw.get("event") in WORDS and "seen" in raw:
-                found.append(Word(raw["at_ns"], raw["node"], raw["event"], raw["digest"], raw["seen"]))
+    found = [
+        Word(raw["at_ns"], raw["node"], raw["event"], raw["digest"], raw["seen"])
+        for _, raw in objects(files)
+        if raw.get("event") in WORDS and "seen" in raw
+    ]
     return sorted(found, key=lambda word: word.at_ns)
 
 
--- a/onyxpass/rules/history.py
+++ b/onyxpass/rules/history.py
@@ -10,7 +10,6 @@
 | ``begin``, ``end``, ``refused`` | a resource | an effect under a token: ``effect`` is its id |
 """
 
-import json
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
@@ -18,6 +17,8 @@
 from pathlib import Path
 from typing import Any
 
+from onyxpass.rules.lines import objects
+
 
 @dataclass(frozen=True, slots=True)
 class Line:
@@ -33,15 +34,11 @@
 
 def read(files: Iterable[Path]) -> list[Line]:
     """All history lines of these logs, by time. Whatever else stands there is passed over."""
-    found: list[Line] = []
-    for path in files:
-        for text in path.read_text(errors="replace").splitlines():
-            try:
-                raw = json.loads(text[text.index("{") :])
-            except ValueError:
-                continue
-            if isinstance(raw, dict) and raw.get("event") == "history":
-                found.append(Line(int(raw["at_ns"]), str(raw["what"]), path.name, int(raw["pid"]), raw))
+    found = [
+        Line(int(raw["at_ns"]), str(raw["what"]), path.name, int(raw["pid"]), raw)
+        for path, raw in objects(files)
+        if raw.get("event") == "history"
+    ]
     return sorted(found, key=lambda line: line.at_ns)
 
 
--- a/onyxpass/standin/configuration.py
+++ b/onyxpass/standin/configuration.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -17,15 +16,11 @@
 from onyxpass.rules import configuration as rules
 from onyxpass.standin.link import Link
 from onyxpass.standin.settings import SETTINGS
+from onyxpass.standin.site import free_port
 
 REGIONS = ("north", "south")
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return int(sock.getsockname()[1])
-
-
 @dataclass(slots=True)
 class Member:
     """One node: its file, its port and its process, if it runs."""
