Read processes' time and memory in one place for both benchmarks

Read again: benchmarks/parties.py had written anew what benchmarks/start.py had; start.py takes them from there now. A constant that nothing used is gone from lab/capacity.py.

--- a/benchmarks/parties.py
+++ b/benchmarks/parties.py
@@ -27,9 +27,10 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-def memory_mb(pid: int) -> float:
+def memory_mb(pid: int, key: str = "VmRSS") -> float:
+    """One line of what the system tells of a process's memory."""
     lines = Path(f"/proc/{pid}/status").read_text().splitlines()
-    return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS:")) / 1024
+    return next(int(line.split()[1]) for line in lines if line.startswith(key + ":")) / 1024
 
 
 def loopback_bytes() -> int:
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -18,6 +18,8 @@
 import time
 from pathlib import Path
 
+from parties import cpu_s, memory_mb
+
 from onyxpass.standin.replicas import StandinFleet
 from onyxpass.standin.settings import dispatcher_file
 
@@ -33,18 +35,6 @@
 }
 
 
-def cpu_s(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def memory_mb(pid: int, key: str) -> float:
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith(key + ":"):
-            return int(line.split()[1]) / 1024
-    raise KeyError(key)
-
-
 async def ready(port: int) -> None:
     """Returns once the dispatcher has its whole list."""
     while True:
--- a/onyxpass/lab/capacity.py
+++ b/onyxpass/lab/capacity.py
@@ -14,7 +14,7 @@
 TEMPLATE = "capacity.md.j2"
 Run = dict[str, Any]
 
-REGIONS, CONTROL_MACHINES = 2, 6
+REGIONS = 2
 CHANGES_A_DAY, IN_FORCE_S = 840, 12.0
 CORE_MS_A_S, MEMORY_MB, BYTES_A_S = 26.0, 32.0, 3_000.0  # of a dispatcher, for control
 HANDOVER_GB_A_S = 2_900.0
