--- /dev/null
+++ b/tests/shimmed.py
@@ -0,0 +1,103 @@
+"""Dispatchers as real processes whose system calls, clock and disk the test makes fail."""
+
+import asyncio
+import contextlib
+import gc
+import json
+import os
+import sys
+import tempfile
+from collections.abc import Coroutine, Mapping
+from pathlib import Path
+from typing import Any, ClassVar
+
+from onyxpass.faultshim.control import Control, build
+
+ROOT = Path(__file__).parent.parent
+LIMIT_S = 90.0  # only ends what has failed already
+LIBRARY_FOLDER = Path(tempfile.gettempdir()) / f"onyxpass-faultshim-{os.getpid()}"
+
+
+def control(folder: Path, name: str = "faults", seed: int = 1) -> Control:
+    """The faults of one process that is yet to start."""
+    LIBRARY_FOLDER.mkdir(exist_ok=True)
+    return Control(build(LIBRARY_FOLDER), folder / f"{name}.block", seed)
+
+
+def run(work: Coroutine[Any, Any, Any]) -> Any:
+    """Run a test's work; children that it leaves behind, having failed, are killed."""
+    try:
+        return asyncio.run(asyncio.wait_for(work, LIMIT_S))
+    finally:
+        for process in Process.started:
+            with contextlib.suppress(ProcessLookupError):
+                process.child.kill()
+        Process.started.clear()
+        gc.collect()  # what a closed loop leaves behind would end in the middle of pytest's own report
+
+
+class Process:
+    """One of our programs as a child process; ``lines`` are the objects of its log so far."""
+
+    started: ClassVar[list["Process"]] = []
+
+    def __init__(self, child: asyncio.subprocess.Process) -> None:
+        self.started.append(self)
+        self.child = child
+        self.lines: list[dict[str, Any]] = []
+        self.rest = ""  # whatever else it wrote
+        self._told = asyncio.Event()
+        self._reading = asyncio.create_task(self._read())
+
+    @classmethod
+    async def start(cls, *arguments: str, control: Control | None = None, **more: Any) -> "Process":
+        environment: Mapping[str, str] = more.pop("environment", {})
+        forced = control.environment if control is not None else {}
+        child = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "onyxpass", *arguments),
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            env={**os.environ, **environment, **forced},
+            **more,
+        )
+        return cls(child)
+
+    async def _read(self) -> None:
+        assert self.child.stdout is not None
+        async for line in self.child.stdout:
+            try:
+                self.lines.append(json.loads(line))
+            except ValueError:
+                self.rest += line.decode(errors="replace")
+            told, self._told = self._told, asyncio.Event()
+            told.set()
+
+    def of(self, event: str, **fields: object) -> list[dict[str, Any]]:
+        """The lines of this event with these fields."""
+        return [
+            line
+            for line in self.lines
+            if line.get("event") == event and all(line.get(k) == v for k, v in fields.items())
+        ]
+
+    async def line(self, event: str, **fields: object) -> dict[str, Any]:
+        """The first such line, once it has come."""
+        while not (found := self.of(event, **fields)):
+            assert not self._reading.done(), f"ended without {event}: {self.rest}{self.lines[-3:]}"
+            await self._told.wait()
+        return found[0]
+
+    async def port(self) -> int:
+        """Where it listens, once it has the whole list."""
+        await self.line("list", form="full")
+        return int((await self.line("listening"))["listen"].rpartition(":")[2])
+
+    async def end(self) -> int:
+        """SIGTERM, where it still runs; its exit code."""
+        if self.child.returncode is None:
+            self.child.terminate()
+        code = await self.child.wait()
+        await self._reading
+        self.child._transport.close()  # type: ignore[attr-defined]  # or it is left to the garbage collector
+        return code
