Kill what a failed test's processes leave behind before the loop closes

A child's transport that the garbage collector closes during pytest's report raised there, and on Python 3.11 that breaks the parser for the rest of the run (an internal error in place of a failure's text).

--- a/tests/shimmed.py
+++ b/tests/shimmed.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import contextlib
-import gc
 import json
 import os
 import sys
 import tempfile
-from collections.abc import Coroutine, Mapping
+from collections.abc import AsyncIterator, Coroutine, Mapping
 from pathlib import Path
 from typing import Any, ClassVar
 
@@ -26,14 +25,28 @@
 
 def run(work: Coroutine[Any, Any, Any]) -> Any:
     """Run a test's work; children that it leaves behind, having failed, are killed."""
+    return asyncio.run(_and_clean_up(work))
+
+
+async def _and_clean_up(work: Coroutine[Any, Any, Any]) -> Any:
     try:
-        return asyncio.run(asyncio.wait_for(work, LIMIT_S))
+        return await asyncio.wait_for(work, LIMIT_S)
     finally:
+        # Left to the garbage collector, what they hold would be closed in the middle of pytest's own report.
         for process in Process.started:
-            with contextlib.suppress(ProcessLookupError):
-                process.child.kill()
+            await process.kill()
         Process.started.clear()
-        gc.collect()  # what a closed loop leaves behind would end in the middle of pytest's own report
+
+
+@contextlib.asynccontextmanager
+async def connection(port: int) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+    """Closed at the end, however the test ends: left to the garbage collector it spoils pytest's report."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+        await asyncio.sleep(0)
 
 
 class Process:
@@ -99,5 +112,12 @@
             self.child.terminate()
         code = await self.child.wait()
         await self._reading
-        self.child._transport.close()  # type: ignore[attr-defined]  # or it is left to the garbage collector
         return code
+
+    async def kill(self) -> None:
+        """SIGKILL, where it still runs, and close what belongs to it."""
+        if self.child.returncode is None:
+            self.child.kill()
+        await self.child.wait()
+        await self._reading
+        self.child._transport.close()  # type: ignore[attr-defined]
--- a/tests/test_faults_clock.py
+++ b/tests/test_faults_clock.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from shimmed import Process, control, run
+from shimmed import Process, connection, control, run
 from test_adapter import CONF
 from test_program import RAW
 from world import READ, STREAM, Discovery, Replica, ask, ends_with
@@ -22,11 +22,10 @@
 async def asked(port: int, name: str, requests: int = REQUESTS) -> None:
     """So many requests of different sessions, one after another."""
     for number in range(requests):
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        text = ask(f"{name}{number}", "a", close=True)
-        writer.write(text.replace(b"s1", b"%b%d" % (name.encode(), number)).replace(b"prefix=p1,", b""))
-        assert (await reader.read()).startswith(b"HTTP/1.1 200")
-        writer.close()
+        async with connection(port) as (reader, writer):
+            text = ask(f"{name}{number}", "a", close=True)
+            writer.write(text.replace(b"s1", b"%b%d" % (name.encode(), number)).replace(b"prefix=p1,", b""))
+            assert (await reader.read()).startswith(b"HTTP/1.1 200")
 
 
 def sites(rules: dict[str, Any], discovery: Discovery, path: Path) -> None:
@@ -103,26 +102,25 @@
         }
         old = await Process.start("serve", "--config", str(path), **told)
         port = await old.port()
-        source, sink = await asyncio.open_connection("127.0.0.1", port)
-        sink.write(ask("a1", "a"))
-        await source.readuntil(b"[DONE]\n\n\r\n")
-        faults.step_wall_clock(step_s)
-        new = await Process.start("serve", "--config", str(path), **told)
-        await new.port()
-        began_s = time.monotonic()
-        old.child.terminate()
-        ended = asyncio.create_task(old.child.wait())
-        await asyncio.wait([ended], timeout=LONGER_THAN_AN_UPGRADE_S)
-        took_s = time.monotonic() - began_s
-        hold.set()
-        assert await source.readuntil(b"0\r\n\r\n") == b"0\r\n\r\n", "the stream was not cut"
-        sink.write(ask("a2", "a"))
-        if new.of("taken over"):
-            assert (await source.readuntil(b"0\r\n\r\n")).startswith(b"HTTP/1.1 200")
-        served = new.of("served", id="a1") or old.of("served", id="a1")
-        assert abs(served[0]["us"]) < 60_000_000, "its times are spans, whoever set a clock in between"
-        sink.close()
-        await ended
+        async with connection(port) as (source, sink):
+            sink.write(ask("a1", "a"))
+            await source.readuntil(b"[DONE]\n\n\r\n")
+            faults.step_wall_clock(step_s)
+            new = await Process.start("serve", "--config", str(path), **told)
+            await new.port()
+            began_s = time.monotonic()
+            old.child.terminate()
+            ended = asyncio.create_task(old.child.wait())
+            await asyncio.wait([ended], timeout=LONGER_THAN_AN_UPGRADE_S)
+            took_s = time.monotonic() - began_s
+            hold.set()
+            assert await source.readuntil(b"0\r\n\r\n") == b"0\r\n\r\n", "the stream was not cut"
+            sink.write(ask("a2", "a"))
+            if new.of("taken over"):
+                assert (await source.readuntil(b"0\r\n\r\n")).startswith(b"HTTP/1.1 200")
+            served = new.of("served", id="a1") or old.of("served", id="a1")
+            assert abs(served[0]["us"]) < 60_000_000, "its times are spans, whoever set a clock in between"
+            await ended
         assert await old.end() == 0 and await new.end() == 0
     for part in (discovery, reader, writer):
         await part.stop()
