Take a server's start over once, as a span on the monotonic clock

Cause: born_ms, another machine's wall time, was compared with Unix time at our start plus the monotonic clock whenever warmth was asked for. Core.listed now turns each start into a moment of our own clock when it is first heard (core/births.py, no I/O): the youngest age that fits any offset of the wall clock seen in the last ten minutes, and for what was not on a live list a moment ago no more than that plus 3 s. Heard again, or after a return with the same start, it stays what it was.

Not mended: a clock that was wrong already when this process began.

--- a/onyxpass/core/clock.py
+++ b/onyxpass/core/clock.py
@@ -12,6 +12,10 @@
     def now_us(self) -> int:
         return self._start_us + time.monotonic_ns() // 1000
 
+    def wall_us(self) -> int:
+        """Unix time as the system's clock has it at present; it may have been stepped since our start."""
+        return time.time_ns() // 1000
+
     def at_us(self, monotonic_ns: int) -> int:
         """The time on this clock of a moment that the monotonic clock told."""
         return self._start_us + monotonic_ns // 1000
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -6,12 +6,14 @@
 
 import hashlib
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 import structlog
 
 from onyxpass import interface as api
 from onyxpass.choice import Router
 from onyxpass.core.actor import Actor
+from onyxpass.core.births import Births
 from onyxpass.core.clock import Clock
 from onyxpass.core.figures import Figures
 from onyxpass.core.requests import Attempt, Client, Fleet, Request
@@ -36,6 +38,7 @@
         self.deadlines = {c.name: c.deadline_us for c in settings.classes}
         self.fleet: Fleet | None = None
         self.figures = Figures(c.name for c in settings.classes)
+        self.births = Births()
         self.servers: dict[str, api.Server] = {}  # those on the list, as last told
         self.view = 0  # the number of the view in force, where views are numbered
         self.excluded: frozenset[str] = frozenset()  # taken out by hand, on the list or not
@@ -276,8 +279,13 @@
             self.figures.timed(cls.name, judged.timing)
         return told
 
-    def listed(self, update: api.ListUpdate) -> None:
-        """The list has changed; sends that still wait see it at once."""
+    def listed(self, update: api.ListUpdate, absent_us: int | None = None) -> None:
+        """The list has changed; sends that still wait see it at once.
+
+        Servers' starts are as they were told, by the wall clocks of their machines. ``absent_us``: when the
+        list was last heard of without this change, on our own clock; None where that is not known.
+        """
+        update = replace(update, servers=tuple(self._on_own_clock(s, absent_us) for s in update.servers))
         if update.form in (api.ListForm.FULL, api.ListForm.SAVED):
             self.servers = {}
         for server in update.servers:
@@ -287,6 +295,15 @@
                 self.servers[server.id] = server
         self.tell(update)
 
+    def _on_own_clock(self, server: api.Server, absent_us: int | None) -> api.Server:
+        if server.started_us is None or server.condition is api.Condition.REMOVED:
+            return server
+        now_us = self.clock.now_us()
+        self.births.look(now_us, self.clock.wall_us())
+        return replace(
+            server, started_us=self.births.started_us(server.id, server.started_us, now_us, absent_us)
+        )
+
     def exclude(self, servers: Iterable[str]) -> None:
         """Just these are out by hand from now on; sends that still wait see it at once, as a drain."""
         before, self.excluded = self.excluded, frozenset(servers)
--- a/onyxpass/net/watch.py
+++ b/onyxpass/net/watch.py
@@ -109,6 +109,7 @@
 
     message: Mapping[str, Any] | None  # None: all that there was to tell since our version has been told
     era: int
+    absent_us: int | None = None  # when the list was last heard of without it
 
 
 class ListActor(Actor[News]):
@@ -124,6 +125,7 @@
         self.era = 0  # how often discovery has moved
         self._moved = asyncio.Event()  # since it was asked last
         self.ready = False
+        self.heard_us: int | None = None  # when the list was last known to be as told
         self._watch: asyncio.Task[None] | None = None
         self.overlay: Callable[[api.ListUpdate], api.ListUpdate] | None = (
             None  # another source on top of this
@@ -149,13 +151,15 @@
         if update.servers and self.pace.shared:
             self._be_ready()
 
-    def _apply(self, update: api.ListUpdate, addresses: Mapping[str, Address]) -> None:
+    def _apply(
+        self, update: api.ListUpdate, addresses: Mapping[str, Address], absent_us: int | None = None
+    ) -> None:
         for server in update.servers:
             left = server.condition is api.Condition.REMOVED
             self.replicas.told(server.id, addresses[server.id], left)
         if update.form is not api.ListForm.DELTA:
             self.replicas.only(addresses)
-        self.core.listed(self._overlaid(update))
+        self.core.listed(self._overlaid(update), absent_us)
 
     def _overlaid(self, update: api.ListUpdate) -> api.ListUpdate:
         if self.overlay is None:
@@ -187,7 +191,7 @@
         known = self.seq if message.era == self.era else None
         if update.form is api.ListForm.DELTA and known is not None and update.version <= known:
             return  # heard of already, on a watch that was lost
-        self._apply(update, addresses)
+        self._apply(update, addresses, message.absent_us)
         if message.era == self.era:
             self.seq = update.version
         log.info("list", seq=update.version, form=update.form.value, n=len(update.servers))
@@ -286,6 +290,7 @@
         if not isinstance(message, dict):
             raise ListError("not an object")
         self._hear(message)
+        self._heard_now()
 
     async def _ask_watch(self, wire: Wire) -> None:
         """The one clock of silence: since the last whole line, or since the question."""
@@ -296,14 +301,20 @@
                 self._hear(message)
             if lines.ended > ended:  # guards against bytes that never make a line and keep a dead watch alive
                 due_us = self._in(SILENT_MS)
+                self._heard_now()
                 self.pace.heard()
                 if not self.ready:
                     self.tell(News(None, self.era))
         raise Broken("the watch has ended")
 
+    def _heard_now(self) -> None:
+        """The list is known to be as told, and the wall clock is looked at."""
+        self.heard_us = self.core.clock.now_us()
+        self.core.births.look(self.heard_us, self.core.clock.wall_us())
+
     def _hear(self, message: dict[str, Any]) -> None:
         read_list(message)  # what is no list ends this watch rather than reach the mailbox
-        news = News(message, self.era)
+        news = News(message, self.era, self.heard_us)
         if self.seq is None:
             self.receive(news)  # the first list settles from where to watch
         else:
