Order the processes of an upgrade, and tell its times, by what no step of the clock parts

Cause: handover named a process's file by Unix time at its start plus the monotonic clock, so after a step back the old process took itself for the successor; and a stream's times went over on the old process's clock. Names now follow the highest there is; times go over as those of the monotonic clock (message version 2; version 1 is still taken, so that an upgrade from the release before hands its streams over).

--- a/onyxpass/core/clock.py
+++ b/onyxpass/core/clock.py
@@ -19,3 +19,7 @@
     def at_us(self, monotonic_ns: int) -> int:
         """The time on this clock of a moment that the monotonic clock told."""
         return self._start_us + monotonic_ns // 1000
+
+    def monotonic_us(self, at_us: int) -> int:
+        """What the monotonic clock told at that time: it means the same to every process of this machine."""
+        return at_us - self._start_us
--- a/onyxpass/handover.py
+++ b/onyxpass/handover.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import os
+import re
 import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -24,6 +25,7 @@
 LOCK_TRY_US, LOCK_MOST_US = 5_000, 200_000
 AGREE_US = 400_000  # for the other process to take over a ban; an operator's call has 1 s in all
 FILE_MOST = 1024 * 1024
+NUMBER = re.compile(r"(\d{20})-\d+\.process\Z")
 FLOOR_PART = 6  # this part of the descriptors is a process's at least, however many the other holds
 log = structlog.get_logger("handover")
 
@@ -48,6 +50,17 @@
         return None
 
 
+def name_after(folder: Path) -> str:
+    """A name that sorts after those of all processes that have a file there.
+
+    Guards against a wall clock that was stepped between two starts: by names made of its time, the old
+    process took itself for the successor of the new one.
+    """
+    found = [NUMBER.match(path.name) for path in folder.glob("*.process")]
+    number = 1 + max((int(match[1]) for match in found if match), default=0)
+    return f"{number:020d}-{os.getpid()}.process"
+
+
 @dataclass(frozen=True, slots=True)
 class Other:
     """Another process of this dispatcher that runs at present."""
@@ -84,7 +97,7 @@
         if self.folder is not None:
             try:
                 self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
-                self._name = f"{self.wheel.clock.now_us():020d}-{os.getpid()}.process"
+                self._name = name_after(self.folder)
                 fresh = (self.folder / self._name).with_suffix(".new")
                 self._own = os.open(fresh, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
                 fcntl.flock(self._own, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/onyxpass/net/succession.py
+++ b/onyxpass/net/succession.py
@@ -9,13 +9,14 @@
 import json
 import socket
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import h11
 import structlog
 
 from onyxpass import interface as api
 from onyxpass.config import Address
+from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import Core
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.net.answers import Events, Incoming
@@ -26,18 +27,25 @@
 from onyxpass.net.replica import Replicas, Resumed
 from onyxpass.net.unix import short
 
-VERSION = 1  # of the message; another one's is turned down
+VERSION = 2  # of the message; one that is not among those known is turned down
+OWN_CLOCK_VERSION = (
+    1  # told times on its process's own clock, which a step of the wall clock parts from others
+)
 MESSAGE_MOST = 64 * 1024
 TURNS = 4  # streams on their way at once
 FAILURES = 8  # offers in vain, till no more are made
 OFFER_US = 300_000  # from the offer to the other process's word
 BACKLOG = 64
+TIMES = ("deadline_us", "arrived_us", "sent_us")
 WILLING, GO = b"1", b"2"
 log = structlog.get_logger("succession")
 
 
-def describe(attempt: Attempt, rest: bytes, keeps: bool) -> bytes:
-    """What the other process needs to know of a stream besides its two connections."""
+def describe(attempt: Attempt, rest: bytes, keeps: bool, clock: Clock) -> bytes:
+    """What the other process needs to know of a stream besides its two connections.
+
+    Times are those of the monotonic clock, which all processes of a machine share and nobody sets.
+    """
     request = attempt.request
     asked = request.arrival
     told = {
@@ -45,13 +53,13 @@
         "id": request.id,
         "cls": asked.cls,
         "session": asked.session,
-        "deadline_us": asked.deadline_us,
+        "deadline_us": clock.monotonic_us(asked.deadline_us),
         "prompt_tokens": asked.prompt_tokens,
         "max_tokens": asked.max_tokens,
-        "arrived_us": request.arrived_us,
+        "arrived_us": clock.monotonic_us(request.arrived_us),
         "n": attempt.number,
         "server": attempt.server,
-        "sent_us": attempt.sent_us,
+        "sent_us": clock.monotonic_us(attempt.sent_us),
         "first_us": attempt.first_us,
         "parts": attempt.parts,
         "gap_us": attempt.gap_us,
@@ -80,7 +88,7 @@
             wires = (client.wire, incoming.wire)
             if attempt.verdict or client.done.is_set() or not incoming.between or not all(map(quiet, wires)):
                 return False
-            message = describe(attempt, events.held, client.keeps)
+            message = describe(attempt, events.held, client.keeps, self.core.clock)
             if len(message) > MESSAGE_MOST:
                 return False
             for wire in wires:  # what comes from now on is for the one who goes on
@@ -175,7 +183,8 @@
 
     def _read(self, message: bytes, held: list[socket.socket]) -> dict[str, Any]:
         told: Any = json.loads(message)
-        if not isinstance(told, dict) or told["version"] != VERSION or len(held) != 2:
+        known = isinstance(told, dict) and told["version"] in (VERSION, OWN_CLOCK_VERSION)
+        if not known or len(held) != 2:
             raise ValueError("not a stream that this version knows")
         for name in ("id", "cls", "session", "server", "rest"):
             if not isinstance(told[name], str):
@@ -183,10 +192,13 @@
         for name in ("deadline_us", "prompt_tokens", "max_tokens", "arrived_us", "n", "sent_us", "first_us"):
             if type(told[name]) is not int or told[name] < 0:
                 raise ValueError(f"{name} is no number")
+        if told["version"] != OWN_CLOCK_VERSION:
+            for name in TIMES:
+                told[name] = self.core.clock.at_us(told[name] * 1000)
         told["rest"].encode("latin-1")
         if told["id"] in self.core.live_ids:  # guards against two answers under one id
             raise ValueError("a request with this id is open")
-        return told
+        return cast("dict[str, Any]", told)
 
     async def _go_on(self, told: dict[str, Any], client_sock: socket.socket, sock: socket.socket) -> None:
         wire = await Wire.over(sock, h11.CLIENT)
