--- a/onyxpass/faultshim/faults.c
+++ b/onyxpass/faultshim/faults.c
@@ -127,7 +127,7 @@
 
 int accept4(int fd, struct sockaddr *from, socklen_t *size, int flags) {
     REAL(accept4);
-    int error = over_network(fd) ? forced(ACCEPT) : 0;
+    int error = forced(ACCEPT);
     if (error > 0) { errno = error; return -1; }
     return real(fd, from, size, flags);
 }
--- a/tests/shimmed.py
+++ b/tests/shimmed.py
@@ -98,7 +98,9 @@
         """The first such line, once it has come."""
         while not (found := self.of(event, **fields)):
             assert not self._reading.done(), f"ended without {event}: {self.rest}{self.lines[-3:]}"
-            await self._told.wait()
+            told = asyncio.ensure_future(self._told.wait())
+            await asyncio.wait([told, self._reading], return_when=asyncio.FIRST_COMPLETED)
+            told.cancel()
         return found[0]
 
     async def port(self) -> int:
--- /dev/null
+++ b/tests/test_faults_calls.py
@@ -0,0 +1,85 @@
+"""System calls of a real dispatcher fail for a moment, in the ways that Linux documents."""
+
+import asyncio
+import errno
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from shimmed import Process, connection, control, run
+from test_program import RAW
+from world import READ, STREAM, Discovery, Replica, ask
+
+from onyxpass.faultshim.control import Call, Control, Forced
+
+CLIENTS = 20
+
+
+class Scene:
+    """One dispatcher under faults, a reader and a writer."""
+
+    def __init__(self, process: Process, port: int, faults: Control) -> None:
+        self.process, self.port, self.faults = process, port, faults
+
+    async def ask(self, name: str) -> bytes:
+        """The whole answer; nothing where the connection was reset or refused."""
+        try:
+            async with connection(self.port) as (reader, writer):
+                writer.write(ask(name, "a", close=True))
+                return await reader.read()
+        except ConnectionError:
+            return b""
+
+
+@asynccontextmanager
+async def scene(
+    folder: Path, *faults: Forced, environment: dict[str, str] | None = None
+) -> AsyncIterator[Scene]:
+    """``faults``: in force from the process's start."""
+    discovery, reader, writer = Discovery(), Replica(READ), Replica(STREAM)
+    for part in (discovery, reader, writer):
+        await part.start()
+    for name, kind, part in (("r0", "r", reader), ("w0", "w", writer)):
+        discovery.hosts.append(discovery.entry(name, kind, part.address))
+    path = folder / "config.json"
+    path.write_text(json.dumps({**RAW, "discovery": discovery.address}))
+    forced = control(folder)
+    forced.force(*faults)
+    process = await Process.start(
+        "serve", "--config", str(path), control=forced, environment=environment or {}
+    )
+    yield Scene(process, await process.port(), forced)
+    forced.clear()
+    assert await process.end() == 0, process.rest
+    assert not process.rest
+    for part in (discovery, reader, writer):
+        await part.stop()
+
+
+def test_what_waits_to_be_accepted_at_a_shutdown_is_answered_whatever_accept_says(tmp_path: Path) -> None:
+    async def go() -> None:
+        for error in (errno.ECONNABORTED, errno.EPROTO, errno.EHOSTUNREACH):
+            async with scene(tmp_path) as s:
+                s.faults.force(Forced(Call.ACCEPT, error, per_thousand=500))
+                s.process.child.terminate()
+                answers = await asyncio.gather(*(s.ask(f"a{n}") for n in range(CLIENTS)))
+                assert all(a.startswith(b"HTTP/1.1") for a in answers), (error, answers.count(b""))
+
+    run(go())
+
+
+def test_a_shutdown_waits_out_a_lack_of_descriptors_with_clients_in_the_queue(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with scene(tmp_path) as s:
+            s.faults.force(Forced(Call.ACCEPT, errno.ENFILE))
+            s.process.child.terminate()
+            asked = [asyncio.create_task(s.ask(f"a{n}")) for n in range(CLIENTS)]
+            while s.faults.count(Call.ACCEPT) < 4:  # the second look for the last ones has failed as well
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.5)
+            s.faults.force()
+            answers = await asyncio.gather(*asked)
+            assert all(a.startswith(b"HTTP/1.1") for a in answers), answers.count(b"")
+
+    run(go())
