Take what waits at a shutdown though accept fails, and go on to the next connection

Cause: Front.close ended its loop at any OSError of accept and closed the listener over those that waited; Front._accept_all rested 0.2 s after each. Listener.take now passes over errors that belong to one connection (accept(2)); others are tried again, 5 ms later at first, for up to 1.5 s past the time to close. The test that called Front.close for the last connections calls finish_accepting, which now has that job.

--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -25,7 +25,12 @@
 BACKLOG = 512  # connections that may wait in the kernel while there is no room
 ACCEPTS = 16  # connections taken in one turn of the loop: requests under way have theirs in between
 SETTLED_US = 1_000_000  # after an answer, till it has surely arrived
-ROOM_US, SHORT_US = 20_000, 200_000  # between looks whether there is room, or descriptors again
+ROOM_US = 20_000  # between looks whether there is room
+SHORT_LEAST_US, SHORT_MOST_US = (
+    5_000,
+    200_000,
+)  # between tries to accept while that fails; each is twice the last
+LAST_ACCEPTS_US = 1_500_000  # of trying on, at a shutdown, to take what waits while accepting fails
 LINGER_US = 450_000  # after SIGTERM new connections keep coming for up to 0.4 s, where the socket is our own
 LAST_US = 650_000  # after SIGTERM what comes so late may not be finished in time
 END_US, END_MOST_US = (
@@ -54,6 +59,20 @@
             return INTERNAL_ERROR
 
 
+class Pause:
+    """Between tries at what fails for want of something here: short at first, as most lacks are."""
+
+    def __init__(self) -> None:
+        self._next_us = SHORT_LEAST_US
+
+    def next_us(self) -> int:
+        now_us, self._next_us = self._next_us, min(SHORT_MOST_US, 2 * self._next_us)
+        return now_us
+
+    def reset(self) -> None:
+        self._next_us = SHORT_LEAST_US
+
+
 class Front:
     def __init__(
         self,
@@ -105,21 +124,38 @@
         return self.listener.port
 
     def close(self) -> None:
-        """Take no new connections but those that the system has accepted for us already."""
-        if self.accepting is None or self.listener is None or self.listener.closed:
+        """Stop listening; the system resets what it has accepted for us and nobody has taken."""
+        if self.accepting is not None:
+            self.accepting.cancel()
+        if self.listener is not None and not self.listener.closed:
+            self.listener.close()
+
+    async def finish_accepting(self) -> None:
+        """Take in what the system has accepted for us already, and stop listening.
+
+        Guards against a reset of what came just before the end, also while accepting fails for a moment.
+        Where the socket is shared, what waits is the other process's.
+        """
+        await self._take_the_last()
+        self.close()
+
+    async def _take_the_last(self) -> None:
+        if self.accepting is None or self.listener is None or self.listener.closed or self.shared:
             return
         self.accepting.cancel()
-        while not self.shared and len(self.open) < self.most + REST_MOST:
-            # Guards against a reset of what came just before: once closed, the queue's connections are reset.
+        pause, due_us = Pause(), self.clock.now_us() + LAST_ACCEPTS_US
+        while len(self.open) < self.most + REST_MOST:
             try:
                 sock = self.listener.take()
             except OSError as problem:
                 log.warning("can't accept", why=str(problem))
-                break
+                if self.clock.now_us() >= due_us:
+                    return
+                await self.wheel.sleep(pause.next_us())
+                continue
             if sock is None:
-                break
+                return
             self._welcome(sock, self.listener.waited_since_ns)
-        self.listener.close()
 
     # Connections
 
@@ -127,6 +163,7 @@
         """Takes a connection only where there is room for it; till then it waits in the kernel's queue."""
         while self.shared and not self.ready():  # till then the other process, if there is one, serves
             await self.wheel.sleep(ROOM_US)
+        pause = Pause()
         while True:
             await listener.newcomer()
             for _ in range(ACCEPTS):
@@ -138,8 +175,9 @@
                     sock = listener.take()
                 except OSError as problem:  # guards against a front that ends when descriptors run out
                     log.warning("can't accept", why=str(problem))
-                    await self.wheel.sleep(SHORT_US)
+                    await self.wheel.sleep(pause.next_us())
                     break
+                pause.reset()
                 if sock is None:
                     break
                 self._welcome(sock, listener.waited_since_ns)
@@ -372,7 +410,7 @@
         self.wheel.after(longest_us + END_US, self.core.answer_all)
         if not self.shared:
             await self.wheel.sleep(LINGER_US)
-        self.close()
+        await self.finish_accepting()
         self.close_idle()
         while self.open:
             await asyncio.wait(list(self.open))
--- a/onyxpass/net/listen.py
+++ b/onyxpass/net/listen.py
@@ -1,6 +1,7 @@
 """A listening socket whose connections are never taken and then lost."""
 
 import asyncio
+import errno
 import select
 import socket
 import time
@@ -8,6 +9,25 @@
 
 from onyxpass.core.loop import unseen_since_ns
 
+# Errors of ``accept`` that belong to the one connection that it was about to give: it is gone, and the next
+# one is there to be taken (accept(2)). All others say that nothing can be taken at present.
+OF_ONE_CONNECTION = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.EPROTO,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ETIMEDOUT,
+    )
+)
+LOST_MOST = 64  # connections lost in a row, till the failure counts as one that lasts
+
 
 class Listener:
     """``accept`` may be cancelled at any moment, and the socket may be shared with another process."""
@@ -40,14 +60,24 @@
         return taken
 
     def take(self) -> socket.socket | None:
-        """The connection that has waited for longest, if there is one."""
-        try:
-            sock = self.sock.accept()[0]
-        except (BlockingIOError, InterruptedError):
-            self._empty_ns, self._drained = time.monotonic_ns(), True
-            return None
-        self._taken_ns.append(time.monotonic_ns())
-        return sock
+        """The connection that has waited for longest, if there is one.
+
+        OSError where none can be taken at present, though some may wait; later it may go again.
+        """
+        for _ in range(LOST_MOST):
+            try:
+                sock = self.sock.accept()[0]
+            except (BlockingIOError, InterruptedError):
+                self._empty_ns, self._drained = time.monotonic_ns(), True
+                return None
+            except OSError as problem:
+                if problem.errno not in OF_ONE_CONNECTION:
+                    raise
+                lost = problem
+            else:
+                self._taken_ns.append(time.monotonic_ns())
+                return sock
+        raise lost
 
     @property
     def waited_since_ns(self) -> int:
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -232,7 +232,7 @@
         async with world([Replica(READ)], [Replica(STREAM)]) as w:
             clients = [raw(w, ask(f"a{n}")) for n in range(30)]
             w.dispatcher.front.closing = True
-            w.dispatcher.front.close()  # before the loop has had a turn to accept one
+            await w.dispatcher.front.finish_accepting()  # before the loop has had a turn to accept one
             for client in clients:
                 answer = await received(client)
                 assert answer.startswith(b"HTTP/1.1 200") and b"connection: close" in answer.lower()
