Show that one failed accept ends a dispatcher, and that failed connects spend attempts

With $TMPDIR set and accept failing three times with ENFILE at the start, the process ends with the traceback of Heir.run; with connect failing three times with ENETUNREACH a lone request is refused after 3 attempts in a few milliseconds.

--- a/tests/test_faults_calls.py
+++ b/tests/test_faults_calls.py
@@ -83,3 +83,42 @@
             assert all(a.startswith(b"HTTP/1.1") for a in answers), answers.count(b"")
 
     run(go())
+
+
+def test_a_dispatcher_lives_on_when_what_takes_streams_over_can_accept_nothing(tmp_path: Path) -> None:
+    async def go() -> None:
+        faults = (Forced(Call.ACCEPT, errno.ENFILE, times=3),)
+        async with scene(tmp_path, *faults, environment={"TMPDIR": str(tmp_path)}) as s:
+            assert (await s.ask("a1")).startswith(b"HTTP/1.1 200")
+
+    run(go())
+
+
+def test_connections_that_fail_for_a_moment_cost_no_request(tmp_path: Path) -> None:
+    async def go() -> None:
+        for call, error in (
+            (Call.CONNECT, errno.ENETUNREACH),
+            (Call.CONNECT, errno.EADDRNOTAVAIL),
+            (Call.CONNECT, errno.ECONNABORTED),
+            (Call.CONNECT, errno.EAGAIN),
+            (Call.CONNECT, errno.EINTR),
+            (Call.SOCKET, errno.ENOBUFS),
+            (Call.SOCKET, errno.ENFILE),
+        ):
+            async with scene(tmp_path) as s:
+                s.faults.force(Forced(call, error, times=3))
+                answer = await s.ask("a1")
+                assert answer.startswith(b"HTTP/1.1 200"), (call, error, answer, s.process.lines[-6:])
+
+    run(go())
+
+
+def test_short_transfers_and_interrupted_waits_change_nothing(tmp_path: Path) -> None:
+    async def go() -> None:
+        short = [Forced(call, -1, per_thousand=300) for call in (Call.RECEIVE, Call.SEND)]
+        async with scene(tmp_path, *short, Forced(Call.WAIT, errno.EINTR, per_thousand=200)) as s:
+            for number in range(10):
+                answer = await s.ask(f"a{number}")
+                assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"0\r\n\r\n")
+
+    run(go())
