Let go in time of what is held while the send after it has not arrived

Cause: Core.ended and choice.py took every end but a failed dial for proof that the attempt had been out, and nothing bounded the wait before it. A request with a state held is looked at every 40 ms till it has arrived, and given up after 0.6 of the time in the settings (Core.may_wait); one that ended with no such sign (note NOT_ARRIVED) does not restart the clock, neither here nor in the module. It may have run all the same, so a booking is not repeated.

--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -539,10 +539,11 @@
         job.tried.add(event.server)
         if event.status is Status.READ or event.note == api.STATE_GONE:  # read, or to be read again
             job.holder, job.tried = here if event.status is Status.READ else None, set()
-        if event.status not in (Status.UNREACHABLE, Status.NOT_SENT):
+        lost = event.status is not Status.READ and event.note in (api.KEPT_BROKE, api.NOT_ARRIVED)
+        if not lost and event.status not in (Status.UNREACHABLE, Status.NOT_SENT):
             job.held_us = self.now_us
         elif self.now_us - job.held_us > HELD_SHARE * self.settings.release_within_us:
-            job.holder = None  # guards against a state held while one dial after another comes to nothing
+            job.holder = None  # guards against a state held while one send after another comes to nothing
         if not job.holder:  # whatever a reader that was cut off may still hold
             self.acts.append(api.Release(event.id))
         if here.role is not Role.READER and event.status.may_have_run:
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -25,6 +25,8 @@
 GUARD_US = 10_000  # past the module's deadline, what is unanswered is failed here, before the client leaves
 LATE_US = 10_000  # so shortly before the deadline a failure is one of time
 DIAL_US = 30_000  # that a connection has to come up in any case
+WAIT_SHARE = 0.6  # of the time in which a state must be used or let go, that a send may take to arrive
+ANSWERS = (Status.SERVED, Status.READ, Status.FULL, Status.ERROR, Status.UNFIT)  # its server's word
 INTERRUPTED = (Status.TIMEOUT, Status.CANCELLED, Status.RESET)  # a read may have ended well all the same
 log = structlog.get_logger("core")
 
@@ -218,6 +220,21 @@
         left_us = self.settings.release_within_us - (self.clock.now_us() - request.held_us)
         return min(most_us, max(DIAL_US, left_us // 2))
 
+    def may_wait(self, attempt: Attempt) -> bool:
+        """Whether an attempt that has not arrived may wait on; else it is given up.
+
+        Its request may hold a state, which has to be used or let go in time, whatever is on its way.
+        """
+        request = attempt.request
+        if attempt.ended or attempt.verdict is not None or attempt.committed:
+            return False
+        spent_us = self.clock.now_us() - request.held_us
+        if not request.may_hold or spent_us < WAIT_SHARE * self.settings.release_within_us:
+            return True
+        log.info("not arrived", id=request.id, n=attempt.number, server=attempt.server, held_us=spent_us)
+        self._stop(attempt, Status.TIMEOUT)
+        return False
+
     def written(self, attempt: Attempt) -> None:
         """The last byte of an attempt has gone out; only the first such word counts."""
         if not attempt.whole:
@@ -237,12 +254,19 @@
         if request.out is attempt:
             request.out = None
         elapsed_us = attempt.took_us = self.clock.now_us() - attempt.sent_us
+        attempt.arrived = attempt.arrived or status in ANSWERS
+        if status in INTERRUPTED and not attempt.arrived and not note:
+            note = api.NOT_ARRIVED
+        # What has not arrived is not out, and does not stop the clock of what was held before it.
+        out = status not in (Status.UNREACHABLE, Status.NOT_SENT) and (
+            attempt.arrived or not request.may_hold
+        )
         request.interrupted = status in INTERRUPTED and attempt.reads
         if status is Status.READ:
             attempt.kept = note
         if status is Status.READ or request.interrupted:
             request.may_hold, request.holder = True, attempt.server
-        if status not in (Status.UNREACHABLE, Status.NOT_SENT):
+        if out:
             request.held_us = self.clock.now_us()
         told = {"id": request.id, "cls": request.arrival.cls, "n": attempt.number}
         told |= {"server": attempt.server, "prompt": request.arrival.prompt_tokens}
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -43,6 +43,7 @@
     timer: Timer | None = None
     verdict: Status | None = None  # what it was called off for; its end is told once it is closed
     ended: bool = False
+    arrived: bool = False  # whether its server is known to have got it: by an answer, or its machine's word
     whole: bool = False  # whether all of it has gone out to its server
     status: Status | None = None  # how it ended
     reads: bool = False  # whether its server reads prompts, by the list at the send
@@ -77,7 +78,7 @@
     committed: Attempt | None = None  # the attempt that the client owns since its first event
     over: bool = False  # the final answer was given, or the client has gone
     may_hold: bool = False  # a server may hold state for it
-    held_us: int = 0  # since when, with no attempt that had reached a server in between
+    held_us: int = 0  # since when, with no attempt in between that is known to have reached a server
     letting_go: asyncio.Task[None] | None = None  # the release under way; what is sent next waits for its end
     holder: str = ""  # the server that read it last
     interrupted: bool = False  # its last attempt was a read that was broken off
--- a/onyxpass/interface.py
+++ b/onyxpass/interface.py
@@ -214,6 +214,7 @@
 
 STATE_GONE = 1  # with FULL or RESET: there is no state left to fetch
 KEPT_BROKE = 2  # with RESET: a connection that had stood idle broke, which says nothing of the server
+NOT_ARRIVED = 3  # with TIMEOUT, CANCELLED or RESET: nothing shows that the server ever got it
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/onyxpass/net/delivery.py
@@ -0,0 +1,34 @@
+"""Follows what was sent till it has come to the other machine, as far as this kernel knows."""
+
+from typing import Protocol
+
+from onyxpass.core.dispatcher import Core
+from onyxpass.core.requests import Attempt
+
+LOOK_US = 40_000  # after the last byte was handed to the kernel, and between looks
+
+
+class Sent(Protocol):
+    """A connection on which something was written."""
+
+    def delivered(self) -> bool | None: ...
+
+
+def watch(core: Core, attempt: Attempt, sent: Sent) -> None:
+    """Follow an attempt of a request for which state is held till it has arrived, or has to be given up.
+
+    Guards against a state that is held for as long as an answer is waited for on a connection that has fallen
+    silent: what has not arrived is not out, and the time in which the state must be used or let go runs on.
+    """
+
+    def look() -> None:
+        if attempt.ended or attempt.arrived:
+            return
+        delivered = sent.delivered()
+        if delivered:
+            attempt.arrived = True
+        elif delivered is False and core.may_wait(attempt):
+            core.wheel.after(LOOK_US, look)
+
+    if attempt.request.may_hold:
+        core.wheel.after(LOOK_US, look)
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -9,6 +9,7 @@
 
 from onyxpass.core.loop import unseen_since_ns
 from onyxpass.core.wheel import Wheel
+from onyxpass.net.tcp import acknowledged
 
 HEAD_LIMIT = 32 * 1024
 BODY_LIMIT = 256 * 1024
@@ -130,6 +131,15 @@
         transport = self.writer.transport
         return transport.get_write_buffer_size() > 0 and not transport.is_closing()
 
+    def delivered(self) -> bool | None:
+        """Whether all that was written has come to the other machine; None where this can't be told."""
+        transport = self.writer.transport
+        if transport.is_closing():
+            return None
+        if transport.get_write_buffer_size() > 0:
+            return False
+        return acknowledged(self.writer.get_extra_info("socket"))
+
     async def flush(self) -> None:
         """Wait till the kernel has taken all that was written; OSError if the connection breaks before."""
         if self.written:
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -17,6 +17,7 @@
 from onyxpass.core.release import release
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.interface import KEPT_BROKE, STATE_GONE, ProbeResult, Repeat, Status
+from onyxpass.net import delivery
 from onyxpass.net.answers import Events, Incoming, Nudged, Part, Spoilt, framed
 from onyxpass.net.budget import Budget, Idle
 from onyxpass.net.http import BODY_LIMIT, HOP_BY_HOP, Broken, Wire, body, header
@@ -199,6 +200,7 @@
                 # Guards against a refusal of what has run: while the rest is being flushed its last byte may
                 # leave at any moment, also in the turn of the loop that cancels this task.
                 written, written_us = True, self.core.clock.now_us()
+                delivery.watch(self.core, attempt, wire)
                 await wire.flush()
                 self.core.written(attempt)
                 status, note, reason = await self._answer(wire, attempt)
@@ -251,15 +253,16 @@
 
     async def _answer(self, wire: Wire, attempt: Attempt) -> tuple[Status, int, str]:
         incoming = Incoming(wire, self.wheel)
-        return await self._or_spoilt(incoming, self._read_answer(incoming, attempt))
+        return await self._or_spoilt(attempt, incoming, self._read_answer(incoming, attempt))
 
     async def _resume(self, resumed: Resumed, attempt: Attempt) -> tuple[Status, int, str]:
         incoming = Incoming(resumed.wire, self.wheel)
         incoming.begun = incoming.chunked = True
-        return await self._or_spoilt(incoming, self._pass_on(incoming, attempt, resumed.events, True))
+        rest = self._pass_on(incoming, attempt, resumed.events, True)
+        return await self._or_spoilt(attempt, incoming, rest)
 
     async def _or_spoilt(
-        self, incoming: Incoming, answer: Coroutine[object, object, tuple[Status, int, str]]
+        self, attempt: Attempt, incoming: Incoming, answer: Coroutine[object, object, tuple[Status, int, str]]
     ) -> tuple[Status, int, str]:
         try:
             return await answer
@@ -268,6 +271,8 @@
             if incoming.begun:
                 raise Spoilt(str(problem)) from problem
             raise
+        finally:
+            attempt.arrived = attempt.arrived or incoming.begun
 
     async def _read_answer(self, incoming: Incoming, attempt: Attempt) -> tuple[Status, int, str]:
         head = await incoming.next()
