Guard sending, retrying, answering, closing and starting by one account of its own

onyxpass/guard keeps, without I/O and apart from the core's state, what was sent, ended, committed, answered, told by the list and left by clients. Before the first byte of each attempt, before a first event, a final answer and a close it gives a typed verdict; what would break a rule is refused, logged once with ids (violation) and counted (svc.violations).

--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -19,6 +19,7 @@
 from onyxpass.core.requests import Attempt, Client, Fleet, Request
 from onyxpass.core.wheel import Wheel
 from onyxpass.core.worth import judge, pace_us
+from onyxpass.guard import Guard, Rule, Verdict
 from onyxpass.interface import Status
 
 ANSWER_ROOM_US = 20_000  # the module's deadline lies so far before the client's: an answer has to travel
@@ -41,6 +42,7 @@
         self.fleet: Fleet | None = None
         self.figures = Figures(c.name for c in settings.classes)
         self.births = Births()
+        self.guard = Guard(settings)
         self.servers: dict[str, api.Server] = {}  # those on the list, as last told
         self.view = 0  # the number of the view in force, where views are numbered
         self.excluded: frozenset[str] = frozenset()  # taken out by hand, on the list or not
@@ -64,6 +66,7 @@
         request = Request(request_id, arrival.id, arrival, client, payload, self.clock.now_us())
         self.requests[request.number] = self.live_ids[request_id] = request
         self.figures.taken += 1
+        self.guard.taken(request_id, arrival.cls, arrival.deadline_us)
         if self.closed:
             self._refuse(request, 0)
             self._settle(request)
@@ -104,6 +107,7 @@
     def retune(self, settings: api.Settings) -> None:
         """New settings for requests from now on; names, kinds and repeats must be as they were."""
         self.settings = settings
+        self.guard.retune(settings)
         self.deadlines = {c.name: c.deadline_us for c in settings.classes}
         self.tell(api.Retuned(settings))
 
@@ -120,6 +124,7 @@
         self.requests[request.number] = self.live_ids[request.id] = request
         self.figures.taken += 1
         asked = request.arrival
+        self.guard.adopted(request.id, asked.cls, attempt.number, attempt.server, self.clock.now_us())
         tokens = asked.prompt_tokens + asked.max_tokens // 2
         self.tell(api.Adopted(request.number, attempt.server, tokens))
 
@@ -140,6 +145,7 @@
             return
         log.info("client gone", id=request.id, committed=request.committed is not None)
         self._close(request)
+        self.guard.client_left(request.id, self.clock.now_us())
         self.figures.failed(request.arrival.cls)
         self.tell(api.Withdrawn(request.number))  # before the end of what is out, or the module tries again
         if request.out is not None:
@@ -153,6 +159,8 @@
         if attempt.ended or attempt.verdict or request.over or request.out is not attempt:
             return False
         if request.committed is None:
+            if not self._allowed(self.guard.committing(request.id, attempt.number), request, attempt):
+                return False
             request.committed = attempt
             request.may_hold = False  # the state moved with the answer; the rest goes by itself
             for timer in (attempt.timer, request.guard):
@@ -166,6 +174,28 @@
         attempt.parts, attempt.part_us = attempt.parts + 1, now_us
         return True
 
+    def begin(self, attempt: Attempt) -> str:
+        """Why this attempt's first byte may not go now; empty if it may, and then it goes in this step."""
+        if why := self.barred(attempt):
+            return why
+        told_us = self.left_ms(attempt) * 1000
+        verdict = self.guard.sending(
+            attempt.request.id, attempt.number, attempt.server, attempt.writes, told_us, self.clock.now_us()
+        )
+        return "" if self._allowed(verdict, attempt.request, attempt) else "it would break a rule"
+
+    def _allowed(self, verdict: Verdict, request: Request, attempt: Attempt | None = None) -> bool:
+        """Whether the guard allows it; if not, that is logged: some code before it is wrong."""
+        if verdict.rule is not None:
+            told = {"n": attempt.number, "server": attempt.server} if attempt is not None else {}
+            log.error("violation", rule=verdict.rule.name, id=request.id, why=verdict.detail, **told)
+        return bool(verdict)
+
+    def closes(self, request: Request | None, unanswered: bool) -> None:
+        """A front closes a client's connection, on which this was the last request."""
+        if unanswered and request is not None:
+            self._allowed(self.guard.closing(unanswered), request)
+
     def barred(self, attempt: Attempt) -> str:
         """Why this attempt may not begin now; empty if it may.
 
@@ -249,6 +279,7 @@
         if status is Status.CANCELLED and attempt.verdict is not None:
             status = attempt.verdict
         attempt.status = status
+        self.guard.ended(request.id, attempt.number, status)
         if attempt.timer is not None:
             attempt.timer.drop()
         if request.out is attempt:
@@ -317,6 +348,8 @@
                 self.servers.pop(server.id, None)
             else:
                 self.servers[server.id] = server
+        whole = update.form in (api.ListForm.FULL, api.ListForm.SAVED)
+        self.guard.listed(update.servers, whole, self.clock.now_us())
         self.tell(update)
 
     def _on_own_clock(self, server: api.Server, absent_us: int | None) -> api.Server:
@@ -347,7 +380,8 @@
     def rows(self) -> dict[str, int]:
         """The figures, with what the module itself says of the servers that it avoids."""
         avoided = self.router.avoided(self.clock.now_us()) & self.servers.keys()
-        return self.figures.rows(len(self.servers), len(avoided))
+        rows = self.figures.rows(len(self.servers), len(avoided))
+        return rows | {"svc.violations": self.guard.violations.total()}
 
     def reads(self, server: str) -> bool:
         known = self.servers.get(server)
@@ -455,7 +489,9 @@
             self._fail(request, "it may have run")
             return
         log.info("refused", id=request.id, attempts=len(request.attempts))
-        self._answer(request, lambda: request.client.refuse(retry_after_us), self.figures.rejected)
+        self._answer(
+            request, lambda: request.client.refuse(retry_after_us), self.figures.rejected, refusal=True
+        )
 
     def _fail(self, request: Request, reason: str) -> None:
         if not request.over:
@@ -465,11 +501,23 @@
             late = past or last is Status.TIMEOUT
             self._answer(request, lambda: request.client.fail(reason, late), self.figures.failed)
 
-    def _answer(self, request: Request, final: Callable[[], None], count: Callable[[str], None]) -> None:
+    def _answer(
+        self,
+        request: Request,
+        final: Callable[[], None],
+        count: Callable[[str], None],
+        refusal: bool = False,
+    ) -> None:
         """The one place of final answers, so that each is counted once.
 
         Guards against a front whose answer fails: the module still hears how the request ended.
         """
+        verdict = self.guard.answering(request.id, refusal)
+        if not self._allowed(verdict, request):
+            if verdict.rule is not Rule.REFUSAL:
+                return
+            self._answer(request, lambda: request.client.fail(verdict.detail, False), self.figures.failed)
+            return
         self._close(request)
         count(request.arrival.cls)
         try:
@@ -521,5 +569,6 @@
             del self.requests[request.number]
             if self.live_ids.get(request.id) is request:
                 del self.live_ids[request.id]
+                self.guard.forgotten(request.id)
             if not self.requests and self.on_idle is not None:
                 self.on_idle()
--- a/onyxpass/net/connections.py
+++ b/onyxpass/net/connections.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from onyxpass.core.requests import Request
 from onyxpass.core.wheel import Limit
 from onyxpass.net.http import Wire
 
@@ -41,6 +42,8 @@
     resting: Limit | None = None  # while it waits for a next request
     arrived_us: int = 0  # since when, at the earliest, it may have waited to be taken
     watched_us: int = 0  # since when the loop watches it
+    request: Request | None = None  # the last one that was taken on from it
+    answered: bool = True  # whether that has its answer
     pieces: int = 0  # that had come on the wire before the request that is being read
 
     @property
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -244,6 +244,7 @@
         Guards against a reset by bytes that nobody has read, which takes with it what is still on its way to
         the client; and against a descriptor held by a client that never takes the end of its answer.
         """
+        self.core.closes(connection.request, not connection.answered and not wire.hung_up)
         silent_us = self.clock.now_us() - connection.since_us
         silent = connection.stage is Stage.NEW or (connection.stage is Stage.IDLE and silent_us >= SETTLED_US)
         self._at(connection, Stage.LEAVING)
@@ -272,7 +273,7 @@
             client = under_way[0] if under_way else HttpClient(wire, lambda: self.leaving)
             try:
                 if under_way is not None:
-                    await self._await_answer(wire, *under_way)
+                    await self._await_answer(connection, wire, *under_way)
                     under_way = None
                 else:
                     self._at(connection, Stage.READING)
@@ -366,14 +367,19 @@
             if request_id in self.core.live_ids:
                 raise Broken("a request with this id is open", 409)
             payload = Payload(bytes(head.method), bytes(head.target), passed_on(head.headers), text)
-            await self._await_answer(wire, client, self.core.submit(request_id, arrival, client, payload))
+            request = self.core.submit(request_id, arrival, client, payload)
+            await self._await_answer(connection, wire, client, request)
 
-    async def _await_answer(self, wire: Wire, client: HttpClient, request: Request) -> None:
+    async def _await_answer(
+        self, connection: ClientConnection, wire: Wire, client: HttpClient, request: Request
+    ) -> None:
         """Wait for the final answer, and watch for a client that goes away meanwhile."""
+        connection.request, connection.answered = request, False
         watch = asyncio.create_task(self._until_gone(wire))
         done = asyncio.create_task(client.done.wait())
         try:
             await asyncio.wait((watch, done), return_when=asyncio.FIRST_COMPLETED)
+            connection.answered = True  # or its client has left, and none is owed
             if client.done.is_set():
                 if (
                     watch.done()
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -191,7 +191,7 @@
             if self._wary(attempt) or (wire := self._reuse()) is None:
                 wire = await self._open(self.core.dial_us(attempt.request, self.connect_us))
             await self.let_go_before(attempt)
-            if why := self.core.barred(attempt):  # what has changed since it was chosen
+            if why := self.core.begin(attempt):  # what has changed since it was chosen
                 status, reason = Status.NOT_SENT, why
             else:
                 self._write_head(wire, attempt)
--- a/onyxpass/toolcalls/peers.py
+++ b/onyxpass/toolcalls/peers.py
@@ -62,7 +62,7 @@
             async with self.limit:
                 reader, writer = await self._open(self.core.dial_us(attempt.request, self.connect_us))
                 await self.let_go_before(attempt)
-                if why := self.core.barred(attempt):
+                if why := self.core.begin(attempt):
                     status, reason = Status.NOT_SENT, why
                 else:
                     written = True  # guards against a second run: from here on it may have been taken
