--- /dev/null
+++ b/onyxpass/soak/dispatchers.py
@@ -0,0 +1,183 @@
+"""The real dispatchers of a soak: one process each, under the control of the fault library."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from onyxpass.faultshim.control import Control
+from onyxpass.soak.records import Records, Span
+from onyxpass.standin.link import Link
+from onyxpass.standin.settings import SETTINGS
+from onyxpass.standin.site import free_port
+
+DEADLINE_US = 3_000_000
+KILL_AFTER_S = 3.7  # after SIGTERM: the longest deadline, and 0.7 s more
+LINGER_S = 0.3  # after SIGTERM new connections keep coming
+READY_S = 30.0
+CLASSES = (
+    ("part-lookup", "read_like", 0),
+    ("shift-summary", "idempotency_key", 1_000_000),
+    ("stock-booking", "non_idempotent", 0),
+)
+BOOKINGS = frozenset(("stock-booking",))
+
+
+def settings(dispatchers: int) -> dict[str, Any]:
+    """Short deadlines, so that a soak of some seconds sees every end of a request."""
+    grades = [
+        {
+            "name": name,
+            "promiseUs": 1_000_000,
+            "deadlineUs": DEADLINE_US,
+            "value": 1.0,
+            "repeat": repeat,
+            "group": "zone",
+            "windowUs": window_us,
+        }
+        for name, repeat, window_us in CLASSES
+    ]
+    limits = {**SETTINGS["limits"], "connIdleUs": 6_000_000}
+    rules = {"drainGraceUs": 1_000_000, "coldFrom": 0.3, "coldUs": 3_000_000}
+    return {
+        **SETTINGS,
+        "az": "z0",
+        "grades": grades,
+        "limits": limits,
+        "rules": rules,
+        "peersTotal": dispatchers,
+    }
+
+
+class Dispatcher:
+    """One dispatcher through all its processes; its clients' socket outlives them."""
+
+    def __init__(self, number: int, folder: Path, discovery: tuple[Link, Link], records: Records) -> None:
+        self.number, self.folder, self.ways, self.records = number, folder, discovery, records
+        self.name = f"d{number:02}"
+        self.way = 0  # which of discovery's addresses it is told
+        self.temporary = folder / self.name
+        self.temporary.mkdir()
+        # Every second one inherits its clients' socket, as for an upgrade; the others bind it themselves.
+        self.passed = socket.create_server(("127.0.0.1", 0), backlog=512) if number % 2 == 0 else None
+        self.port = int(self.passed.getsockname()[1]) if self.passed is not None else free_port()
+        self.config = folder / f"{self.name}.json"
+        self.log = folder / f"{self.name}.log"
+        self.control: Control | None = None
+        self.child: asyncio.subprocess.Process | None = None
+        self.serves = False  # whether clients come
+        self.leaves = False  # whether its present process has been told to end
+        self.lives = 0
+
+    def write(self, dispatchers: int) -> None:
+        text = json.dumps(
+            {
+                "name": self.name,
+                "listen": f"127.0.0.1:{self.port}",
+                "discovery": self.ways[self.way].address,
+                "seed": f"{self.number + 1:x}",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+                "known": {},
+                "settings": settings(dispatchers),
+            }
+        )
+        fresh = self.config.with_suffix(".new")
+        fresh.write_text(text)
+        fresh.replace(self.config)
+
+    async def start(self, library: Path) -> None:
+        """Start a process, and let clients come once it says that it has the list."""
+        self.lives += 1
+        control = Control(library, self.folder / f"{self.name}-{self.lives}.block", self.number + self.lives)
+        environment: Mapping[str, str] = {
+            **{key: value for key, value in os.environ.items() if not key.startswith("ROUTER_")},
+            **control.environment,
+            "TMPDIR": str(self.temporary),
+        }
+        descriptors = (self.passed.fileno(),) if self.passed is not None else ()
+        if self.passed is not None:
+            environment = {**environment, "ROUTER_PASSED_SOCKET": str(self.passed.fileno())}
+        with self.log.open("ab") as log:
+            offset = self.log.stat().st_size
+            child = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "onyxpass", "serve", "--config", str(self.config)),
+                stdout=log,
+                stderr=log,
+                env=environment,
+                pass_fds=descriptors,
+            )
+        self.control, self.child, self.leaves = control, child, False
+        due_s = time.monotonic() + READY_S
+        while not self._ready(offset):
+            if child.returncode is not None or time.monotonic() > due_s:
+                state = f"exit code {child.returncode}" if child.returncode is not None else "still starting"
+                self.records.problems.append(f"{self.name}: not ready ({state})")
+                return
+            await asyncio.sleep(0.05)
+        self.serves = True
+
+    def _ready(self, offset: int) -> bool:
+        with self.log.open("rb") as log:
+            log.seek(offset)
+            text = log.read()
+        return b'"listening"' in text and b'"form": "full"' in text
+
+    def trouble(self, what: str, for_s: float) -> None:
+        now_s = time.monotonic()
+        self.records.dispatchers[self.number].append(Span(now_s, now_s + for_s, what))
+
+    async def terminate(self, child: asyncio.subprocess.Process) -> None:
+        """SIGTERM, and SIGKILL no sooner than the platform's; what its end tells is put down."""
+        self.leaves = True
+        began_s = time.monotonic()
+        with contextlib.suppress(ProcessLookupError):
+            child.terminate()
+        await asyncio.sleep(LINGER_S)
+        if child is self.child:
+            self.serves = False
+        left_s = KILL_AFTER_S - (time.monotonic() - began_s)
+        try:
+            await asyncio.wait_for(child.wait(), max(0.1, left_s))
+        except TimeoutError:
+            with contextlib.suppress(ProcessLookupError):
+                child.kill()
+            await child.wait()
+        self.records.dispatchers[self.number].append(Span(began_s, time.monotonic(), "terminated"))
+        if child.returncode not in (0, -signal.SIGKILL):
+            self.records.problems.append(f"{self.name}: exit code {child.returncode} after SIGTERM")
+
+    async def kill(self) -> None:
+        child = self.child
+        self.serves = False
+        self.trouble("killed", 0.5)
+        if child is not None:
+            with contextlib.suppress(ProcessLookupError):
+                child.kill()
+            await child.wait()
+
+    def check(self) -> None:
+        """Guards against a process that ended by itself and is not missed."""
+        if self.child is not None and self.child.returncode is not None and self.serves and not self.leaves:
+            self.records.problems.append(f"{self.name}: ended by itself, exit code {self.child.returncode}")
+            self.serves = False
+
+    def read_log(self) -> None:
+        """Violations and faults of its own that any of its processes logged."""
+        for line in self.log.read_text(errors="replace").splitlines():
+            try:
+                told = json.loads(line)
+            except ValueError:
+                if line.strip():
+                    self.records.problems.append(f"{self.name}: log: {line[:200]}")
+                continue
+            if told.get("event") == "violation" or "exception" in told or "Traceback" in line:
+                self.records.problems.append(f"{self.name}: log: {line[:600]}")
+            if told.get("event") == "overdue":
+                self.records.problems.append(f"{self.name}: log: {line[:200]}")
--- /dev/null
+++ b/onyxpass/soak/judge.py
@@ -0,0 +1,159 @@
+"""What must hold of a soak's records. Each rule is a function of them and yields its breaches."""
+
+from collections.abc import Callable, Iterable, Iterator
+
+from onyxpass.rules import trace as rules
+from onyxpass.rules.trace import Trace, What
+from onyxpass.soak.clients import BAD_CLIENT_S
+from onyxpass.soak.dispatchers import BOOKINGS
+from onyxpass.soak.records import Asked, Records
+
+LATE_S = 0.5  # past its time an answer earns nothing; later it is lost
+GONE_S = 0.1  # after a client's close
+TOLD_SLACK_S = 0.15
+DRAIN_S, TOLD_LATEST_S = 1.0, 6.0
+HELD_UP_S = 0.15
+STREAM_S = 5.0  # a replica that streams and falls silent is waited for so long
+Rule = Callable[[Records, float], Iterable[str]]
+
+
+def slack_of(records: Records) -> float:
+    """What this process's own pauses may have put on every time that it noted."""
+    return 0.1 + 2 * records.lag_s
+
+
+def freed(records: Records, asked: Asked) -> bool:
+    """Whether its dispatcher was killed while the request was open: then nobody owes it anything."""
+    return records.troubled(asked.dispatcher, asked.asked_s, asked.ended_s + 1.0, "killed")
+
+
+def answers(records: Records, slack_s: float) -> Iterator[str]:
+    """Each request of a client that stays has one whole answer, in time."""
+    for asked in records.asked.values():
+        if not asked.asked_s or asked.left_s or freed(records, asked):
+            continue
+        took_s = (asked.first_s if asked.events else asked.ended_s) - asked.asked_s
+        if asked.end in ("broken", "never") and not asked.events:
+            yield f"{asked.request}: {asked.end} with no answer after {took_s:.2f} s"
+        elif took_s > asked.wait_s + LATE_S + slack_s:
+            yield f"{asked.request}: {asked.end} after {took_s:.2f} s with {asked.wait_s:.2f} s to wait"
+        elif asked.end in ("broken", "never") and not _stream_may_break(records, asked):
+            yield f"{asked.request}: its stream broke off, and nothing happened to its writer"
+
+
+def _stream_may_break(records: Records, asked: Asked) -> bool:
+    """Whether its writer, the way there or its dispatcher's calls were troubled while it streamed."""
+    trace = records.trace
+    servers = {e.server for e in trace.events if e.what is What.RECEIVED and e.request == asked.request}
+    if any(records.shaken(server, asked.asked_s, asked.ended_s) for server in servers):
+        return True
+    return records.troubled(asked.dispatcher, asked.asked_s, asked.ended_s, "broken calls", "terminated")
+
+
+def told_times(records: Records, slack_s: float) -> Iterator[str]:
+    """No attempt tells its replica more time than the client has left."""
+    for told in records.told:
+        asked = records.asked.get(told.request)
+        if asked is None or not asked.asked_s:
+            continue
+        left_s = max(0.0, asked.asked_s + asked.wait_s - told.at_s)
+        if told.told_s > left_s + TOLD_SLACK_S + slack_s:
+            yield f"{told.request}: {told.server} was told {told.told_s:.3f} s with {left_s:.3f} s left"
+
+
+def clients_gone(records: Records, slack_s: float) -> Iterator[str]:
+    """No attempt begins for a client that has left."""
+    for event in records.trace.of(What.RECEIVED):
+        asked = records.asked.get(event.request)
+        if asked is not None and asked.left_s and event.at_s > asked.left_s + GONE_S + slack_s:
+            late_s = event.at_s - asked.left_s
+            yield f"{event.request}: at {event.server} {late_s:.2f} s after its client left"
+
+
+def drains(records: Records, slack_s: float) -> Iterator[str]:
+    """Nothing to a server past its drain time, which runs from when the dispatcher counts as told."""
+    told: dict[str, float] = {}
+    for event in records.trace.of(What.DRAIN_TOLD, What.RECEIVED):
+        if event.what is What.DRAIN_TOLD:
+            if event.detail == "up":
+                told.pop(event.server, None)
+            else:
+                told.setdefault(event.server, event.at_s)
+            continue
+        since_s, asked = told.get(event.server), records.asked.get(event.request)
+        if since_s is None or asked is None:
+            continue
+        due_s = since_s + DRAIN_S + slack_s
+        if any(span.meets(since_s - 3.0, event.at_s) for span in records.discovery) or records.troubled(
+            asked.dispatcher, since_s - 3.0, event.at_s
+        ):
+            ends = [span.until_s for span in records.discovery if span.meets(since_s - 3.0, event.at_s)]
+            due_s = max([since_s, *ends]) + TOLD_LATEST_S + DRAIN_S + slack_s
+        if event.at_s > due_s:
+            yield f"{event.request}: at {event.server} {event.at_s - since_s:.2f} s after its drain was told"
+
+
+def overlaps(records: Records, slack_s: float) -> Iterator[str]:
+    """One attempt out at a time, but where the way to the first was cut: no close arrives there."""
+    for breach in rules.no_overlap(records.trace, slack_s):
+        request, _, rest = breach.partition(":")
+        first = rest.rpartition("out at ")[2].partition(",")[0].strip()
+        asked = records.asked.get(request)
+        since_s, until_s = (asked.asked_s, asked.ended_s) if asked else (0.0, float("inf"))
+        if asked is not None and freed(records, asked):
+            continue
+        if not records.shaken(first, since_s - 1.0, until_s + 1.0):
+            yield breach
+
+
+def held(records: Records, slack_s: float) -> Iterator[str]:
+    """What is held is used or let go in time, but by a dispatcher that was killed."""
+    for breach in rules.held_briefly(records.trace, 0.3 + slack_s):
+        asked = records.asked.get(breach.partition(":")[0])
+        if asked is not None and not freed(records, asked):
+            yield breach
+
+
+def bookings(records: Records, _: float) -> Iterator[str]:
+    """A booking runs once, and one that was refused has not run."""
+    yield from rules.bookings_once(records.trace, BOOKINGS)
+    yield from rules.refused_never_ran(records.trace, BOOKINGS)
+
+
+def attempts(records: Records, _: float) -> Iterator[str]:
+    yield from rules.few_attempts(records.trace)
+
+
+def bad_clients(records: Records, slack_s: float) -> Iterator[str]:
+    """A client that breaks off in the middle and stays is answered or closed."""
+    for manner, after_s in records.bad_clients:
+        if after_s > BAD_CLIENT_S + slack_s:
+            yield f"a client that {manner} was ended after {after_s:.2f} s"
+
+
+def processes(records: Records, _: float) -> Iterator[str]:
+    """No crash, no violation that the guard counted, no fault of its own in any log."""
+    yield from records.problems
+
+
+RULES: dict[str, Rule] = {
+    "answers": answers,
+    "time told": told_times,
+    "clients gone": clients_gone,
+    "drains": drains,
+    "overlap": overlaps,
+    "attempts": attempts,
+    "bookings": bookings,
+    "held": held,
+    "bad clients": bad_clients,
+    "processes": processes,
+}
+
+
+def breaches(records: Records) -> list[str]:
+    """Every breach of every rule, each with the rule's name."""
+    slack_s = slack_of(records)
+    return [f"{name}: {breach}" for name, rule in RULES.items() for breach in rule(records, slack_s)]
+
+
+__all__ = ["RULES", "Trace", "breaches", "slack_of"]
--- /dev/null
+++ b/onyxpass/soak/records.py
@@ -0,0 +1,63 @@
+"""What a soak saw: every request from its client's side, and when each party was troubled."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from onyxpass.rules.trace import Trace
+
+
+@dataclass(slots=True)
+class Asked:
+    """One request as its client knows it. Times are seconds of one monotonic clock."""
+
+    request: str
+    cls: str
+    dispatcher: int
+    wait_s: float  # how long the client waits for the first event
+    asked_s: float = 0.0  # its last byte went out
+    ended_s: float = 0.0
+    first_s: float = 0.0  # the first event came
+    status: int = 0
+    events: int = 0
+    end: str = ""  # served, refused, failed, broken, left
+    left_s: float = 0.0  # when the client closed, if it did not stay
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """The time that an attempt told its replica, as it came there."""
+
+    request: str
+    server: str
+    at_s: float
+    told_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    since_s: float
+    until_s: float
+    what: str
+
+    def meets(self, since_s: float, until_s: float) -> bool:
+        return self.since_s <= until_s and since_s <= self.until_s
+
+
+@dataclass(slots=True)
+class Records:
+    trace: Trace
+    asked: dict[str, Asked] = field(default_factory=dict)
+    told: list[Told] = field(default_factory=list)
+    dispatchers: dict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))
+    replicas: dict[str, list[Span]] = field(default_factory=lambda: defaultdict(list))
+    discovery: list[Span] = field(default_factory=list)
+    bad_clients: list[tuple[str, float]] = field(default_factory=list)  # what they did, till they were ended
+    lag_s: float = 0.0  # the longest that this process itself was kept from running
+    problems: list[str] = field(default_factory=list)  # of the processes: ends, log lines, violations
+
+    def troubled(self, dispatcher: int, since_s: float, until_s: float, *whats: str) -> bool:
+        spans = self.dispatchers.get(dispatcher, ())
+        return any(span.meets(since_s, until_s) and (not whats or span.what in whats) for span in spans)
+
+    def shaken(self, server: str, since_s: float, until_s: float) -> bool:
+        return any(span.meets(since_s, until_s) for span in self.replicas.get(server, ()))
--- a/onyxpass/standin/link.py
+++ b/onyxpass/standin/link.py
@@ -6,6 +6,7 @@
 from onyxpass.standin.server import Server
 
 READ_MOST = 64 * 1024
+PIECE, PIECE_S = 61, 0.0005  # bytes at a time, and the rest between them
 
 
 class Mode(Enum):
@@ -13,6 +14,7 @@
 
     PASS = "pass"
     STALL = "stall"  # nothing is read: what is sent waits, and goes on once this ends
+    PIECES = "pieces"  # a few bytes at a time
     DROP = "drop"  # what is sent goes nowhere, as behind a cut; the connection is of no use after that
 
 
@@ -94,5 +96,9 @@
                     writer.write_eof()
                 return
             way.bytes += len(data)
-            writer.write(data)
-            await writer.drain()
+            size = PIECE if way.mode is Mode.PIECES else READ_MOST
+            for at in range(0, len(data), size):
+                writer.write(data[at : at + size])
+                await writer.drain()
+                if way.mode is Mode.PIECES:
+                    await asyncio.sleep(PIECE_S)
--- a/onyxpass/standin/replicas.py
+++ b/onyxpass/standin/replicas.py
@@ -197,11 +197,12 @@
     cell: int = 0
     health: str = "active"
     born_ms: int = 0
+    dial: str = ""  # where it is reached, if not at its own address
 
     def told(self) -> dict[str, Any]:
         return {
             "host": self.replica.name,
-            "dial": self.replica.address,
+            "dial": self.dial or self.replica.address,
             "site": self.hall,
             "class": self.kind,
             "block": self.cell,
--- a/tests/shimmed.py
+++ b/tests/shimmed.py
@@ -66,10 +66,11 @@
     async def start(cls, *arguments: str, control: Control | None = None, **more: Any) -> "Process":
         environment: Mapping[str, str] = more.pop("environment", {})
         forced = control.environment if control is not None else {}
+        stdout = more.pop("stdout", asyncio.subprocess.PIPE)
         child = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "onyxpass", *arguments),
             cwd=ROOT,
-            stdout=asyncio.subprocess.PIPE,
+            stdout=stdout,
             stderr=asyncio.subprocess.STDOUT,
             env={**os.environ, **environment, **forced},
             **more,
@@ -77,7 +78,8 @@
         return cls(child)
 
     async def _read(self) -> None:
-        assert self.child.stdout is not None
+        if self.child.stdout is None:
+            return
         async for line in self.child.stdout:
             try:
                 self.lines.append(json.loads(line))
