--- a/onyxpass/soak/clients.py
+++ b/onyxpass/soak/clients.py
@@ -83,8 +83,8 @@
     async def _ask(self, asked: Asked, manner: Manner) -> None:
         text = self._text(asked.request, asked.cls, asked.wait_s)
         self.records.trace.classes[asked.request] = asked.cls
-        for _ in range(3):
-            connection = self.idle.pop() if self.idle else await self._connect()
+        for again in (False, True):
+            connection = self.idle.pop() if self.idle and not again else await self._connect()
             if connection is None:
                 asked.end = "not taken"
                 return
--- a/onyxpass/soak/records.py
+++ b/onyxpass/soak/records.py
@@ -59,5 +59,10 @@
         spans = self.dispatchers.get(dispatcher, ())
         return any(span.meets(since_s, until_s) and (not whats or span.what in whats) for span in spans)
 
+    def delayed(self, server: str, since_s: float, until_s: float) -> bool:
+        """Whether the way there was such that what was sent came later, or in pieces."""
+        late = ("stall", "delay", "pieces", "cut")
+        return any(s.meets(since_s, until_s) and s.what in late for s in self.replicas.get(server, ()))
+
     def shaken(self, server: str, since_s: float, until_s: float) -> bool:
         return any(span.meets(since_s, until_s) for span in self.replicas.get(server, ()))
