--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -33,6 +33,7 @@
     if (sys.argv[1:2] or [""])[0] not in LIGHT:
         from onyxpass.desired.cli import desired_app
         from onyxpass.fleet.cli import fleet_app
+        from onyxpass.soak.cli import soak
         from onyxpass.sources.cli import servers_app
         from onyxpass.standin.cli import standin_app
 
@@ -40,6 +41,7 @@
         app.add_typer(fleet_app, name="fleet")
         app.add_typer(servers_app, name="servers")
         app.add_typer(standin_app, name="standin")
+        app.command("soak")(soak)
     if (sys.argv[1:2] or [""])[0] == "lab":  # an extra: it needs numpy
         from onyxpass.lab.cli import lab_app
 
--- a/onyxpass/soak/dispatchers.py
+++ b/onyxpass/soak/dispatchers.py
@@ -179,5 +179,3 @@
                 continue
             if told.get("event") == "violation" or "exception" in told or "Traceback" in line:
                 self.records.problems.append(f"{self.name}: log: {line[:600]}")
-            if told.get("event") == "overdue":
-                self.records.problems.append(f"{self.name}: log: {line[:200]}")
