Count what waited in an inherited queue from when the kernel last had data of it

Cause: a process that inherits its clients' socket knows nothing of what came before it was started; the time told ran from its own construction of the listener. For such a socket the kernel is asked how long ago the last data came (TCP_INFO; where it tells nothing, as before). The plain path, a socket of one's own, is unchanged.

--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -17,6 +17,7 @@
 from onyxpass.net.http import CHUNK, FAREWELL_US, Broken, Wire, body, drain_input, header
 from onyxpass.net.listen import Listener
 from onyxpass.net.replica import Payload, passed_on
+from onyxpass.net.tcp import silent_ms
 
 FIRST_US = 2_500_000  # from connecting, or from a later request's first byte, to a request's last byte
 IDLE_US = 8_000_000  # between requests
@@ -187,6 +188,9 @@
         now_us = self.clock.now_us()
         connection = ClientConnection(now_us, now_us + FIRST_US)
         connection.arrived_us = self.clock.at_us(waited_since_ns)
+        if self.shared and (silent := silent_ms(sock)) is not None:
+            # Guards against a request that waited for this process longer than it has lived.
+            connection.arrived_us = min(connection.arrived_us, now_us - silent * 1000)
         self._keep(connection, self._converse(sock, connection))
 
     def _gone(self, task: asyncio.Task[None]) -> None:
--- a/onyxpass/net/tcp.py
+++ b/onyxpass/net/tcp.py
@@ -5,19 +5,38 @@
 import struct
 
 SIOCOUTQ = 0x5411  # bytes that the other side has not acknowledged, those not yet sent among them (tcp(7))
-TCP_INFO_SIZE, RETRANSMIT_TIMEOUT_AT = 12, 8  # of struct tcp_info, whose first four-byte field is tcpi_rto
+TCP_INFO_SIZE, RETRANSMIT_TIMEOUT_AT, LAST_DATA_AT = (
+    56,
+    8,
+    52,
+)  # struct tcp_info: tcpi_rto, tcpi_last_data_recv
 
 
-def acknowledged(sock: socket.socket) -> bool | None:
-    """Whether the other side has acknowledged every byte; None where this can't be told.
+def tcp_info(sock: socket.socket) -> bytes | None:
+    """What the kernel tells of the connection; None where it tells nothing.
 
-    A kernel that keeps no retransmission time for the connection knows nothing of acknowledgements either.
+    A kernel that keeps no retransmission time for the connection knows nothing of its other times either.
     """
     try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+    except OSError:
+        return None
+    known = len(info) == TCP_INFO_SIZE and struct.unpack_from("=I", info, RETRANSMIT_TIMEOUT_AT)[0]
+    return info if known else None
+
+
+def silent_ms(sock: socket.socket) -> int | None:
+    """How long ago the last data came, or the connection, if none has; None where this can't be told."""
+    info = tcp_info(sock)
+    return int(struct.unpack_from("=I", info, LAST_DATA_AT)[0]) if info is not None else None
+
+
+def acknowledged(sock: socket.socket) -> bool | None:
+    """Whether the other side has acknowledged every byte; None where this can't be told."""
+    if tcp_info(sock) is None:
+        return None
+    try:
         queued = fcntl.ioctl(sock.fileno(), SIOCOUTQ, bytes(4))
     except (OSError, ValueError):
         return None
-    if len(info) < TCP_INFO_SIZE or not struct.unpack_from("=I", info, RETRANSMIT_TIMEOUT_AT)[0]:
-        return None
     return bool(struct.unpack("=i", queued)[0] == 0)
--- a/onyxpass/soak/cli.py
+++ b/onyxpass/soak/cli.py
@@ -27,7 +27,7 @@
     ] = False,
     keep: Annotated[Path | None, typer.Option(help="A folder for the logs of soaks that failed.")] = None,
 ) -> None:
-    """Play soaks drawn from seeds; exit code 1 if any rule was broken. A seed always gives the same faults."""
+    """Play soaks drawn from seeds, always the same from one seed; exit code 1 if any rule was broken."""
     structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
     shape = Shape(dispatchers=dispatchers, length_s=length)
     failed = [number for number in range(seed, seed + seeds) if not _one(number, shape, shrink, keep)]
