Carry on while a disk takes nothing: owe the record, refuse what must not go unrecorded

Cause in the agent: ledger.keep stood in the middle of steps, and an OperationalError lost their actions; begin left its transaction open, so that no later one could begin; a fence that could not be kept passed the next time. What has happened is now owed (agent/owed.py, no I/O: the latest state of each instance, bounded events) and written at the next write or poll; launches, orders, fences and holds are refused (LedgerBusy, 503). Cause in the desired configuration: the state moved on before it was kept. Orders and pages go to a copy that is taken over once it is saved; a failed save is a failed pull; nothing half written is left beside.

--- a/onyxpass/agent/api.py
+++ b/onyxpass/agent/api.py
@@ -32,7 +32,7 @@
 from onyxpass.agent.expected import expected_digest
 from onyxpass.agent.holds import TTL_MOST_S, Hold, Holds
 from onyxpass.agent.keys import shown
-from onyxpass.agent.ledger import Operation
+from onyxpass.agent.ledger import LedgerBusy, Operation
 from onyxpass.agent.operations import KINDS, Busy, Operations, Options
 from onyxpass.agent.supervisor import Agent, Instance
 from onyxpass.config import Address, ConfigError
@@ -122,6 +122,12 @@
         log.info("agent", name=self.agent.config.name, listen=f"{self.address.host}:{self.port}")
 
     async def answer(self, head: h11.Request, text: bytes) -> Reply:
+        try:
+            return await self._answered(head, text)
+        except LedgerBusy as problem:
+            raise Refusal(503, f"the agent's record takes nothing at present: {problem}") from problem
+
+    async def _answered(self, head: h11.Request, text: bytes) -> Reply:
         if not shown(header(head, b"authorization"), self.key):
             raise Refusal(401, "the key is absent or wrong")
         path, _, query = bytes(head.target).decode("ascii", "replace").partition("?")
@@ -219,7 +225,12 @@
         if (busy := self.operations.running.get(instance.name)) is not None:
             raise Refusal(409, str(Busy(busy)), operation=busy.told())
         over = self._under(lease, id) if lease is not None else lambda _: None
-        return self._reply(202, self.operations.begin(id, instance.name, kind, options, over).told())
+        try:
+            begun = self.operations.begin(id, instance.name, kind, options, over)
+        except LedgerBusy as problem:  # it never began, so what it was admitted for is over
+            over(Operation(id, instance.name, kind, "failed", str(problem)))
+            raise
+        return self._reply(202, begun.told())
 
     def _admit(self, lease: Shown, effect: str) -> dict[str, Any]:
         """Guards against what an old holder asks, whatever it believes: kept before anything takes effect."""
@@ -236,8 +247,13 @@
             if self.fence.waits(lease.name, lease.token):
                 raise Refusal(409, why, under_way=True)
             raise Refusal(409, why, stale=True)
+        before = self.fence.seen.get(lease.name)
         if self.fence.admit(lease.name, lease.token, lease.holder):
-            self.agent.ledger.keep_fence(lease.name, lease.token, lease.holder)
+            try:
+                self.agent.ledger.keep_fence(lease.name, lease.token, lease.holder)
+            except LedgerBusy:  # or it would pass the next time as one that is kept
+                self.fence.restore(lease.name, before)
+                raise
         return told
 
     def _under(self, lease: Shown, effect: str) -> Callable[[Operation], None]:
@@ -272,7 +288,11 @@
         if held.rollout != rollout:
             raise Refusal(409, f"rollout {held.rollout} holds this agent", hold=self._held(held))
         if before is None or (before.rollout, before.holder) != (rollout, holder):
-            self.agent.ledger.keep_hold(rollout, holder, ttl_s)
+            try:
+                self.agent.ledger.keep_hold(rollout, holder, ttl_s)
+            except LedgerBusy:
+                self.holds.drop(rollout, time.monotonic())
+                raise
             self.agent.ledger.event("", "held", rollout=rollout, holder=holder)
         return self._reply(200, {"hold": self._held(held)})
 
--- a/onyxpass/agent/ledger.py
+++ b/onyxpass/agent/ledger.py
@@ -1,9 +1,13 @@
-"""What an agent must know after it was killed: a SQLite file, each change durable before it takes effect.
+"""What an agent must know after it was killed: a SQLite file, each order durable before it takes effect.
+
+Where the disk takes nothing for a while, what must not happen unrecorded is refused (LedgerBusy), and what
+has happened is owed to the record and written later.
 
 It holds the wanted state of every instance, the process that ran it last, operations with their ends, and
 events. A file that is damaged is refused: to start over with nothing could start instances twice.
 """
 
+import contextlib
 import fcntl
 import json
 import os
@@ -11,13 +15,19 @@
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any
 
+import structlog
+
+from onyxpass.agent.owed import Owed
 from onyxpass.agent.process import Identity
 
 VERSION = 2
 EVENTS_MOST, OPERATIONS_MOST, EXITS_MOST = 10_000, 2_000, 2_000
+HOLD = "hold"  # its name among the states that are owed
+log = structlog.get_logger("ledger")
 DAMAGED = "; agent.db is left as it is: stop the instances that still run, move it aside and start again"
 TABLES = """
 CREATE TABLE instances (name TEXT PRIMARY KEY, wanted INTEGER NOT NULL, generation INTEGER NOT NULL,
@@ -38,10 +48,18 @@
 """
 
 
+class LedgerBusy(RuntimeError):
+    """The record takes nothing at present, so what must not happen unrecorded can't be done now."""
+
+
 class LedgerError(RuntimeError):
     """The state can't be used: damaged, of another version, not writable, or held by another agent."""
 
 
+def void(_: object) -> None:
+    """Of a write nothing is wanted but that it has been done."""
+
+
 @dataclass(slots=True)
 class Kept:
     """One instance as the ledger has it. ``digest``: of the configuration of its ``generation``."""
@@ -82,12 +100,27 @@
         }
 
 
+def _row(kept: Kept) -> tuple[object, ...]:
+    who = kept.process
+    return (
+        kept.name,
+        int(kept.wanted),
+        kept.generation,
+        kept.digest,
+        kept.launch,
+        *((who.pid, who.ticks, who.boot) if who else (None, None, None)),
+        kept.restarts,
+        kept.last_exit,
+    )
+
+
 class Ledger:
     """``folder`` None: in memory, for an agent that nothing is to outlive."""
 
     def __init__(self, folder: Path | None) -> None:
         self.folder = folder
         self._lock = -1
+        self._owed, self._behind = Owed(sqlite3.OperationalError), False
         try:
             if folder is not None:
                 folder.mkdir(mode=0o700, parents=True, exist_ok=True)
@@ -136,6 +169,7 @@
             raise LedgerError(f"{self.folder}: the state is of version {version}; this agent knows {VERSION}")
 
     def close(self) -> None:
+        self.settle()
         self._db.close()
         self._release()
 
@@ -152,33 +186,52 @@
             found[name] = Kept(name, bool(wanted), generation, digest, launch, process, restarts, last_exit)
         return found
 
+    def keep_first(self, kept: Kept) -> None:
+        """Before something is done that must not happen unrecorded; LedgerBusy if it can't be kept now."""
+        try:
+            self._keep(_row(kept))
+        except sqlite3.OperationalError as problem:
+            raise LedgerBusy(str(problem)) from problem
+        self._owed.forget(kept.name)
+
     def keep(self, kept: Kept) -> None:
-        who = kept.process
-        self._db.execute(
-            "INSERT OR REPLACE INTO instances VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?, ?)",
-            (
-                kept.name,
-                int(kept.wanted),
-                kept.generation,
-                kept.digest,
-                kept.launch,
-                *((who.pid, who.ticks, who.boot) if who else (None, None, None)),
-                kept.restarts,
-                kept.last_exit,
-            ),
-        )
+        """What has happened already; written now, or once the disk takes it."""
+        row = _row(kept)
+        self._noticed(self._owed.state(kept.name, lambda: self._keep(row)))
+
+    def _keep(self, row: tuple[object, ...]) -> None:
+        self._db.execute("INSERT OR REPLACE INTO instances VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?, ?)", row)
+
+    def settle(self) -> None:
+        """Write what is owed, if the disk takes it again."""
+        if self._owed:
+            self._noticed(self._owed.pay())
+
+    def _noticed(self, problem: Exception | None) -> None:
+        if (problem is not None) != self._behind:
+            self._behind = problem is not None
+            log.warning(
+                "the record is behind" if problem else "the record is whole again", why=str(problem or "")
+            )
 
     def forget(self, name: str) -> None:
         self._db.execute("DELETE FROM instances WHERE name = ?", (name,))
 
     def exited(self, name: str, code: int | None, ran_s: float) -> None:
-        at = time.time()
-        self._db.execute(
-            "INSERT INTO exits (name, at, code, ran_s) VALUES (?, ?, ?, ?)", (name, at, code, ran_s)
-        )
-        self._db.execute(
-            "DELETE FROM exits WHERE number <= (SELECT max(number) FROM exits) - ?", (EXITS_MOST,)
-        )
+        row = (name, time.time(), code, ran_s)
+
+        def write() -> None:
+            self._db.execute("INSERT INTO exits (name, at, code, ran_s) VALUES (?, ?, ?, ?)", row)
+            self._shorten("exits", EXITS_MOST)
+
+        self._noticed(self._owed.note(write))
+
+    def _shorten(self, table: str, most: int) -> None:
+        """Guards against a record that grows for ever; what can't be taken out now is with the next line."""
+        with contextlib.suppress(sqlite3.OperationalError):
+            self._db.execute(
+                f"DELETE FROM {table} WHERE number <= (SELECT max(number) FROM {table}) - ?", (most,)
+            )
 
     def exits(self, name: str, most: int = 5) -> list[dict[str, Any]]:
         """The last ones, the newest first."""
@@ -190,26 +243,32 @@
     # Operations
 
     def begin(self, operation: Operation) -> None:
+        """On record before anything is done; LedgerBusy, and nothing of it there, if it can't be kept now."""
         operation.began = time.time()
-        self._db.execute("BEGIN")
-        number = self._db.execute("SELECT coalesce(max(number), 0) + 1 FROM operations").fetchone()[0]
-        row = (operation.id, number, operation.name, operation.kind, "running", "", "{}", operation.began)
-        self._db.execute("INSERT INTO operations VALUES (?, ?, ?, ?, ?, ?, ?, ?, NULL)", row)
-        self._db.execute("DELETE FROM operations WHERE number <= ?", (number - OPERATIONS_MOST,))
-        self._db.execute("COMMIT")
+        try:
+            self._db.execute("BEGIN")
+            number = self._db.execute("SELECT coalesce(max(number), 0) + 1 FROM operations").fetchone()[0]
+            row = (operation.id, number, operation.name, operation.kind, "running", "", "{}", operation.began)
+            self._db.execute("INSERT INTO operations VALUES (?, ?, ?, ?, ?, ?, ?, ?, NULL)", row)
+            self._db.execute("DELETE FROM operations WHERE number <= ?", (number - OPERATIONS_MOST,))
+            self._db.execute("COMMIT")
+        except sqlite3.OperationalError as problem:
+            if self._db.in_transaction:  # or no later one could begin
+                self._db.execute("ROLLBACK")
+            raise LedgerBusy(str(problem)) from problem
 
     def end(self, operation: Operation) -> None:
         operation.ended = time.time()
-        self._db.execute(
-            "UPDATE operations SET state = ?, reason = ?, detail = ?, ended = ? WHERE id = ?",
-            (
-                operation.state,
-                operation.reason,
-                json.dumps(dict(operation.detail or {})),
-                operation.ended,
-                operation.id,
-            ),
+        row = (
+            operation.state,
+            operation.reason,
+            json.dumps(dict(operation.detail or {})),
+            operation.ended,
+            operation.id,
         )
+        order = "UPDATE operations SET state = ?, reason = ?, detail = ?, ended = ? WHERE id = ?"
+        write = partial(self._db.execute, order, row)
+        self._noticed(self._owed.state(f"operation {operation.id}", lambda: void(write())))
 
     def operation(self, id: str) -> Operation | None:
         row = self._db.execute(
@@ -232,13 +291,13 @@
     # Events
 
     def event(self, name: str, what: str, **detail: Any) -> None:
-        self._db.execute(
-            "INSERT INTO events (at, name, what, detail) VALUES (?, ?, ?, ?)",
-            (time.time(), name, what, json.dumps(detail)),
-        )
-        self._db.execute(
-            "DELETE FROM events WHERE number <= (SELECT max(number) FROM events) - ?", (EVENTS_MOST,)
-        )
+        row = (time.time(), name, what, json.dumps(detail))
+
+        def write() -> None:
+            self._db.execute("INSERT INTO events (at, name, what, detail) VALUES (?, ?, ?, ?)", row)
+            self._shorten("events", EVENTS_MOST)
+
+        self._noticed(self._owed.note(write))
 
     def events(self, since: int, most: int = 500) -> list[dict[str, Any]]:
         """Those after number ``since``, oldest first."""
@@ -259,7 +318,11 @@
         return (str(row[0]), str(row[1]), float(row[2])) if row else None
 
     def keep_hold(self, rollout: str, holder: str, ttl_s: float) -> None:
-        self._db.execute("INSERT OR REPLACE INTO holds VALUES (1, ?, ?, ?)", (rollout, holder, ttl_s))
+        try:
+            self._db.execute("INSERT OR REPLACE INTO holds VALUES (1, ?, ?, ?)", (rollout, holder, ttl_s))
+        except sqlite3.OperationalError as problem:
+            raise LedgerBusy(str(problem)) from problem
+        self._owed.forget(HOLD)
 
     # The fences of leases
 
@@ -269,7 +332,10 @@
         return {str(lease): (int(token), str(holder)) for lease, token, holder in rows}
 
     def keep_fence(self, lease: str, token: int, holder: str) -> None:
-        self._db.execute("INSERT OR REPLACE INTO fences VALUES (?, ?, ?)", (lease, token, holder))
+        try:
+            self._db.execute("INSERT OR REPLACE INTO fences VALUES (?, ?, ?)", (lease, token, holder))
+        except sqlite3.OperationalError as problem:
+            raise LedgerBusy(str(problem)) from problem
 
     def drop_hold(self) -> None:
-        self._db.execute("DELETE FROM holds")
+        self._noticed(self._owed.state(HOLD, lambda: void(self._db.execute("DELETE FROM holds"))))
--- a/onyxpass/agent/supervisor.py
+++ b/onyxpass/agent/supervisor.py
@@ -18,13 +18,14 @@
 import structlog
 
 from onyxpass.agent.config import AgentConfig, InstanceSpec
-from onyxpass.agent.ledger import Kept, Ledger
+from onyxpass.agent.ledger import Kept, Ledger, LedgerBusy
 from onyxpass.agent.lifecycle import Action, Launch, LaunchLater, Lifecycle, Pauses, State, Terminate
 from onyxpass.agent.process import Identity, Process, identify, trim, with_launch
 from onyxpass.config import ADMIN, GENERATION, LAUNCH
 from onyxpass.core.actor import Actor
 from onyxpass.core.clock import Clock
 from onyxpass.core.wheel import Wheel
+from onyxpass.guard import StartGuard
 from onyxpass.net.ask import Answer, ask, at_path
 
 if TYPE_CHECKING:
@@ -80,6 +81,7 @@
         pauses = Pauses(config.first_s, config.most_s, config.steady_s, config.start_s)
         self.life = Lifecycle(pauses, wanted=self.kept.wanted, restarts=self.kept.restarts)
         self.process: Process | None = None
+        self.guard = StartGuard()
         self.since = time.time()  # for people; nothing is decided by it
         self.adopted = False
         self.tasks: set[asyncio.Task[None]] = set()
@@ -164,6 +166,7 @@
                 self.ledger.event(self.name, "gone", pid=known.pid)
             return self.life.start(now_s)
         self.process, self.adopted = process, True
+        self.guard.started(self.name, process.pid)
         self.kept.process = process.identity
         self.ledger.keep(self.kept)
         self.gone.clear()
@@ -174,8 +177,18 @@
 
     def _launch(self) -> None:
         """The launch is on record before the process is made, and its identity right after."""
+        verdict = self.guard.starting(self.name)
+        if not verdict:
+            log.error("violation", rule=verdict.rule.name if verdict.rule else "", name=self.name)
+            return
         self.kept.launch, self.kept.process = secrets.token_hex(8), None
-        self.ledger.keep(self.kept)
+        try:
+            self.ledger.keep_first(self.kept)
+        except LedgerBusy as problem:  # a process that no later agent could find is not made
+            log.error("can't start", name=self.name, why=f"the launch can't be recorded: {problem}")
+            self.kept.launch = ""
+            self.tell(Exited(None))
+            return
         told = {ADMIN: str(self.socket), GENERATION: str(self.kept.generation), LAUNCH: self.kept.launch}
         journal = self.folder / "logs" / f"{self.name}.log" if self.config.state is not None else None
         try:
@@ -186,6 +199,7 @@
             self.tell(Exited(None))
             return
         self.process, self.adopted = process, False
+        self.guard.started(self.name, process.pid)
         self.kept.process = process.identity
         self.ledger.keep(self.kept)
         self.beside(self._watch(process))
@@ -215,6 +229,7 @@
     def _exited(self, now_s: float, code: int | None) -> list[Action]:
         ran_s = now_s - self.life.since_s
         self.process = None
+        self.guard.ended(self.name)
         self.gone.set()
         actions = self.life.exited(now_s, code)
         self.kept.process, self.kept.launch = None, ""
@@ -304,6 +319,7 @@
     async def _poll(self) -> None:
         while not self._stopping:
             await asyncio.sleep(self.config.poll_s)
+            self.ledger.settle()
             await self._ask_store()
             await asyncio.gather(*(instance.check() for instance in self.instances))
 
--- a/onyxpass/desired/disk.py
+++ b/onyxpass/desired/disk.py
@@ -1,22 +1,17 @@
 """The state of one node on disk: written beside and renamed, and refused whole if it is not sound."""
 
 import json
-import os
 from pathlib import Path
 from typing import Any
 
+from onyxpass import durable
 from onyxpass.config import ConfigError
 from onyxpass.desired.state import Page, State, StateError, page_told, read_page
 
 
 def write_json(path: Path, told: Any) -> None:
     """Durable once this returns; the file before it stays whole till then. OSError if it can't be."""
-    fresh = path.with_name(f"{path.name}.{os.getpid()}.new")
-    with fresh.open("w") as file:
-        json.dump(told, file)
-        file.flush()
-        os.fsync(file.fileno())
-    fresh.replace(path)
+    durable.replace(path, json.dumps(told).encode())
 
 
 def save(path: Path, state: State) -> None:
--- a/onyxpass/desired/node.py
+++ b/onyxpass/desired/node.py
@@ -24,6 +24,7 @@
 from onyxpass.desired.puller import ANSWER_S, HOLD_S, Puller
 from onyxpass.desired.state import (
     FORMAT,
+    State,
     StateError,
     covers,
     page_told,
@@ -73,15 +74,20 @@
         except (OSError, ValueError, KeyError, TypeError):  # then nothing is known to be in force
             return InForce()
 
-    def changed_now(self) -> None:
-        """Keep the state and wake all who wait for a change."""
-        disk.save(self.file, self.state)
+    def take_over(self, state: State) -> None:
+        """Keep a state, go on from it and wake all who wait for a change.
+
+        OSError if it can't be kept: then it is told to nobody, and the state before it holds.
+        """
+        disk.save(self.file, state)
+        self.state = state
         event, self.changed = self.changed, asyncio.Event()
         event.set()
 
     def change(self, values: Mapping[str, Any]) -> None:
-        version = self.state.change(self.origin, values)
-        self.changed_now()
+        state = self.state.copy()
+        version = state.change(self.origin, values)
+        self.take_over(state)
         self.note("ordered", version=version.number)
 
     def note(self, what: str, **more: Any) -> None:
@@ -115,7 +121,7 @@
                 await asyncio.sleep(pull.in_s)
             try:
                 await self._pull(upstreams[pull.upstream])
-            except (NotSent, NoAnswer, StateError) as problem:
+            except (NotSent, NoAnswer, StateError, OSError) as problem:  # OSError: it could not be kept
                 puller.failed(time.monotonic())
                 log.warning("no pull", upstream=str(upstreams[pull.upstream]), why=str(problem))
             else:
@@ -131,12 +137,13 @@
         if answer.status != 200:
             raise NoAnswer(answer.reason)
         page = read_page(answer.body)
-        if self.state.merge(page):
-            self.changed_now()
+        state = self.state.copy()
+        if state.merge(page):
+            self.take_over(state)
             self.note("merged")
         if not page.more and not self.caught_up:
+            self.take_over(self.state)
             self.caught_up = True
-            self.changed_now()
 
     # Bringing it in force
 
@@ -170,12 +177,16 @@
         except (OSError, ValueError) as problem:  # nothing is written where one key fits nowhere
             log.error("can't be brought in force", why=str(problem))
             return False
-        for target, told in files:
-            disk.write_json(target.config, told)
+        try:
+            for target, told in files:
+                disk.write_json(target.config, told)
+        except OSError as problem:
+            log.error("can't be brought in force", why=str(problem))
+            return False
         if not all([await self._reload(target, wanted.digest) for target in self.config.targets]):
             return False
-        self.in_force = wanted
-        disk.write_json(self.config.folder / "in-force.json", {"digest": wanted.digest, "seen": wanted.seen})
+        if not self._keep_in_force(wanted):
+            return False
         log.info(
             "in force",
             node=self.config.name,
@@ -185,6 +196,17 @@
         )
         return True
 
+    def _keep_in_force(self, wanted: InForce) -> bool:
+        """False where that can't be kept: it is brought in force again then, which does no harm."""
+        told = {"digest": wanted.digest, "seen": wanted.seen}
+        try:
+            disk.write_json(self.config.folder / "in-force.json", told)
+        except OSError as problem:
+            log.error("what is in force can't be kept", why=str(problem))
+            return False
+        self.in_force = wanted
+        return True
+
     async def _reload(self, target: Target, digest: str) -> bool:
         assert self.config.agent is not None
         agent, operation = at_address(self.config.agent), f"desired.{digest}.{time.monotonic_ns()}"
@@ -263,6 +285,8 @@
             self.node.change(values)
         except StateError as problem:
             raise Refusal(400, str(problem)) from problem
+        except OSError as problem:
+            raise Refusal(503, f"the change can't be kept: {problem.strerror}") from problem
         return 200, json.dumps({"digest": self.node.state.digest(), "seen": self.node.state.seen}).encode()
 
 
--- a/onyxpass/desired/state.py
+++ b/onyxpass/desired/state.py
@@ -9,7 +9,7 @@
 import hashlib
 import json
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 FORMAT = 1
@@ -86,6 +86,10 @@
         self.seen[origin] = version.number
         return version
 
+    def copy(self) -> "State":
+        """One that may go on by itself; entries are never changed in place."""
+        return replace(self, entries=dict(self.entries), seen=dict(self.seen), conflicts=set(self.conflicts))
+
     def merge(self, page: Page) -> bool:
         """Take in a page; whether anything was new. StateError, and nothing changed, if it contradicts."""
         for entry in page.entries:
--- a/onyxpass/leases/fence.py
+++ b/onyxpass/leases/fence.py
@@ -47,6 +47,13 @@
         self.seen[lease] = Seen(token, holder)
         return new
 
+    def restore(self, lease: str, before: Seen | None) -> None:
+        """Take back an admission that could not be kept."""
+        if before is None:
+            self.seen.pop(lease, None)
+        else:
+            self.seen[lease] = before
+
     def began(self, lease: str) -> None:
         self.running[lease] = self.running.get(lease, 0) + 1
 
--- a/onyxpass/sources/snapshot.py
+++ b/onyxpass/sources/snapshot.py
@@ -5,11 +5,10 @@
 
 import hashlib
 import json
-import os
-import threading
 from pathlib import Path
 from typing import Any
 
+from onyxpass import durable
 from onyxpass import interface as api
 from onyxpass.config import Address, ConfigError
 from onyxpass.sources.form import Entry
@@ -83,18 +82,7 @@
 
 def save(path: Path, view: View) -> None:
     """Durable once this returns; OSError if it can't be, and then the one before is still there."""
-    fresh = path.with_name(f"{path.name}.{os.getpid()}.{threading.get_ident()}.new")  # two processes may save
-    path.parent.mkdir(parents=True, exist_ok=True)
-    with fresh.open("wb") as file:
-        file.write(text_of(view))
-        file.flush()
-        os.fsync(file.fileno())
-    fresh.replace(path)
-    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
+    durable.replace(path, text_of(view))
 
 
 def load(path: Path) -> View:
