--- /dev/null
+++ b/benchmarks/guard.py
@@ -0,0 +1,105 @@
+"""What the guard costs: `make bench-guard`; writes docs/measurements/guard.md.
+
+The processor time of the guard's calls for one good request, beside that of a whole request at a real
+dispatcher before stand-in servers, in the same run.
+
+    python benchmarks/guard.py [REQUESTS]
+"""
+
+import asyncio
+import json
+import os
+import platform
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from parties import cpu_s
+
+from onyxpass import interface as api
+from onyxpass.guard import Guard
+from onyxpass.settings import read_settings
+from onyxpass.standin.client import ask
+from onyxpass.standin.replicas import StandinFleet
+from onyxpass.standin.settings import SETTINGS, dispatcher_file
+from onyxpass.standin.site import free_port
+
+ROOT = Path(__file__).parent.parent
+ROUNDS = 20_000
+AT_ONCE = 8
+
+
+def guard_us() -> float:
+    """Of one request: a read, a write, the first event, the answer."""
+    guard = Guard(read_settings(SETTINGS))
+    guard.listed([api.Server(name, "reader") for name in ("r0", "w0")], True, 0)
+    began = time.process_time()
+    for number in range(ROUNDS):
+        request = f"r{number}"
+        guard.taken(request, "part-lookup", 6_000_000)
+        guard.sending(request, 0, "r0", False, 5_000_000, 1_000)
+        guard.ended(request, 0, api.Status.READ)
+        guard.sending(request, 1, "w0", True, 5_000_000, 2_000)
+        guard.committing(request, 1)
+        guard.ended(request, 1, api.Status.SERVED)
+        guard.answering(request)
+        guard.forgotten(request)
+    assert not guard.violations
+    return (time.process_time() - began) / ROUNDS * 1e6
+
+
+async def request_us(requests: int) -> float:
+    """Processor time of a real dispatcher for each request that it serves."""
+    fleet = await StandinFleet(2, 2).start()
+    with tempfile.TemporaryDirectory() as folder:
+        path, port = Path(folder) / "config.json", free_port()
+        path.write_text(json.dumps(dispatcher_file("n0", f"127.0.0.1:{port}", fleet)))
+        words = (sys.executable, "-m", "onyxpass", "serve", "--config", str(path))
+        child = await asyncio.create_subprocess_exec(*words, cwd=ROOT, stdout=asyncio.subprocess.PIPE)
+        assert child.stdout is not None
+        while b'"full"' not in await child.stdout.readline():
+            pass
+        drain = asyncio.create_task(child.stdout.read())
+        places = asyncio.Semaphore(AT_ONCE)
+
+        async def one(number: int) -> str:
+            async with places:
+                answer = await ask(
+                    fleet.trace, ("127.0.0.1", port), f"r{number}", "part-lookup", f"s{number % 50}"
+                )
+                return answer.end
+
+        await asyncio.gather(*(one(number) for number in range(100)))
+        before_s = cpu_s(child.pid)
+        ends = await asyncio.gather(*(one(number) for number in range(100, 100 + requests)))
+        used_s = cpu_s(child.pid) - before_s
+        child.terminate()
+        await child.wait()
+        await drain
+        await fleet.stop()
+    assert ends.count("served") == requests, set(ends)
+    return used_s / requests * 1e6
+
+
+def main() -> None:
+    requests = int(sys.argv[1]) if len(sys.argv) > 1 else 1500
+    whole, guard = asyncio.run(request_us(requests)), guard_us()
+    machine = f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}"
+    text = f"""# What the guard costs
+
+`make bench-guard`. {machine}; {requests} requests at a real dispatcher, {AT_ONCE} at once, and {ROUNDS}
+rounds of the guard's calls for one good request (a read, a write, an event, the answer), in the same run.
+
+| | processor time in us |
+| --- | --- |
+| a whole request at the dispatcher, the guard's calls among it | {whole:.0f} |
+| the guard's calls of one request | {guard:.1f} |
+| the second over the first | {guard / whole:.4f} |
+"""
+    (ROOT / "docs" / "measurements" / "guard.md").write_text(text)
+    print(text)
+
+
+if __name__ == "__main__":
+    main()
