--- a/onyxpass/agent/api.py
+++ b/onyxpass/agent/api.py
@@ -31,10 +31,11 @@
 from onyxpass import __version__
 from onyxpass.agent.expected import expected_digest
 from onyxpass.agent.holds import TTL_MOST_S, Hold, Holds
+from onyxpass.agent.instance import Instance
 from onyxpass.agent.keys import shown
 from onyxpass.agent.ledger import LedgerBusy, Operation
 from onyxpass.agent.operations import KINDS, Busy, Operations, Options
-from onyxpass.agent.supervisor import Agent, Instance
+from onyxpass.agent.supervisor import Agent
 from onyxpass.config import Address, ConfigError
 from onyxpass.leases.fence import Fence, Seen
 from onyxpass.leases.notes import note
--- a/onyxpass/agent/operations.py
+++ b/onyxpass/agent/operations.py
@@ -13,9 +13,9 @@
 import structlog
 
 from onyxpass.agent.expected import expected_digest
+from onyxpass.agent.instance import Instance, Restart, Want
 from onyxpass.agent.ledger import Ledger, Operation
 from onyxpass.agent.lifecycle import State
-from onyxpass.agent.supervisor import Instance, Restart, Want
 from onyxpass.config import ConfigError
 from onyxpass.net.ask import Answer, NoAnswer, NotSent
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -20,8 +20,9 @@
 from onyxpass.agent import program
 from onyxpass.agent.config import AgentConfig, InstanceSpec
 from onyxpass.agent.expected import expected_digest
+from onyxpass.agent.instance import Instance
 from onyxpass.agent.lifecycle import LaunchLater, Lifecycle, Pauses
-from onyxpass.agent.supervisor import Agent, Instance
+from onyxpass.agent.supervisor import Agent
 from onyxpass.cli import app
 from onyxpass.config import Address, ConfigError
 from onyxpass.store.redis import Store
