--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -17,8 +17,8 @@
 from onyxpass.core.clock import Clock
 from onyxpass.core.figures import Figures
 from onyxpass.core.requests import Attempt, Client, Fleet, Request
+from onyxpass.core.timing import timed
 from onyxpass.core.wheel import Wheel
-from onyxpass.core.worth import judge, pace_us
 from onyxpass.guard import Guard, Rule, Verdict
 from onyxpass.interface import Status
 
@@ -304,7 +304,7 @@
         if attempt.view:
             told["view"] = attempt.view
         if status is Status.SERVED:
-            log.info("served", **told, **self._timed(attempt))
+            log.info("served", **told, **self._served(attempt))
         elif status is not Status.READ:
             log.info("attempt", **told, end=status.value, us=elapsed_us, why=reason)
         if request.committed is attempt and not request.over:
@@ -317,22 +317,13 @@
             api.Outcome(request.number, attempt.number, attempt.server, status, elapsed_us, final, note)
         )
 
-    def _timed(self, attempt: Attempt) -> dict[str, object]:
-        """Where the time of an answer went, whether it was in time, and the figures of that."""
-        request = attempt.request
-        wait_us = attempt.sent_us + attempt.first_us - request.arrived_us  # all that the client waited
-        pace = pace_us(attempt.took_us - attempt.first_us, attempt.tokens)
-        told: dict[str, object] = {"wait_us": wait_us, "first_us": attempt.first_us, "gap_us": attempt.gap_us}
-        told |= {"us": attempt.took_us, "parts": attempt.parts, "token_us": pace}
-        if (
-            read := next((a for a in reversed(request.attempts) if a.status is Status.READ), None)
-        ) is not None:
-            told |= {"reader": read.server, "read_us": read.took_us, "kept": read.kept}
-        if (cls := self._class_of(request)) is not None:
-            judged = judge(cls, request.arrival.prompt_tokens, wait_us, pace)
-            told |= {"worth": judged.timing.value, "for": judged.cause} if judged.cause else {}
-            self.figures.timed(cls.name, judged.timing)
-        return told
+    def _served(self, attempt: Attempt) -> dict[str, object]:
+        """What the log tells of an answer; how timely it was is counted as well."""
+        cls = self._class_of(attempt.request)
+        timing = timed(attempt, cls)
+        if cls is not None and timing.judged is not None:
+            self.figures.timed(cls.name, timing.judged.timing)
+        return timing.fields()
 
     def listed(self, update: api.ListUpdate, absent_us: int | None = None) -> None:
         """The list has changed; sends that still wait see it at once.
--- a/onyxpass/net/succession.py
+++ b/onyxpass/net/succession.py
@@ -24,7 +24,8 @@
 from onyxpass.net.front import Front
 from onyxpass.net.http import Wire
 from onyxpass.net.listen import Listener
-from onyxpass.net.replica import Replicas, Resumed
+from onyxpass.net.replica import Resumed
+from onyxpass.net.replicas import Replicas
 from onyxpass.net.unix import short
 
 VERSION = 2  # of the message; one that is not among those known is turned down
--- a/onyxpass/net/watch.py
+++ b/onyxpass/net/watch.py
@@ -17,7 +17,7 @@
 from onyxpass.core.dispatcher import Core
 from onyxpass.net.http import Broken, Wire
 from onyxpass.net.pacing import CONNECT_MS, SILENT_MS, Pace
-from onyxpass.net.replica import Replicas
+from onyxpass.net.replicas import Replicas
 
 LIST = b"/registry/instances"
 LINE_LIMIT = 4 * 1024 * 1024
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -16,7 +16,7 @@
 from onyxpass.handover import Handover, passed_listener
 from onyxpass.net.control import Control
 from onyxpass.net.front import Front
-from onyxpass.net.replica import Replicas
+from onyxpass.net.replicas import Replicas
 from onyxpass.net.succession import Heir, Successor
 from onyxpass.net.watch import ListActor
 
