--- a/tests/test_worth.py
+++ b/tests/test_worth.py
@@ -75,8 +75,8 @@
     attempt.tokens = 11
     bed.clock.us += 10 * 2 * CLASSES[0].token_us + 10
     told: dict[str, object] = {}
-    timed = bed.core._timed
-    bed.core._timed = lambda a: told.update(timed(a)) or told  # type: ignore[method-assign, func-returns-value]
+    timed = bed.core._served
+    bed.core._served = lambda a: told.update(timed(a)) or told  # type: ignore[method-assign, func-returns-value]
     bed.core.ended(attempt, Status.SERVED)
     assert request.over and told["wait_us"] == 500_000 and told["first_us"] == 200_000
     assert (told["reader"], told["read_us"], told["kept"]) == ("r0", 300_000, 512)
