Say why from one closed set: what was not sent, what was refused, what was closed

Texts of attempts that were not sent stay as they were; refused lines gain why; clients' connections are counted by why they ended and told in the state line every 10 s, so that no line a connection is needed.

--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -16,6 +16,7 @@
 from onyxpass.core.births import Births
 from onyxpass.core.clock import Clock
 from onyxpass.core.figures import Figures
+from onyxpass.core.reasons import Reason
 from onyxpass.core.requests import Attempt, Client, Fleet, Request
 from onyxpass.core.timing import timed
 from onyxpass.core.wheel import Wheel
@@ -174,7 +175,7 @@
         attempt.parts, attempt.part_us = attempt.parts + 1, now_us
         return True
 
-    def begin(self, attempt: Attempt) -> str:
+    def begin(self, attempt: Attempt) -> Reason:
         """Why this attempt's first byte may not go now; empty if it may, and then it goes in this step."""
         if why := self.barred(attempt):
             return why
@@ -182,7 +183,8 @@
         verdict = self.guard.sending(
             attempt.request.id, attempt.number, attempt.server, attempt.writes, told_us, self.clock.now_us()
         )
-        return "" if self._allowed(verdict, attempt.request, attempt) else "it would break a rule"
+        allowed = self._allowed(verdict, attempt.request, attempt)
+        return Reason.NONE if allowed else Reason.BREAKS_A_RULE
 
     def _allowed(self, verdict: Verdict, request: Request, attempt: Attempt | None = None) -> bool:
         """Whether the guard allows it; if not, that is logged: some code before it is wrong."""
@@ -196,7 +198,7 @@
         if unanswered and request is not None:
             self._allowed(self.guard.closing(unanswered), request)
 
-    def barred(self, attempt: Attempt) -> str:
+    def barred(self, attempt: Attempt) -> Reason:
         """Why this attempt may not begin now; empty if it may.
 
         Looked at when it is chosen, and again in the step in which its first byte goes: a dial or a release
@@ -204,19 +206,19 @@
         """
         request, now_us = attempt.request, self.clock.now_us()
         if attempt.ended or attempt.verdict is not None:
-            return "called off"
+            return Reason.CALLED_OFF
         # Guards against an attempt for a client that left while this process had no turn to read it.
         if not request.over and request.client.gone():
             self.withdraw(request)
         if request.over:
-            return "its request has ended"
+            return Reason.REQUEST_ENDED
         if now_us >= request.arrival.deadline_us:
-            return "its time has run out"
+            return Reason.TIME_HAS_RUN_OUT
         if attempt.number >= self.settings.max_attempts:
-            return "too many attempts"
+            return Reason.TOO_MANY_ATTEMPTS
         if not self.may_send(attempt.server):
-            return "the list says no more"
-        return "" if self._repeatable(attempt, now_us) else "it may no longer be repeated"
+            return Reason.NOT_LISTED
+        return Reason.NONE if self._repeatable(attempt, now_us) else Reason.NOT_REPEATABLE
 
     def _repeatable(self, attempt: Attempt, now_us: int) -> bool:
         """Whether what may have run before allows this attempt. A read has had no effect."""
@@ -455,9 +457,9 @@
         attempt.at = self.servers.get(server)
         attempt.view = self.view
         request.attempts.append(attempt)
-        why = "another one is out" if request.out or request.committed else self.barred(attempt)
+        why = Reason.ANOTHER_IS_OUT if request.out or request.committed else self.barred(attempt)
         if why or self.fleet is None:
-            self.ended(attempt, Status.NOT_SENT, reason=why or "no fleet")
+            self.ended(attempt, Status.NOT_SENT, reason=why or Reason.NO_FLEET)
             return
         request.out = attempt
         attempt.timer = self.wheel.after(attempt.timeout_us, lambda: self._stop(attempt, Status.TIMEOUT))
@@ -479,7 +481,9 @@
         if repeat is not api.Repeat.SAFE and (may_run or (ran and not everywhere)):
             self._fail(request, "it may have run")
             return
-        log.info("refused", id=request.id, attempts=len(request.attempts))
+        why = Reason.ATTEMPTS_FAILED if request.attempts else Reason.NO_ROOM
+        why = Reason.SHUTTING_DOWN if self.closed else why
+        log.info("refused", id=request.id, attempts=len(request.attempts), why=why)
         self._answer(
             request, lambda: request.client.refuse(retry_after_us), self.figures.rejected, refusal=True
         )
--- a/onyxpass/net/client.py
+++ b/onyxpass/net/client.py
@@ -18,6 +18,7 @@
         self.wire, self._closing = wire, closing
         self.done = asyncio.Event()
         self.broken = False
+        self.was_cut = False  # by us, since its stream broke
         self.begun = False  # whether the stream's head has gone out
         self.keeps = True  # whether the client, and then that head, lets the connection stay open
 
@@ -47,7 +48,7 @@
         self.done.set()
 
     def cut(self, reason: str) -> None:
-        self.broken = True
+        self.broken = self.was_cut = True
         self.wire.abort()  # guards against a broken stream that looks whole: no last chunk
         self.done.set()
 
--- a/onyxpass/net/connections.py
+++ b/onyxpass/net/connections.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import heapq
+from collections import Counter
 from collections.abc import Iterator, ValuesView
 from dataclasses import dataclass
 from enum import Enum
 
+from onyxpass.core.reasons import Closed
 from onyxpass.core.requests import Request
 from onyxpass.core.wheel import Limit
 from onyxpass.net.http import Wire
@@ -44,6 +46,7 @@
     watched_us: int = 0  # since when the loop watches it
     request: Request | None = None  # the last one that was taken on from it
     answered: bool = True  # whether that has its answer
+    why: Closed = Closed.AFTER_ANSWER  # it ends, once it does
     pieces: int = 0  # that had come on the wire before the request that is being read
 
     @property
@@ -74,6 +77,7 @@
     def __init__(self) -> None:
         self._by_task: dict[asyncio.Task[None], ClientConnection] = {}
         self._by_stage: dict[Stage, dict[ClientConnection, asyncio.Task[None]]] = {s: {} for s in Stage}
+        self.closed = Counter[Closed]()  # those that have ended, by why
 
     def __len__(self) -> int:
         return len(self._by_task)
@@ -91,6 +95,7 @@
     def remove(self, task: asyncio.Task[None]) -> None:
         """Forget a connection; one that is not known is passed over."""
         if (connection := self._by_task.pop(task, None)) is not None:
+            self.closed[connection.why] += 1
             self._by_stage[connection.stage].pop(connection, None)
 
     def enter(self, connection: ClientConnection, stage: Stage, now_us: int) -> None:
@@ -108,6 +113,7 @@
         for stage, least_us in SPARED:
             if (connection := self._least_missed(stage, now_us - least_us)) is not None:
                 task = self._by_stage[stage][connection]
+                connection.why = Closed.FOR_ANOTHER
                 self.remove(task)
                 return task, connection
         return None
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -9,6 +9,7 @@
 
 from onyxpass.config import Address
 from onyxpass.core.dispatcher import Core
+from onyxpass.core.reasons import Closed
 from onyxpass.core.requests import Request
 from onyxpass.net.arrivals import BadRequest, check_body, check_framing, read_arrival
 from onyxpass.net.client import HttpClient
@@ -41,7 +42,7 @@
 log = structlog.get_logger("front")
 
 
-INTERNAL_ERROR = 500
+INTERNAL_ERROR, TOO_SLOW = 500, 408
 UnderWay = tuple[HttpClient, Request] | None
 
 
@@ -53,7 +54,7 @@
         case BadRequest():
             return 400
         case TimeoutError():
-            return 408
+            return TOO_SLOW
         case OSError():
             return 0
         case _:
@@ -215,6 +216,7 @@
             wire = connection.wire = await Wire.over(sock, h11.SERVER)
             connection.watched_us = self.clock.now_us()
         except OSError as problem:
+            connection.why = Closed.BROKEN
             log.debug("connection ended", why=str(problem))
             return
         await self._follow(connection, wire)
@@ -233,11 +235,18 @@
     async def _follow(self, connection: ClientConnection, wire: Wire, under_way: UnderWay = None) -> None:
         try:
             await self._serve(connection, wire, under_way)
-        except (Broken, OSError, TimeoutError) as problem:
+        except TimeoutError as problem:
+            connection.why = Closed.TOO_SLOW
+            log.debug("connection ended", why=str(problem))
+        except (Broken, OSError) as problem:
+            connection.why = Closed.BROKEN
             log.debug("connection ended", why=str(problem))
         except asyncio.CancelledError:  # the program ends; asyncio's own callback would print a traceback
+            if connection.why is Closed.AFTER_ANSWER:
+                connection.why = Closed.SHUTTING_DOWN
             log.debug("connection ended", why="stopped")
         except Exception:
+            connection.why = Closed.OWN_FAULT
             log.exception("a client's connection failed")
         finally:
             await self._end(connection, wire)
@@ -273,6 +282,7 @@
             if not wire.pending and under_way is None:
                 await self._next(connection, wire)
                 if not wire.pending:
+                    connection.why = Closed.CLIENT_LEFT
                     return
             client = under_way[0] if under_way else HttpClient(wire, lambda: self.leaving)
             try:
@@ -289,6 +299,7 @@
                     log.exception("a client's connection failed")
                 if status and not client.done.is_set():
                     self._at(connection, Stage.LEAVING)
+                    connection.why = Closed.TOO_SLOW if status == TOO_SLOW else Closed.BAD_REQUEST
                     wait_us = min(self.complaints.wait_us(), connection.due_us - self.clock.now_us())
                     if wait_us > 0:  # never past the time that the client is owed its answer in
                         await self.wheel.sleep(wait_us)
@@ -296,6 +307,7 @@
                     await drain_input(wire, self.wheel)
                 return
             if client.broken or wire.writer.is_closing():
+                connection.why = Closed.STREAM_CUT if client.was_cut else Closed.CLIENT_LEFT
                 return
             async with self.wheel.limit(LEAVE_US):
                 await wire.writer.drain()
@@ -304,6 +316,7 @@
             wire.h11.start_next_cycle()
             # Guards against a request that is here already and would get no answer.
             if self.leaving and not wire.stale:
+                connection.why = Closed.SHUTTING_DOWN
                 return
             self._at(connection, Stage.IDLE)
             connection.due_us = self.clock.now_us() + IDLE_US + FIRST_US
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -128,6 +128,8 @@
             clients=len(self.front.open),
             connections=self.replicas.budget.open,
             exchanges=sum(real.values()),
+            closed={why.value: n for why, n in self.front.open.closed.items()},
+            violations=self.core.guard.violations.total(),
             differ={n: [b, real.get(n, 0)] for n, b in believed.items() if b != real.get(n, 0)},
             aside=[h.id for h in self.core.router.hosts.values() if h.strikes],
         )
