Know a booking that its client sent again after a kill from one that ran twice

Traced: dispatcher 24 was killed 0.5 s after it had sent it; its client saw a kept connection end with no byte of an answer, took that for the close of a resting one and sent it once more, as the protocol lets it, to the next process, which can't know of the first. The judge passes over just that: a second sending by the client, and a kill in between.

--- a/onyxpass/soak/clients.py
+++ b/onyxpass/soak/clients.py
@@ -95,6 +95,7 @@
                 self.records.trace.put(What.ASKED, asked.request)
             await self._read(connection, asked, manner)
             if asked.end == "broken" and kept and not asked.status:
+                asked.again = True
                 continue  # it crossed the end of a resting connection, and is sent once more on a new one
             return
 
--- a/onyxpass/soak/judge.py
+++ b/onyxpass/soak/judge.py
@@ -131,9 +131,19 @@
 
 
 def bookings(records: Records, _: float) -> Iterator[str]:
-    """A booking runs once, and one that was refused has not run."""
-    yield from rules.bookings_once(records.trace, BOOKINGS)
-    yield from rules.refused_never_ran(records.trace, BOOKINGS)
+    """A booking runs once, and one that was refused has not run.
+
+    Not so where the dispatcher was killed and the client, whose kept connection ended, sent it to the next
+    process once more: that one knows nothing of the first.
+    """
+    broken = [
+        *rules.bookings_once(records.trace, BOOKINGS),
+        *rules.refused_never_ran(records.trace, BOOKINGS),
+    ]
+    for breach in broken:
+        asked = records.asked.get(breach.partition(":")[0])
+        if asked is None or not (asked.again and freed(records, asked)):
+            yield breach
 
 
 def attempts(records: Records, _: float) -> Iterator[str]:
--- a/onyxpass/soak/records.py
+++ b/onyxpass/soak/records.py
@@ -21,6 +21,7 @@
     events: int = 0
     end: str = ""  # served, refused, failed, broken, left
     left_s: float = 0.0  # when the client closed, if it did not stay
+    again: bool = False  # its client sent it once more, on a new connection
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -157,6 +157,15 @@
     assert not breaches(records)
 
 
+def test_a_booking_that_its_client_sent_again_after_a_kill_is_no_breach() -> None:
+    records = good()
+    booked_twice(records)
+    records.dispatchers[0].append(Span(0.05, 0.5, "killed"))
+    assert breaches(records), "it was not sent again"
+    records.asked["r1"] = replace(records.asked["r1"], again=True)
+    assert not breaches(records)
+
+
 def test_the_faults_that_break_a_rule_are_reduced_to_the_fewest() -> None:
     faults = [Fault(n, 1.0, Kind.RESET, (n,)) for n in range(9)]
     needed = {2, 7}
