--- a/tests/shimmed.py
+++ b/tests/shimmed.py
@@ -6,10 +6,13 @@
 import os
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Coroutine, Mapping
+from collections.abc import AsyncIterator, Coroutine, Mapping, Sequence
 from pathlib import Path
 from typing import Any, ClassVar
 
+from test_program import RAW
+from world import Discovery, Replica
+
 from onyxpass.faultshim.control import Control, build
 
 ROOT = Path(__file__).parent.parent
@@ -49,6 +52,24 @@
         await asyncio.sleep(0)
 
 
+@contextlib.asynccontextmanager
+async def parties(
+    folder: Path, readers: Sequence[Replica], writers: Sequence[Replica], **told: object
+) -> AsyncIterator[tuple[Path, Discovery]]:
+    """Servers with their discovery, and the file of a dispatcher before them; ``told``: keys of that file."""
+    discovery = Discovery()
+    for kind, replicas in (("r", readers), ("w", writers)):
+        for number, replica in enumerate(replicas):
+            await replica.start()
+            discovery.hosts.append(discovery.entry(f"{kind}{number}", kind, replica.address))
+    await discovery.start()
+    path = folder / "config.json"
+    path.write_text(json.dumps({**RAW, "discovery": discovery.address, **told}))
+    yield path, discovery
+    for part in (discovery, *readers, *writers):
+        await part.stop()
+
+
 class Process:
     """One of our programs as a child process; ``lines`` are the objects of its log so far."""
 
--- a/tests/test_faults_calls.py
+++ b/tests/test_faults_calls.py
@@ -3,16 +3,15 @@
 import asyncio
 import errno
 import json
-import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-from shimmed import Process, connection, control, run
-from test_program import RAW
-from world import READ, STREAM, Discovery, Replica, ask
+from shimmed import Process, connection, control, parties, run
+from world import READ, STREAM, Replica, ask
 
 from onyxpass.faultshim.control import SHORT_TRANSFER, Call, Control, Forced
+from onyxpass.standin.site import free_port
 
 CLIENTS = 20
 
@@ -38,24 +37,16 @@
     folder: Path, *faults: Forced, environment: dict[str, str] | None = None
 ) -> AsyncIterator[Scene]:
     """``faults``: in force from the process's start."""
-    discovery, reader, writer = Discovery(), Replica(READ), Replica(STREAM)
-    for part in (discovery, reader, writer):
-        await part.start()
-    for name, kind, part in (("r0", "r", reader), ("w0", "w", writer)):
-        discovery.hosts.append(discovery.entry(name, kind, part.address))
-    path = folder / "config.json"
-    path.write_text(json.dumps({**RAW, "discovery": discovery.address}))
-    forced = control(folder)
-    forced.force(*faults)
-    process = await Process.start(
-        "serve", "--config", str(path), control=forced, environment=environment or {}
-    )
-    yield Scene(process, await process.port(), forced)
-    forced.clear()
-    assert await process.end() == 0, process.rest
-    assert not process.rest
-    for part in (discovery, reader, writer):
-        await part.stop()
+    async with parties(folder, [Replica(READ)], [Replica(STREAM)]) as (path, _):
+        forced = control(folder)
+        forced.force(*faults)
+        process = await Process.start(
+            "serve", "--config", str(path), control=forced, environment=environment or {}
+        )
+        yield Scene(process, await process.port(), forced)
+        forced.clear()
+        assert await process.end() == 0, process.rest
+        assert not process.rest
 
 
 def test_what_waits_to_be_accepted_at_a_shutdown_is_answered_whatever_accept_says(tmp_path: Path) -> None:
@@ -129,40 +120,31 @@
     """Its standard output is a file on a disk that is full for a while, and written in pieces."""
 
     async def go() -> None:
-        discovery, reader, writer = Discovery(), Replica(READ), Replica(STREAM)
-        for part in (discovery, reader, writer):
-            await part.start()
-        for name, kind, part in (("r0", "r", reader), ("w0", "w", writer)):
-            discovery.hosts.append(discovery.entry(name, kind, part.address))
-        path, out = tmp_path / "config.json", tmp_path / "log"
-        with socket.create_server(("127.0.0.1", 0)) as sock:
-            port = sock.getsockname()[1]
-        told = {**RAW, "discovery": discovery.address, "listen": f"127.0.0.1:{port}"}
-        path.write_text(json.dumps(told))
-        faults = control(tmp_path)
-        with out.open("wb") as log:
-            process = await Process.start("serve", "--config", str(path), control=faults, stdout=log)
-        while b'"full"' not in out.read_bytes():
-            await asyncio.sleep(0.02)
-        s = Scene(process, port, faults)
-        for forced in (
-            Forced(Call.WRITE, errno.ENOSPC),
-            Forced(Call.WRITE, errno.EIO, per_thousand=500),
-            Forced(Call.WRITE, SHORT_TRANSFER, per_thousand=500),
-        ):
-            faults.force(forced)
-            answers = await asyncio.gather(*(s.ask(f"{forced.error}x{n}") for n in range(4)))
-            assert all(a.startswith(b"HTTP/1.1 200") for a in answers), (forced, answers)
-        faults.clear()
-        assert (await s.ask("last")).startswith(b"HTTP/1.1 200")
-        process.child.terminate()
-        assert await process.child.wait() == 0
-        whole = [line for line in out.read_bytes().splitlines() if b'"last"' in line]
-        assert whole and all(json.loads(line)["id"] == "last" for line in whole), (
-            "later lines are whole again"
-        )
-        assert b"Traceback" not in out.read_bytes()
-        for part in (discovery, reader, writer):
-            await part.stop()
+        out, port = tmp_path / "log", free_port()
+        listen = f"127.0.0.1:{port}"
+        async with parties(tmp_path, [Replica(READ)], [Replica(STREAM)], listen=listen) as (path, _):
+            faults = control(tmp_path)
+            with out.open("wb") as log:
+                process = await Process.start("serve", "--config", str(path), control=faults, stdout=log)
+            while b'"full"' not in out.read_bytes():
+                await asyncio.sleep(0.02)
+            s = Scene(process, port, faults)
+            for forced in (
+                Forced(Call.WRITE, errno.ENOSPC),
+                Forced(Call.WRITE, errno.EIO, per_thousand=500),
+                Forced(Call.WRITE, SHORT_TRANSFER, per_thousand=500),
+            ):
+                faults.force(forced)
+                answers = await asyncio.gather(*(s.ask(f"{forced.error}x{n}") for n in range(4)))
+                assert all(a.startswith(b"HTTP/1.1 200") for a in answers), (forced, answers)
+            faults.clear()
+            assert (await s.ask("last")).startswith(b"HTTP/1.1 200")
+            process.child.terminate()
+            assert await process.child.wait() == 0
+            whole = [line for line in out.read_bytes().splitlines() if b'"last"' in line]
+            assert whole and all(json.loads(line)["id"] == "last" for line in whole), (
+                "later lines are whole again"
+            )
+            assert b"Traceback" not in out.read_bytes()
 
     run(go())
--- a/tests/test_faults_clock.py
+++ b/tests/test_faults_clock.py
@@ -1,17 +1,15 @@
 """The wall clock is stepped while a dispatcher runs, or between the two processes of an upgrade."""
 
 import asyncio
-import json
 import socket
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
-from shimmed import Process, connection, control, run
+from shimmed import Process, connection, control, parties, run
 from test_adapter import CONF
-from test_program import RAW
-from world import READ, STREAM, Discovery, Replica, ask, ends_with
+from world import READ, STREAM, Replica, ask, ends_with
 
 HOUR_S = 3_600.0
 LONGER_THAN_AN_UPGRADE_S = 8.0  # a stream that goes over takes well under a second; one that stays, for ever
@@ -28,23 +26,16 @@
             assert (await reader.read()).startswith(b"HTTP/1.1 200")
 
 
-def sites(rules: dict[str, Any], discovery: Discovery, path: Path) -> None:
-    settings = {**CONF, "peersTotal": 1, "rules": {**FALL, **rules}}
-    path.write_text(json.dumps({**RAW, "discovery": discovery.address, "settings": settings}))
+def with_rules(rules: dict[str, Any]) -> dict[str, Any]:
+    return {**CONF, "peersTotal": 1, "rules": {**FALL, **rules}}
 
 
 async def shares(tmp_path: Path, step_s: float, rules: dict[str, Any], wait_s: float = 0.0) -> float:
     """The share of reads that go to one of two readers, born as the wall clock of all machines tells."""
-    discovery, warm, cold, writer = Discovery(), Replica(READ), Replica(READ), Replica(STREAM)
-    for part in (discovery, warm, cold, writer):
-        await part.start()
-    for name, kind, part in (("r0", "r", warm), ("w0", "w", writer)):
-        discovery.hosts.append(discovery.entry(name, kind, part.address))
-    path = tmp_path / "config.json"
-    sites(rules, discovery, path)
-    faults = control(tmp_path)
-    process = await Process.start("serve", "--config", str(path), control=faults)
-    try:
+    warm, cold, faults = Replica(READ), Replica(READ), control(tmp_path)
+    await cold.start()
+    async with parties(tmp_path, [warm], [Replica(STREAM)], settings=with_rules(rules)) as (path, discovery):
+        process = await Process.start("serve", "--config", str(path), control=faults)
         port = await process.port()
         await asked(port, "before", 10)
         faults.step_wall_clock(step_s)
@@ -55,11 +46,9 @@
         await asyncio.sleep(wait_s)
         before = len(warm.heads)
         await asked(port, "after")
-        return len(cold.heads) / (len(cold.heads) + len(warm.heads) - before)
-    finally:
         assert await process.end() == 0
-        for part in (discovery, warm, cold, writer):
-            await part.stop()
+    await cold.stop()
+    return len(cold.heads) / (len(cold.heads) + len(warm.heads) - before)
 
 
 COLD = {"coldFrom": 0.1, "coldUs": 30_000_000}
@@ -85,45 +74,39 @@
 
 async def upgraded(tmp_path: Path, step_s: float) -> float:
     """Seconds till the old process has ended, its stream handed over to one whose wall clock was stepped."""
-    hold = asyncio.Event()
-    discovery, reader, writer = Discovery(), Replica(READ), Replica(ends_with(hold), STREAM)
-    for part in (discovery, reader, writer):
-        await part.start()
-    for name, kind, part in (("r0", "r", reader), ("w0", "w", writer)):
-        discovery.hosts.append(discovery.entry(name, kind, part.address))
-    path = tmp_path / "config.json"
-    sites({}, discovery, path)
-    faults = control(tmp_path)
-    with socket.create_server(("127.0.0.1", 0)) as passed:
-        told = {
-            "control": faults,
-            "environment": {"ROUTER_PASSED_SOCKET": str(passed.fileno()), "TMPDIR": str(tmp_path)},
-            "pass_fds": (passed.fileno(),),
-        }
-        old = await Process.start("serve", "--config", str(path), **told)
-        port = await old.port()
-        async with connection(port) as (source, sink):
-            sink.write(ask("a1", "a"))
-            await source.readuntil(b"[DONE]\n\n\r\n")
-            faults.step_wall_clock(step_s)
-            new = await Process.start("serve", "--config", str(path), **told)
-            await new.port()
-            began_s = time.monotonic()
-            old.child.terminate()
-            ended = asyncio.create_task(old.child.wait())
-            await asyncio.wait([ended], timeout=LONGER_THAN_AN_UPGRADE_S)
-            took_s = time.monotonic() - began_s
-            hold.set()
-            assert await source.readuntil(b"0\r\n\r\n") == b"0\r\n\r\n", "the stream was not cut"
-            sink.write(ask("a2", "a"))
-            if new.of("taken over"):
-                assert (await source.readuntil(b"0\r\n\r\n")).startswith(b"HTTP/1.1 200")
-            served = new.of("served", id="a1") or old.of("served", id="a1")
-            assert abs(served[0]["us"]) < 60_000_000, "its times are spans, whoever set a clock in between"
-            await ended
-        assert await old.end() == 0 and await new.end() == 0
-    for part in (discovery, reader, writer):
-        await part.stop()
+    hold, faults = asyncio.Event(), control(tmp_path)
+    writer = Replica(ends_with(hold), STREAM)
+    async with parties(tmp_path, [Replica(READ)], [writer], settings=with_rules({})) as (path, _):
+        with socket.create_server(("127.0.0.1", 0)) as passed:
+            told = {
+                "control": faults,
+                "environment": {"ROUTER_PASSED_SOCKET": str(passed.fileno()), "TMPDIR": str(tmp_path)},
+                "pass_fds": (passed.fileno(),),
+            }
+            old = await Process.start("serve", "--config", str(path), **told)
+            port = await old.port()
+            async with connection(port) as (source, sink):
+                sink.write(ask("a1", "a"))
+                await source.readuntil(b"[DONE]\n\n\r\n")
+                faults.step_wall_clock(step_s)
+                new = await Process.start("serve", "--config", str(path), **told)
+                await new.port()
+                began_s = time.monotonic()
+                old.child.terminate()
+                ended = asyncio.create_task(old.child.wait())
+                await asyncio.wait([ended], timeout=LONGER_THAN_AN_UPGRADE_S)
+                took_s = time.monotonic() - began_s
+                hold.set()
+                assert await source.readuntil(b"0\r\n\r\n") == b"0\r\n\r\n", "the stream was not cut"
+                sink.write(ask("a2", "a"))
+                if new.of("taken over"):
+                    assert (await source.readuntil(b"0\r\n\r\n")).startswith(b"HTTP/1.1 200")
+                served = new.of("served", id="a1") or old.of("served", id="a1")
+                assert abs(served[0]["us"]) < 60_000_000, (
+                    "its times are spans, whoever set a clock in between"
+                )
+                await ended
+            assert await old.end() == 0 and await new.end() == 0
     return took_s
 
 
--- a/tests/test_faults_held.py
+++ b/tests/test_faults_held.py
@@ -6,10 +6,9 @@
 import time
 from pathlib import Path
 
-from shimmed import Process, connection, run
+from shimmed import Process, connection, parties, run
 from test_adapter import CONF
-from test_program import RAW
-from world import READ, Discovery, Replica, ask
+from world import READ, Replica, ask
 
 HELD_MOST_S = (
     2.0  # of the 0.6 s that are allowed, for a busy machine; a wait for an answer takes over 5 s here
@@ -35,27 +34,20 @@
 
 def test_what_is_held_is_let_go_in_time_while_a_send_has_not_arrived(tmp_path: Path) -> None:
     async def go() -> None:
-        discovery, reader, writer = Discovery(), Replica(READ), Deaf(READ)
-        for part in (discovery, reader, writer):
-            await part.start()
-        for name, kind, part in (("r0", "r", reader), ("w0", "w", writer)):
-            discovery.hosts.append(discovery.entry(name, kind, part.address))
+        reader, writer = Replica(READ), Deaf(READ)
         slow = {**CONF["grades"][0], "promiseUs": 4_000_000}  # type: ignore[index]
         settings = {**CONF, "grades": [slow]}
-        path = tmp_path / "config.json"
-        path.write_text(json.dumps({**RAW, "discovery": discovery.address, "settings": settings}))
-        process = await Process.start("serve", "--config", str(path))
-        async with connection(await process.port()) as (_, client):
-            client.write(ask("a1", "a", ms=6000, text=BODY))
-            while not reader.heads:
-                await asyncio.sleep(0.002)
-            held_s = time.monotonic()
-            while not reader.leases:
-                await asyncio.sleep(0.005)
-            assert reader.leases[0].endswith("a1")
-            assert time.monotonic() - held_s <= HELD_MOST_S
-        assert await process.end() == 0
-        for part in (discovery, reader, writer):
-            await part.stop()
+        async with parties(tmp_path, [reader], [writer], settings=settings) as (path, _):
+            process = await Process.start("serve", "--config", str(path))
+            async with connection(await process.port()) as (_, client):
+                client.write(ask("a1", "a", ms=6000, text=BODY))
+                while not reader.heads:
+                    await asyncio.sleep(0.002)
+                held_s = time.monotonic()
+                while not reader.leases:
+                    await asyncio.sleep(0.005)
+                assert reader.leases[0].endswith("a1")
+                assert time.monotonic() - held_s <= HELD_MOST_S
+            assert await process.end() == 0
 
     run(go())
--- a/tests/test_inherited_socket.py
+++ b/tests/test_inherited_socket.py
@@ -1,15 +1,13 @@
 """What waits in the queue of a socket that a process inherits may be older than the process."""
 
 import asyncio
-import json
 import re
 import socket
 import time
 from pathlib import Path
 
-from shimmed import Process, connection, run
-from test_program import RAW
-from world import READ, STREAM, Discovery, Replica, ask
+from shimmed import Process, connection, parties, run
+from world import READ, STREAM, Replica, ask
 
 WAITED_S = 1.5
 WAIT_MS = 5_000
@@ -18,29 +16,22 @@
 
 def test_a_request_that_waited_for_the_next_process_tells_what_is_left(tmp_path: Path) -> None:
     async def go() -> None:
-        discovery, reader, writer = Discovery(), Replica(READ), Replica(STREAM)
-        for part in (discovery, reader, writer):
-            await part.start()
-        for name, kind, part in (("r0", "r", reader), ("w0", "w", writer)):
-            discovery.hosts.append(discovery.entry(name, kind, part.address))
-        path = tmp_path / "config.json"
-        path.write_text(json.dumps({**RAW, "discovery": discovery.address}))
-        with socket.create_server(("127.0.0.1", 0)) as passed:
-            async with connection(passed.getsockname()[1]) as (source, sink):
-                sink.write(ask("a1", "a", ms=WAIT_MS, close=True))
-                sent_s = time.monotonic()
-                await asyncio.sleep(WAITED_S)
-                environment = {"ROUTER_PASSED_SOCKET": str(passed.fileno())}
-                process = await Process.start(
-                    "serve", "--config", str(path), environment=environment, pass_fds=(passed.fileno(),)
-                )
-                assert (await source.read()).startswith(b"HTTP/1.1 200")
-                waited_ms = (time.monotonic() - sent_s) * 1000
-            for head in (*reader.heads, *writer.heads):
-                (told,) = re.findall(rb"(?i)x-timeout-ms: (\d+)", head)
-                assert int(told) <= WAIT_MS - 1000 * WAITED_S + SLACK_MS, (told, waited_ms)
-            assert await process.end() == 0
-        for part in (discovery, reader, writer):
-            await part.stop()
+        reader, writer = Replica(READ), Replica(STREAM)
+        async with parties(tmp_path, [reader], [writer]) as (path, _):
+            with socket.create_server(("127.0.0.1", 0)) as passed:
+                async with connection(passed.getsockname()[1]) as (source, sink):
+                    sink.write(ask("a1", "a", ms=WAIT_MS, close=True))
+                    sent_s = time.monotonic()
+                    await asyncio.sleep(WAITED_S)
+                    environment = {"ROUTER_PASSED_SOCKET": str(passed.fileno())}
+                    process = await Process.start(
+                        "serve", "--config", str(path), environment=environment, pass_fds=(passed.fileno(),)
+                    )
+                    assert (await source.read()).startswith(b"HTTP/1.1 200")
+                    waited_ms = (time.monotonic() - sent_s) * 1000
+                for head in (*reader.heads, *writer.heads):
+                    (told,) = re.findall(rb"(?i)x-timeout-ms: (\d+)", head)
+                    assert int(told) <= WAIT_MS - 1000 * WAITED_S + SLACK_MS, (told, waited_ms)
+                assert await process.end() == 0
 
     run(go())
