--- a/onyxpass/soak/run.py
+++ b/onyxpass/soak/run.py
@@ -20,7 +20,9 @@
 from onyxpass.soak.records import Records, Span
 from onyxpass.soak.schedule import DISCOVERY, DISPATCHER, Fault, Kind, Shape
 from onyxpass.standin.link import Link, Mode
+from onyxpass.standin.server import Server
 
+AGAIN_S = 0.05  # between tries to listen
 LOOK_S = 0.02  # between looks at this process's own pauses
 CHECK_S = 0.25  # between looks at whether all dispatchers live
 STARTED_AT_ONCE = 8
@@ -180,7 +182,7 @@
         if fault.kind is Kind.DISCOVERY_DOWN:
             await self.fleet.discovery.stop()
             await asyncio.sleep(fault.for_s)
-            await self.fleet.discovery.start()
+            await started_again(self.fleet.discovery)
             return
         for way in self.ways:
             if fault.kind is Kind.DISCOVERY_SILENT:
@@ -209,7 +211,7 @@
             case Kind.RESTART:
                 await replica.stop()
                 await asyncio.sleep(fault.for_s)
-                await replica.start()
+                await started_again(replica)
                 row.born_ms = round(time.time() * 1000)
                 self.fleet.discovery.change(replica.name, "active")
             case Kind.CUT:
@@ -266,6 +268,16 @@
         await self.fleet.stop()
 
 
+async def started_again(server: Server) -> None:
+    """At its own port, which an outgoing connection may have been given meanwhile."""
+    while True:
+        try:
+            await server.start()
+            return
+        except OSError:
+            await asyncio.sleep(AGAIN_S)
+
+
 async def play(seed: int, shape: Shape, faults: Sequence[Fault], keep: Path | None = None) -> Result:
     """One soak in a folder of its own; ``keep``: one that stays, for its logs."""
     if keep is not None:
