--- a/onyxpass/soak/run.py
+++ b/onyxpass/soak/run.py
@@ -269,8 +269,11 @@
 
 
 async def started_again(server: Server) -> None:
-    """At its own port, which an outgoing connection may have been given meanwhile."""
-    while True:
+    """At its own port, which an outgoing connection may have been given meanwhile.
+
+    Two faults that overlap may both have stopped it; then the first to end has started it.
+    """
+    while server.server is None or not server.server.is_serving():
         try:
             await server.start()
             return
