--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -554,7 +554,7 @@
         outside = [a for a in attempts if a["end" if "end" in a else "event"] != "not_sent"
                    and a["server"] not in views[a["view"]]]  # fmt: skip
         assert attempts and not outside, outside[:3]
-        refusals = [line for line in lines if line["event"] == "refused" and "why" in line]
+        refusals = [line for line in lines if line["event"] == "refused" and "view" in line]
         assert len(refusals) == dispatcher.files.refused and all(line["why"] for line in refusals)
         served = Counter(event.detail for event in fleet.trace.of(What.ANSWERED))
         assert served["served"] > 20 and not served["broken"], served
