Wait out a delayed acknowledgement, and answer a request that the guard does not know

Read again: an attempt on a kept connection could be given up at its first look, 40 ms after the write, where the time before it was spent on dials, though an acknowledgement may be delayed by as much; three looks now. And a final answer is withheld only where it would be a second one.

--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -508,9 +508,9 @@
         Guards against a front whose answer fails: the module still hears how the request ended.
         """
         verdict = self.guard.answering(request.id, refusal)
-        if not self._allowed(verdict, request):
-            if verdict.rule is not Rule.REFUSAL:
-                return
+        if not self._allowed(verdict, request) and verdict.rule is Rule.ONE_ANSWER:
+            return
+        if verdict.rule is Rule.REFUSAL:
             self._answer(request, lambda: request.client.fail(verdict.detail, False), self.figures.failed)
             return
         self._close(request)
--- a/onyxpass/net/delivery.py
+++ b/onyxpass/net/delivery.py
@@ -6,6 +6,9 @@
 from onyxpass.core.requests import Attempt
 
 LOOK_US = 40_000  # after the last byte was handed to the kernel, and between looks
+LEAST_LOOKS = (
+    3  # that find nothing, till an attempt may be given up: an acknowledgement may be delayed by 40 ms
+)
 
 
 class Sent(Protocol):
@@ -21,14 +24,14 @@
     silent: what has not arrived is not out, and the time in which the state must be used or let go runs on.
     """
 
-    def look() -> None:
+    def look(number: int) -> None:
         if attempt.ended or attempt.arrived:
             return
         delivered = sent.delivered()
         if delivered:
             attempt.arrived = True
-        elif delivered is False and core.may_wait(attempt):
-            core.wheel.after(LOOK_US, look)
+        elif delivered is False and (number < LEAST_LOOKS or core.may_wait(attempt)):
+            core.wheel.after(LOOK_US, lambda: look(number + 1))
 
     if attempt.request.may_hold:
-        core.wheel.after(LOOK_US, look)
+        core.wheel.after(LOOK_US, lambda: look(1))
