--- a/onyxpass/agent/instance.py
+++ b/onyxpass/agent/instance.py
@@ -11,7 +11,7 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import structlog
 
@@ -24,9 +24,6 @@
 from onyxpass.guard import StartGuard
 from onyxpass.net.ask import Answer, ask, at_path
 
-if TYPE_CHECKING:
-    pass
-
 CHECK_S = 1.0  # a check's limit
 ADMIN_S = 2.0  # for an instance to answer on its admin socket
 log = structlog.get_logger("agent")
--- a/onyxpass/choice.py
+++ b/onyxpass/choice.py
@@ -471,7 +471,7 @@
         job.out, job.sent_us, job.attempts, job.passed = host, self.now_us, job.attempts + 1, 0
         job.work = BASE_TOKENS + tokens + sum(host.flight.values())
         host.flight[job.ask.id], host.due = tokens, False
-        self.slow_start.sent(host.id, host.spec.kind, self.now_us)
+        self.slow_start.sent(host.id, self.now_us)
         if host.role is Role.READER:
             self._ask_writers(host.spec)
         else:
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -333,7 +333,10 @@
         Servers' starts are as they were told, by the wall clocks of their machines. ``absent_us``: when the
         list was last heard of without this change, on our own clock; None where that is not known.
         """
-        update = replace(update, servers=tuple(self._on_own_clock(s, absent_us) for s in update.servers))
+        now_us = self.clock.now_us()
+        self.births.look(now_us, self.clock.wall_us())
+        servers = tuple(self._on_own_clock(server, now_us, absent_us) for server in update.servers)
+        update = replace(update, servers=servers)
         if update.form in (api.ListForm.FULL, api.ListForm.SAVED):
             self.servers = {}
         for server in update.servers:
@@ -342,17 +345,14 @@
             else:
                 self.servers[server.id] = server
         whole = update.form in (api.ListForm.FULL, api.ListForm.SAVED)
-        self.guard.listed(update.servers, whole, self.clock.now_us())
+        self.guard.listed(update.servers, whole, now_us)
         self.tell(update)
 
-    def _on_own_clock(self, server: api.Server, absent_us: int | None) -> api.Server:
+    def _on_own_clock(self, server: api.Server, now_us: int, absent_us: int | None) -> api.Server:
         if server.started_us is None or server.condition is api.Condition.REMOVED:
             return server
-        now_us = self.clock.now_us()
-        self.births.look(now_us, self.clock.wall_us())
-        return replace(
-            server, started_us=self.births.started_us(server.id, server.started_us, now_us, absent_us)
-        )
+        started_us = self.births.started_us(server.id, server.started_us, now_us, absent_us)
+        return server if started_us == server.started_us else replace(server, started_us=started_us)
 
     def exclude(self, servers: Iterable[str]) -> None:
         """Just these are out by hand from now on; sends that still wait see it at once, as a drain."""
--- a/onyxpass/net/succession.py
+++ b/onyxpass/net/succession.py
@@ -29,9 +29,7 @@
 from onyxpass.net.unix import short
 
 VERSION = 2  # of the message; one that is not among those known is turned down
-OWN_CLOCK_VERSION = (
-    1  # told times on its process's own clock, which a step of the wall clock parts from others
-)
+OWN_CLOCK_VERSION = 1  # told times on its process's own clock, which others need not share
 MESSAGE_MOST = 64 * 1024
 TURNS = 4  # streams on their way at once
 FAILURES = 8  # offers in vain, till no more are made
--- a/onyxpass/net/tcp.py
+++ b/onyxpass/net/tcp.py
@@ -5,11 +5,8 @@
 import struct
 
 SIOCOUTQ = 0x5411  # bytes that the other side has not acknowledged, those not yet sent among them (tcp(7))
-TCP_INFO_SIZE, RETRANSMIT_TIMEOUT_AT, LAST_DATA_AT = (
-    56,
-    8,
-    52,
-)  # struct tcp_info: tcpi_rto, tcpi_last_data_recv
+TCP_INFO_SIZE = 56  # of struct tcp_info, up to the last field that is read here
+RETRANSMIT_TIMEOUT_AT, LAST_DATA_AT = 8, 52  # its fields tcpi_rto and tcpi_last_data_recv
 
 
 def tcp_info(sock: socket.socket) -> bytes | None:
--- a/onyxpass/slowstart.py
+++ b/onyxpass/slowstart.py
@@ -66,10 +66,10 @@
         self._began_us = -1  # when it was first asked or told anything
         self._rates: dict[str, Rate] = {}  # by kind: this router's good answers a server
         self._learnt: set[str] = set()  # kinds of which a warm server has answered
-        self._sent = deque[tuple[int, str, str]]()  # when, to which server and kind, in the last window
+        self._sent = deque[tuple[int, str]]()  # when and to which server, in the last window
+        self._to_server = Counter[str]()  # the same, counted
         self._came = deque[int]()  # when requests have come, in the last window
         self._arrivals: Rate | None = None
-        self._to_server, self._to_kind = Counter[str](), Counter[str]()  # the same, counted
 
     def answered(self, kind: str, share: float, shares: Sequence[float], now_us: int) -> None:
         """A read or a first token came from a server with this share of its capacity.
@@ -89,17 +89,15 @@
             self._began_us = now_us
         return self._rates.setdefault(kind, Rate(self._began_us))
 
-    def sent(self, server: str, kind: str, now_us: int) -> None:
+    def sent(self, server: str, now_us: int) -> None:
         self._forget(now_us)
-        self._sent.append((now_us, server, kind))
+        self._sent.append((now_us, server))
         self._to_server[server] += 1
-        self._to_kind[kind] += 1
 
     def _forget(self, now_us: int) -> None:
         """Let go of sends that lie before the last window."""
         while self._sent and self._sent[0][0] <= now_us - self.settings.fall_us:
-            _, server, kind = self._sent.popleft()
-            self._to_kind[kind] -= 1
+            _, server = self._sent.popleft()
             self._to_server[server] -= 1
             if not self._to_server[server]:  # guards against a count for each server there ever was
                 del self._to_server[server]
--- a/onyxpass/soak/clients.py
+++ b/onyxpass/soak/clients.py
@@ -13,7 +13,6 @@
 from onyxpass.soak.records import Asked, Records
 
 BAD_CLIENT_S = 3.0  # a client that breaks off in the middle has its error or a close within this time
-REST_MOST_S = 30.0  # longer than any dispatcher keeps a resting connection
 STAY_S = 30.0
 
 
--- a/onyxpass/soak/judge.py
+++ b/onyxpass/soak/judge.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable, Iterator
 
 from onyxpass.rules import trace as rules
-from onyxpass.rules.trace import Trace, What
+from onyxpass.rules.trace import What
 from onyxpass.soak.clients import BAD_CLIENT_S
 from onyxpass.soak.dispatchers import BOOKINGS
 from onyxpass.soak.records import Asked, Records
@@ -180,6 +180,3 @@
     """Every breach of every rule, each with the rule's name."""
     slack_s = slack_of(records)
     return [f"{name}: {breach}" for name, rule in RULES.items() for breach in rule(records, slack_s)]
-
-
-__all__ = ["RULES", "Trace", "breaches", "slack_of"]
--- a/onyxpass/soak/parties.py
+++ b/onyxpass/soak/parties.py
@@ -6,7 +6,6 @@
 import h11
 
 from onyxpass.net.http import Wire, header
-from onyxpass.rules.trace import Trace
 from onyxpass.soak.records import Records, Told
 from onyxpass.standin.link import Link
 from onyxpass.standin.replicas import Listed, Speed, StandinDiscovery, StandinReplica, States
@@ -68,6 +67,3 @@
     async def stop(self) -> None:
         for server in (self.discovery, *self.links, *self.replicas):
             await server.stop()
-
-    def trace(self) -> Trace:
-        return self.records.trace
--- a/onyxpass/soak/run.py
+++ b/onyxpass/soak/run.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from onyxpass.faultshim.control import build
-from onyxpass.rules.trace import Trace, What
+from onyxpass.rules.trace import Trace
 from onyxpass.soak import judge
 from onyxpass.soak.clients import Clients
 from onyxpass.soak.dispatchers import CLASSES, DEADLINE_US, Dispatcher
@@ -33,12 +33,10 @@
 
 @dataclass(slots=True)
 class Result:
-    """What one soak gave; ``folder`` holds the logs only while it is not removed."""
+    """What one soak gave."""
 
     breaches: list[str]
-    faults: Sequence[Fault]
     ends: Counter[str] = field(default_factory=Counter)
-    manners: int = 0
     lag_s: float = 0.0
 
 
@@ -71,9 +69,7 @@
         for dispatcher in self.dispatchers:
             dispatcher.read_log()
         ends = Counter(asked.end for asked in self.records.asked.values())
-        return Result(
-            judge.breaches(self.records), faults, ends, len(self.records.bad_clients), self.records.lag_s
-        )
+        return Result(judge.breaches(self.records), ends, self.records.lag_s)
 
     async def _open(self) -> None:
         await self.fleet.start()
@@ -139,8 +135,8 @@
                 dispatcher.trouble("restarted", 6.0)
                 if dispatcher.passed is not None:
                     await dispatcher.start(self.library)
-                    old_leaves = asyncio.create_task(self._end_old(dispatcher, child))
-                    await old_leaves
+                    await dispatcher.terminate(child)
+                    dispatcher.leaves = False  # the new one serves already
                 else:
                     await dispatcher.terminate(child)
                     await dispatcher.start(self.library)
@@ -170,12 +166,6 @@
                 await asyncio.sleep(fault.for_s)
                 control.delay_sends(0)
 
-    @staticmethod
-    async def _end_old(dispatcher: Dispatcher, child: asyncio.subprocess.Process) -> None:
-        """End the old process of an upgrade; the new one serves already."""
-        await dispatcher.terminate(child)
-        dispatcher.leaves = False
-
     async def _strike_discovery(self, fault: Fault) -> None:
         now_s = time.monotonic()
         self.records.discovery.append(Span(now_s, now_s + fault.for_s, fault.kind.value))
@@ -288,6 +278,3 @@
         return await Soak(keep, seed, shape).play(faults)
     with tempfile.TemporaryDirectory(prefix="onyxpass-soak-") as folder:
         return await Soak(Path(folder), seed, shape).play(faults)
-
-
-__all__ = ["Result", "What", "play"]
--- a/tests/test_slowstart.py
+++ b/tests/test_slowstart.py
@@ -58,10 +58,10 @@
     for who, at_us, lot in sorted(bursts(routers, calls, seed), key=lambda ask: ask[1]):
         made[who].arrived(at_us)
         if lot < PART * made[who].odds("r0", "r", share, PART, at_us):
-            made[who].sent("r0", "r", at_us)
+            made[who].sent("r0", at_us)
             sent.append(at_us)
         else:
-            made[who].sent("warm", "r", at_us)
+            made[who].sent("warm", at_us)
     bears = slowstart.budget(SETTINGS.fall_multiple * share * calls)
     assert most_in_a_window(sent, WINDOW_US) <= bears * 1.1 + 1
     assert sent, "it is not left out either"
@@ -78,9 +78,9 @@
                 chance += lots.random() < PART
                 if lots.random() < PART * state.odds("r0", "r", 0.3, PART, now_us + n):
                     here += 1
-                    state.sent("r0", "r", now_us + n)
+                    state.sent("r0", now_us + n)
                 else:
-                    state.sent("warm", "r", now_us + n)
+                    state.sent("warm", now_us + n)
         assert here <= slowstart.budget(0)
         sent += here
     assert 0 < sent <= 1.5 * chance, "no more than by lot alone, or little more"
