Wait out a failed accept in the listener, not in each server that has one

Listener.accept now keeps trying by itself, with the pauses of the clients' front, and both servers only call it; no server to come can forget it.

--- a/onyxpass/net/calls.py
+++ b/onyxpass/net/calls.py
@@ -77,12 +77,7 @@
 
     async def _accept_all(self, listener: Listener) -> None:
         while True:
-            try:
-                sock = await listener.accept()
-            except OSError as problem:
-                log.warning("can't accept", why=str(problem))
-                await self.wheel.sleep(RETRY_US)
-                continue
+            sock = await listener.accept()
             while len(self.calls) >= self.most and not self._make_room():
                 await self.wheel.sleep(10_000)
             task = asyncio.create_task(self._call(sock))
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -16,7 +16,7 @@
 from onyxpass.net.complaints import Complaints
 from onyxpass.net.connections import ClientConnection, Connections, Stage
 from onyxpass.net.http import CHUNK, FAREWELL_US, Broken, Wire, body, drain_input, header
-from onyxpass.net.listen import Listener
+from onyxpass.net.listen import Listener, Pause
 from onyxpass.net.replica import Payload, passed_on
 from onyxpass.net.tcp import silent_ms
 
@@ -28,10 +28,6 @@
 ACCEPTS = 16  # connections taken in one turn of the loop: requests under way have theirs in between
 SETTLED_US = 1_000_000  # after an answer, till it has surely arrived
 ROOM_US = 20_000  # between looks whether there is room
-SHORT_LEAST_US, SHORT_MOST_US = (
-    5_000,
-    200_000,
-)  # between tries to accept while that fails; each is twice the last
 LAST_ACCEPTS_US = 1_500_000  # of trying on, at a shutdown, to take what waits while accepting fails
 LINGER_US = 450_000  # after SIGTERM new connections keep coming for up to 0.4 s, where the socket is our own
 LAST_US = 650_000  # after SIGTERM what comes so late may not be finished in time
@@ -61,20 +57,6 @@
             return INTERNAL_ERROR
 
 
-class Pause:
-    """Between tries at what fails for want of something here: short at first, as most lacks are."""
-
-    def __init__(self) -> None:
-        self._next_us = SHORT_LEAST_US
-
-    def next_us(self) -> int:
-        now_us, self._next_us = self._next_us, min(SHORT_MOST_US, 2 * self._next_us)
-        return now_us
-
-    def reset(self) -> None:
-        self._next_us = SHORT_LEAST_US
-
-
 class Front:
     def __init__(
         self,
--- a/onyxpass/net/listen.py
+++ b/onyxpass/net/listen.py
@@ -7,6 +7,8 @@
 import time
 from collections import deque
 
+import structlog
+
 from onyxpass.core.loop import unseen_since_ns
 
 # Errors of ``accept`` that belong to the one connection that it was about to give: it is gone, and the next
@@ -26,9 +28,28 @@
         errno.ETIMEDOUT,
     )
 )
+SHORT_LEAST_US = 5_000  # till the next try to accept while that fails; each pause is twice the last
+SHORT_MOST_US = 200_000
 LOST_MOST = 64  # connections lost in a row, till the failure counts as one that lasts
 
 
+log = structlog.get_logger("listen")
+
+
+class Pause:
+    """Between tries at what fails for want of something here: short at first, as most lacks are."""
+
+    def __init__(self) -> None:
+        self._next_us = SHORT_LEAST_US
+
+    def next_us(self) -> int:
+        now_us, self._next_us = self._next_us, min(SHORT_MOST_US, 2 * self._next_us)
+        return now_us
+
+    def reset(self) -> None:
+        self._next_us = SHORT_LEAST_US
+
+
 class Listener:
     """``accept`` may be cancelled at any moment, and the socket may be shared with another process."""
 
@@ -53,11 +74,20 @@
     async def accept(self) -> socket.socket:
         """Guards against a connection that is taken while the task is cancelled: it would be reset unread.
 
-        So nothing is taken but by this very step. Where another process was quicker, it waits on.
+        So nothing is taken but by this very step. Where another process was quicker, it waits on. What keeps
+        it from accepting is waited out, too: a server that ends for a lack of descriptors serves nobody.
         """
-        while (taken := self.take()) is None:
+        pause = Pause()
+        while True:
+            try:
+                taken = self.take()
+            except OSError as problem:
+                log.warning("can't accept", why=str(problem))
+                await asyncio.sleep(pause.next_us() / 1e6)
+                continue
+            if taken is not None:
+                return taken
             await self.newcomer()
-        return taken
 
     def take(self) -> socket.socket | None:
         """The connection that has waited for longest, if there is one.
--- a/onyxpass/net/succession.py
+++ b/onyxpass/net/succession.py
@@ -35,7 +35,6 @@
 FAILURES = 8  # offers in vain, till no more are made
 OFFER_US = 300_000  # from the offer to the other process's word
 BACKLOG = 64
-ACCEPT_AGAIN_US = 20_000  # after an accept that failed; an offer waits ``OFFER_US``
 TIMES = ("deadline_us", "arrived_us", "sent_us")
 WILLING, GO = b"1", b"2"
 log = structlog.get_logger("succession")
@@ -150,12 +149,7 @@
         listener = Listener(sock)
         try:
             while True:
-                try:
-                    offer = await listener.accept()
-                except OSError as problem:  # guards against a process that ends for a lack of descriptors
-                    log.warning("can't accept", why=str(problem))
-                    await self.wheel.sleep(ACCEPT_AGAIN_US)
-                    continue
+                offer = await listener.accept()
                 task = asyncio.create_task(self._hear(offer))
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
