Use the one durable write, one start guard an agent, and one form of a violation's line

The soak and the stand-in site wrote beside and renamed by hand; both call durable.replace. Each instance had a guard of its own with a table of instances that held one; the agent's is shared. Two places put a verdict into log fields; Verdict.told does. The agent's violation line gains its why.

--- a/onyxpass/agent/instance.py
+++ b/onyxpass/agent/instance.py
@@ -67,14 +67,16 @@
 
 
 class Instance(Actor[Order]):
-    def __init__(self, spec: InstanceSpec, config: AgentConfig, ledger: Ledger, folder: Path) -> None:
+    def __init__(
+        self, spec: InstanceSpec, config: AgentConfig, ledger: Ledger, folder: Path, guard: StartGuard
+    ) -> None:
+        """``guard``: the agent's, for all of its instances."""
         super().__init__(spec.name)
-        self.spec, self.config, self.ledger, self.folder = spec, config, ledger, folder
+        self.spec, self.config, self.ledger, self.folder, self.guard = spec, config, ledger, folder, guard
         self.kept = ledger.instances().get(spec.name) or Kept(spec.name)
         pauses = Pauses(config.first_s, config.most_s, config.steady_s, config.start_s)
         self.life = Lifecycle(pauses, wanted=self.kept.wanted, restarts=self.kept.restarts)
         self.process: Process | None = None
-        self.guard = StartGuard()
         self.since = time.time()  # for people; nothing is decided by it
         self.adopted = False
         self.tasks: set[asyncio.Task[None]] = set()
@@ -172,7 +174,7 @@
         """The launch is on record before the process is made, and its identity right after."""
         verdict = self.guard.starting(self.name)
         if not verdict:
-            log.error("violation", rule=verdict.rule.name if verdict.rule else "", name=self.name)
+            log.error("violation", name=self.name, **verdict.told())
             return
         self.kept.launch, self.kept.process = secrets.token_hex(8), None
         try:
--- a/onyxpass/agent/supervisor.py
+++ b/onyxpass/agent/supervisor.py
@@ -14,6 +14,7 @@
 from onyxpass.agent.process import identify
 from onyxpass.core.clock import Clock
 from onyxpass.core.wheel import Wheel
+from onyxpass.guard import StartGuard
 
 if TYPE_CHECKING:
     from onyxpass.store.redis import Store
@@ -29,7 +30,10 @@
         self.ledger = Ledger(config.state)
         (self.folder / "run").mkdir(mode=0o700, parents=True, exist_ok=True)
         self.wheel = Wheel(Clock())
-        self.instances = [Instance(spec, config, self.ledger, self.folder) for spec in config.instances]
+        self.guard = StartGuard()
+        self.instances = [
+            Instance(spec, config, self.ledger, self.folder, self.guard) for spec in config.instances
+        ]
         self.by_name = {instance.name: instance for instance in self.instances}
         self.tasks: list[asyncio.Task[None]] = []
         self._store_words: dict[str, bool | None] = {}  # what it last said of each instance
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -188,9 +188,9 @@
 
     def _allowed(self, verdict: Verdict, request: Request, attempt: Attempt | None = None) -> bool:
         """Whether the guard allows it; if not, that is logged: some code before it is wrong."""
-        if verdict.rule is not None:
-            told = {"n": attempt.number, "server": attempt.server} if attempt is not None else {}
-            log.error("violation", rule=verdict.rule.name, id=request.id, why=verdict.detail, **told)
+        if not verdict:
+            sent = {"n": attempt.number, "server": attempt.server} if attempt is not None else {}
+            log.error("violation", id=request.id, **verdict.told(), **sent)
         return bool(verdict)
 
     def closes(self, request: Request | None, unanswered: bool) -> None:
--- a/onyxpass/guard/verdict.py
+++ b/onyxpass/guard/verdict.py
@@ -32,5 +32,9 @@
     def __bool__(self) -> bool:
         return self.rule is None
 
+    def told(self) -> dict[str, str]:
+        """What the log tells of a rule that would have been broken."""
+        return {"rule": self.rule.name, "why": self.detail} if self.rule is not None else {}
+
 
 ALLOWED = Verdict()
--- a/onyxpass/soak/dispatchers.py
+++ b/onyxpass/soak/dispatchers.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+from onyxpass import durable
 from onyxpass.faultshim.control import Control
 from onyxpass.soak.records import Records, Span
 from onyxpass.standin.link import Link
@@ -89,9 +90,7 @@
                 "settings": settings(dispatchers),
             }
         )
-        fresh = self.config.with_suffix(".new")
-        fresh.write_text(text)
-        fresh.replace(self.config)
+        durable.replace(self.config, text.encode())
 
     async def start(self, library: Path) -> None:
         """Start a process, and let clients come once it says that it has the list."""
--- a/onyxpass/standin/site.py
+++ b/onyxpass/standin/site.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from onyxpass import durable
 from onyxpass.agent.keys import make_key
 from onyxpass.standin.replicas import StandinFleet
 from onyxpass.standin.settings import dispatcher_file
@@ -84,10 +85,7 @@
         made = dispatcher_file(name, listen, self.fleet, peers)
         if "sockets" in told:
             made["limits"]["sockets"] = told["sockets"]
-        path = self.folder / f"{name}.json"
-        fresh = path.with_suffix(".new")
-        fresh.write_text(json.dumps(made))
-        fresh.replace(path)
+        durable.replace(self.folder / f"{name}.json", json.dumps(made).encode())
 
     async def start(self, host: Host, environment: Mapping[str, str] | None = None) -> None:
         """Start the host's agent; ``environment``: variables of it and its instances besides our own."""
