--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,133 @@
+"""What the two processes of an upgrade share: bans, descriptors, the order in which they came."""
+
+import asyncio
+import json
+import os
+import socket
+from pathlib import Path
+
+import pytest
+from test_core import HandClock
+
+from onyxpass import handover
+from onyxpass.core.wheel import Wheel
+from onyxpass.handover import Handover, name_after, passed_listener
+
+
+class Pair:
+    """Two processes of one dispatcher, as far as ``$TMPDIR`` goes, on a clock that the test turns."""
+
+    def __init__(self, folder: Path) -> None:
+        self.clock = HandClock()
+        self.wheel = Wheel(self.clock)
+        self.folder = folder
+
+    def process(self) -> Handover:
+        made = Handover(self.folder, "n1|127.0.0.1:1", 256, self.wheel)
+        made.start()
+        self.clock.us += 1_000
+        return made
+
+    async def excluded(self, by: Handover, server: str, out: bool = True) -> bool:
+        task = asyncio.create_task(by.exclude(server, out))
+        while not task.done():
+            await asyncio.sleep(0)
+            self.clock.us += 10_000
+            self.wheel.advance()
+        return task.result()
+
+
+def test_a_yes_means_that_both_processes_have_the_ban_and_the_next_one_too(tmp_path: Path) -> None:
+    async def go() -> None:
+        pair = Pair(tmp_path)
+        elder, younger = pair.process(), pair.process()
+        heard: list[frozenset[str]] = []
+        younger.on_excluded = heard.append
+        assert await pair.excluded(elder, "r1")
+        assert younger.excluded == {"r1"} and heard == [{"r1"}]
+        assert await pair.excluded(younger, "r1") and await pair.excluded(younger, "w1")
+        assert await pair.excluded(elder, "r1", out=False)
+        elder.end()
+        younger.end()
+        assert pair.process().excluded == {"w1"}
+
+    asyncio.run(go())
+
+
+def test_no_yes_while_the_other_process_does_not_look(tmp_path: Path) -> None:
+    async def go() -> None:
+        pair = Pair(tmp_path)
+        elder, younger = pair.process(), pair.process()
+        younger.look = lambda: None  # type: ignore[method-assign]
+        assert not await pair.excluded(elder, "r1")
+        assert elder.excluded == {"r1"}, "in force here all the same"
+        assert not younger.excluded
+
+    asyncio.run(go())
+
+
+@pytest.mark.parametrize(
+    "left", [b"", b"{", b"[]", b'{"version":1,"excluded":[1]}', b"\xff\x00", b"[" * 9999]
+)
+def test_damaged_files_and_leftovers_of_the_killed_do_no_harm(tmp_path: Path, left: bytes) -> None:
+    pair = Pair(tmp_path)
+    folder = pair.process().folder
+    assert folder is not None
+    (folder / "excluded.json").write_bytes(left)
+    (folder / "00000000000000000001-9.process").write_bytes(left)
+    fresh = pair.process()
+    assert not fresh.excluded and asyncio.run(pair.excluded(fresh, "r1")) and fresh.excluded == {"r1"}
+    assert not (folder / "00000000000000000001-9.process").exists(), "nobody holds its lock"
+    assert json.loads((folder / "excluded.json").read_text())["excluded"] == ["r1"]
+
+
+def test_a_folder_that_can_not_be_written_does_not_stop_the_start(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("")
+    made = Handover(tmp_path / "file", "n1", 256, Wheel(HandClock()))
+    made.start()
+    assert asyncio.run(made.exclude("r1", True)) and made.excluded == {"r1"}
+
+
+def test_a_passed_descriptor_is_used_only_if_it_listens() -> None:
+    ours = socket.create_server(("127.0.0.1", 0))
+    found = passed_listener(ours.dup().detach())
+    assert found is not None and found.getsockname() == ours.getsockname() and not found.get_inheritable()
+    found.close()
+    ours.close()
+    plain = socket.socket()
+    assert passed_listener(plain.fileno()) is None and plain.fileno() >= 0, "what is not ours is left open"
+    plain.close()
+    assert passed_listener(None) is None and passed_listener(987_654) is None
+
+
+def test_two_processes_never_may_hold_more_descriptors_than_one(tmp_path: Path) -> None:
+    pair = Pair(tmp_path)
+    elder = pair.process()
+    assert elder.limit == 256
+    younger = pair.process()
+    floor = 256 // handover.FLOOR_PART
+    assert younger.limit == floor, "the elder has not yielded anything yet"
+    for _ in range(3):
+        for process in (younger, elder):
+            process.look()
+            assert process is elder or elder.limit + process.limit <= 256 + floor
+    assert (elder.limit, younger.limit) == (128, 128)
+    elder.stopping = True
+    elder.look()
+    younger.look()
+    assert elder.limit < 128 and elder.limit + younger.limit == 256
+    elder.end()
+    younger.look()
+    assert younger.limit == 256
+
+
+def test_a_later_process_sorts_last_whatever_the_wall_clock_says(tmp_path: Path) -> None:
+    first = name_after(tmp_path)
+    (tmp_path / first).touch()
+    second = name_after(tmp_path)
+    assert first < second and str(os.getpid()) in second
+    by_time = f"{10**15:020d}-7.process"  # as the release before named its processes
+    (tmp_path / by_time).touch()
+    assert name_after(tmp_path) > by_time
+    (tmp_path / "x.process").touch()
+    assert name_after(tmp_path) > by_time, "what is no process's file counts for nothing"
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,31 +1,22 @@
-"""The operators' address, figures, replicas taken out by hand, and what processes of an upgrade share."""
+"""The operators' address, its figures, and replicas taken out by hand."""
 
 import asyncio
-import json
 import socket
 from itertools import pairwise
-from pathlib import Path
 from typing import Any
 
-import h11
 import pytest
 from helpers import SETTINGS, Drive, fleet
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from standins import until
-from test_core import HandClock
 from world import FULL, READ, STREAM, Replica, World, ask, ends_with, run, world
 
-from onyxpass import choice, handover
+from onyxpass import choice
 from onyxpass import interface as api
 from onyxpass.config import Address, ConfigError, parse
-from onyxpass.core.wheel import Wheel
-from onyxpass.handover import Handover, passed_listener
 from onyxpass.interface import Status
-from onyxpass.net import control, front, succession
-from onyxpass.net.answers import Incoming
-from onyxpass.net.http import Wire
-from onyxpass.net.listen import Listener
+from onyxpass.net import control, front
 
 CONTROL = Address("127.0.0.1", 0)
 READY = b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -230,135 +221,6 @@
     assert victim in d.router.avoided(d.now)
 
 
-class Pair:
-    """Two processes of one dispatcher, as far as ``$TMPDIR`` goes, on a clock that the test turns."""
-
-    def __init__(self, folder: Path) -> None:
-        self.clock = HandClock()
-        self.wheel = Wheel(self.clock)
-        self.folder = folder
-
-    def process(self) -> Handover:
-        made = Handover(self.folder, "n1|127.0.0.1:1", 256, self.wheel)
-        made.start()
-        self.clock.us += 1_000
-        return made
-
-    async def excluded(self, by: Handover, server: str, out: bool = True) -> bool:
-        task = asyncio.create_task(by.exclude(server, out))
-        while not task.done():
-            await asyncio.sleep(0)
-            self.clock.us += 10_000
-            self.wheel.advance()
-        return task.result()
-
-
-def test_a_yes_means_that_both_processes_have_the_ban_and_the_next_one_too(tmp_path: Path) -> None:
-    async def go() -> None:
-        pair = Pair(tmp_path)
-        elder, younger = pair.process(), pair.process()
-        heard: list[frozenset[str]] = []
-        younger.on_excluded = heard.append
-        assert await pair.excluded(elder, "r1")
-        assert younger.excluded == {"r1"} and heard == [{"r1"}]
-        assert await pair.excluded(younger, "r1") and await pair.excluded(younger, "w1")
-        assert await pair.excluded(elder, "r1", out=False)
-        elder.end()
-        younger.end()
-        assert pair.process().excluded == {"w1"}
-
-    asyncio.run(go())
-
-
-def test_no_yes_while_the_other_process_does_not_look(tmp_path: Path) -> None:
-    async def go() -> None:
-        pair = Pair(tmp_path)
-        elder, younger = pair.process(), pair.process()
-        younger.look = lambda: None  # type: ignore[method-assign]
-        assert not await pair.excluded(elder, "r1")
-        assert elder.excluded == {"r1"}, "in force here all the same"
-        assert not younger.excluded
-
-    asyncio.run(go())
-
-
-@pytest.mark.parametrize(
-    "left", [b"", b"{", b"[]", b'{"version":1,"excluded":[1]}', b"\xff\x00", b"[" * 9999]
-)
-def test_damaged_files_and_leftovers_of_the_killed_do_no_harm(tmp_path: Path, left: bytes) -> None:
-    pair = Pair(tmp_path)
-    folder = pair.process().folder
-    assert folder is not None
-    (folder / "excluded.json").write_bytes(left)
-    (folder / "00000000000000000001-9.process").write_bytes(left)
-    fresh = pair.process()
-    assert not fresh.excluded and asyncio.run(pair.excluded(fresh, "r1")) and fresh.excluded == {"r1"}
-    assert not (folder / "00000000000000000001-9.process").exists(), "nobody holds its lock"
-    assert json.loads((folder / "excluded.json").read_text())["excluded"] == ["r1"]
-
-
-def test_a_folder_that_can_not_be_written_does_not_stop_the_start(tmp_path: Path) -> None:
-    (tmp_path / "file").write_text("")
-    made = Handover(tmp_path / "file", "n1", 256, Wheel(HandClock()))
-    made.start()
-    assert asyncio.run(made.exclude("r1", True)) and made.excluded == {"r1"}
-
-
-def test_a_cancelled_accept_takes_no_connection_and_the_passed_socket_is_never_shut_down() -> None:
-    async def go() -> None:
-        listener = Listener.at("127.0.0.1", 0, 8)
-        shared = Listener(socket.socket(fileno=listener.sock.dup().detach()))
-        taking = asyncio.create_task(listener.accept())
-        await asyncio.sleep(0)
-        reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
-        await asyncio.sleep(0)  # the loop has seen the connection, the task has not
-        taking.cancel()
-        await asyncio.gather(taking, return_exceptions=True)
-        listener.close()
-        taken = await shared.accept() if taking.cancelled() else taking.result()
-        taken.sendall(b"hello")
-        assert await reader.readexactly(5) == b"hello"
-        taken.close()
-        writer.close()
-        shared.close()
-
-    asyncio.run(asyncio.wait_for(go(), 10))
-
-
-def test_a_listener_that_closes_leaves_alone_the_socket_that_gets_its_number() -> None:
-    async def go() -> None:
-        listener = Listener.at("127.0.0.1", 0, 8)
-        number = listener.sock.fileno()
-        taking = asyncio.create_task(listener.accept())
-        await asyncio.sleep(0)
-        taking.cancel()
-        listener.close()
-        one, two = socket.socketpair()
-        reused = socket.socket(fileno=one.detach()) if one.fileno() == number else one
-        reused.setblocking(False)
-        assert reused.fileno() == number, "the lowest free number is given out again"
-        heard = asyncio.create_task(asyncio.get_running_loop().sock_recv(reused, 1))
-        await asyncio.gather(taking, return_exceptions=True)
-        two.send(b"x")
-        assert await heard == b"x"
-        reused.close()
-        two.close()
-
-    asyncio.run(asyncio.wait_for(go(), 10))
-
-
-def test_a_passed_descriptor_is_used_only_if_it_listens() -> None:
-    ours = socket.create_server(("127.0.0.1", 0))
-    found = passed_listener(ours.dup().detach())
-    assert found is not None and found.getsockname() == ours.getsockname() and not found.get_inheritable()
-    found.close()
-    ours.close()
-    plain = socket.socket()
-    assert passed_listener(plain.fileno()) is None and plain.fileno() >= 0, "what is not ours is left open"
-    plain.close()
-    assert passed_listener(None) is None and passed_listener(987_654) is None
-
-
 def test_the_new_keys_the_variable_first() -> None:
     from test_program import RAW
 
@@ -426,27 +288,6 @@
     run(go)
 
 
-def test_two_processes_never_may_hold_more_descriptors_than_one(tmp_path: Path) -> None:
-    pair = Pair(tmp_path)
-    elder = pair.process()
-    assert elder.limit == 256
-    younger = pair.process()
-    floor = 256 // handover.FLOOR_PART
-    assert younger.limit == floor, "the elder has not yielded anything yet"
-    for _ in range(3):
-        for process in (younger, elder):
-            process.look()
-            assert process is elder or elder.limit + process.limit <= 256 + floor
-    assert (elder.limit, younger.limit) == (128, 128)
-    elder.stopping = True
-    elder.look()
-    younger.look()
-    assert elder.limit < 128 and elder.limit + younger.limit == 256
-    elder.end()
-    younger.look()
-    assert younger.limit == 256
-
-
 def test_a_lower_limit_closes_idle_connections_to_replicas() -> None:
     async def go() -> None:
         hold = asyncio.Event()
@@ -464,151 +305,6 @@
     run(go)
 
 
-OFFER = {
-    "version": 1, "id": "a1", "cls": "light", "session": "s", "deadline_us": 1, "prompt_tokens": 1,
-    "max_tokens": 1, "arrived_us": 1, "n": 1, "server": "w0", "sent_us": 1, "first_us": 1, "parts": 1,
-    "gap_us": 1, "rest": "", "keeps": True,
-}  # fmt: skip
-
-
-async def offered(path: Path, message: bytes, *sockets: socket.socket) -> bytes:
-    """The new process's word on an offer; it is never told to go on."""
-    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
-        sock.setblocking(False)
-        with succession.short(path) as short:
-            sock.connect(short)
-        socket.send_fds(sock, [message], [s.fileno() for s in sockets])
-        return await asyncio.get_running_loop().sock_recv(sock, 1)
-
-
-def test_only_what_is_a_stream_is_taken_over_and_an_offer_taken_back_changes_nothing(tmp_path: Path) -> None:
-    async def go() -> None:
-        async with world([Replica(READ)], [Replica(STREAM)], folder=tmp_path) as w:
-            path = w.dispatcher.handover.heir()
-            assert path is not None
-            await until(path.exists)
-            one, two = socket.socketpair()
-            for bad in (
-                b"", b"{", b"[]", b"\xff", b"[" * 5000, json.dumps({**OFFER, "version": 3}).encode(),
-                json.dumps({**OFFER, "n": "1"}).encode(), json.dumps({**OFFER, "rest": "\u20ac"}).encode(),
-                json.dumps({k: v for k, v in OFFER.items() if k != "server"}).encode(),
-            ):  # fmt: skip
-                assert await offered(path, bad, one, two) == b"", bad
-            good = json.dumps(OFFER).encode()
-            assert await offered(path, good, one) == b"", "a connection is lacking"
-            for version in (succession.OWN_CLOCK_VERSION, succession.VERSION):
-                good = json.dumps({**OFFER, "version": version}).encode()
-                assert await offered(path, good, one, two) == succession.WILLING, (
-                    "the one before is known too"
-                )
-            assert w.dispatcher.heir is not None
-            await until(lambda: not w.dispatcher.heir.tasks)
-            assert not w.dispatcher.core.requests and not w.dispatcher.front.open
-            one.send(b"x")
-            assert two.recv(1) == b"x", "what was only offered is left as it was"
-            one.close()
-            two.close()
-
-    run(go)
-
-
-@pytest.mark.parametrize("answer", [b"", b"0"])
-def test_a_stream_that_nobody_takes_stays_and_is_served(tmp_path: Path, answer: bytes) -> None:
-    async def go() -> None:
-        hold, asked = asyncio.Event(), asyncio.Event()
-        listener = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-        with succession.short(tmp_path / "x.heir") as short:
-            listener.bind(short)
-        listener.listen()
-        listener.setblocking(False)
-
-        async def turn_down() -> None:
-            loop = asyncio.get_running_loop()
-            while True:
-                sock, _ = await loop.sock_accept(listener)
-                with sock:
-                    await loop.sock_recv(sock, 70_000)
-                    asked.set()
-                    if answer:
-                        await loop.sock_sendall(sock, answer)
-
-        async with world([Replica(READ)], [Replica(ends_with(hold))]) as w:
-            unwilling = asyncio.create_task(turn_down())
-            heirs = succession.Successor(tmp_path / "x.heir", w.dispatcher.core)
-            served = asyncio.create_task(w.ask("a1"))
-            await until(lambda: any(actor.streams for actor in w.dispatcher.replicas.actors.values()))
-            w.dispatcher.replicas.hand_over(heirs)  # the stream waits for its next event
-            await asked.wait()
-            hold.set()
-            assert (await served).endswith(b"0\r\n\r\n")
-            assert w.dispatcher.core.figures.downstream["light"].completed == 1
-            unwilling.cancel()
-            listener.close()
-
-    run(go)
-
-
-async def fed(*parts: bytes) -> Incoming:
-    """An answer in chunks of which these parts have come, with all whole chunks taken out."""
-    wheel = Wheel(HandClock())
-    reader = asyncio.StreamReader()
-    wire = Wire(h11.CLIENT, reader, None)
-    wire.h11.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
-    wire.h11.send(h11.EndOfMessage())
-    incoming = Incoming(wire, wheel)
-    reader.feed_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-    assert isinstance(await incoming.next(), h11.Response)
-    for part in parts:
-        reader.feed_data(part)
-        await wire.fill()
-        event = wire.poll()
-        if isinstance(event, h11.Data):
-            incoming._take(event)
-    return incoming
-
-
-@pytest.mark.parametrize(
-    ("parts", "between"),
-    [
-        ([b"3\r\nab\n\r\n"], True),
-        ([b"3\r\nab\n"], False),  # the line's end of the chunk is still to come
-        ([b"3\r\nab\n\r"], False),
-        ([b"3\r\nab\n", b"\r\n"], True),
-        ([b"3\r\nab\n\r\n5"], False),
-        ([b"3\r\nab\n\r\n5\r\nx"], False),
-        ([b"4\r\na\n\r\n"], False),  # ends as a chunk does, but is none yet
-        ([b"4\r\na\n\r\n\r\n"], False),  # whole, but it can't be told from the one above
-        ([b"3\r\nab\n\r\n0\r\n\r\n"], False),
-    ],
-)
-def test_a_stream_goes_over_between_whole_chunks_only(parts: list[bytes], between: bool) -> None:
-    assert asyncio.run(fed(*parts)).between is between
-
-
-def test_two_h11_machines_are_brought_within_a_body() -> None:
-    wire, client = Wire(h11.CLIENT, None, None), Wire(h11.SERVER, None, None)
-    succession.replay(wire, client, keeps=True)
-    wire.h11.receive_data(b"2\r\nhi\r\n0\r\n\r\n")
-    event = wire.poll()
-    assert isinstance(event, h11.Data) and event.data == b"hi"
-    assert client.h11.send(h11.Data(data=b"hi")) == b"2\r\nhi\r\n"
-    assert client.h11.send(h11.EndOfMessage()) == b"0\r\n\r\n"
-    client.h11.start_next_cycle()
-    succession.replay(Wire(h11.CLIENT, None, None), last := Wire(h11.SERVER, None, None), keeps=False)
-    last.h11.send(h11.EndOfMessage())
-    assert last.h11.our_state is h11.MUST_CLOSE
-
-
-def test_the_module_counts_what_a_stream_that_it_took_over_holds() -> None:
-    d = Drive(fleet(2, 2))
-    d.give(api.Adopted(77, "w0", 100_000))
-    assert d.router.hosts["w0"].streams[77][1] == 100_000
-    d.serve(1)
-    assert d.sent[1][1] == "w1"
-    d.give(api.Outcome(77, 1, "w0", Status.SERVED, 1, True))
-    assert not d.router.hosts["w0"].streams
-
-
 def test_a_cold_server_that_has_answered_nothing_is_not_taken_to_be_the_quickest() -> None:
     d = Drive(fleet(2, 2))
     for i in range(12):
