Log and count sends without an answer and how each release of state ended

Change: core/state_reservations.py takes over the account of reserved state from outcomes.py and dispatcher.py, as it was. It follows each attempt of a request with reserved state and logs send_unanswered (attempt, server, holder, time held, the kernel's acknowledgement) shortly before the state is due; state_released and state_not_released tell holder, time held and calls; the line attempt tells held_us. No decision changes.

--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -25,6 +25,7 @@
 from onyxpass.core.requests import Attempt, Client, Fleet, Request
 from onyxpass.core.send_preconditions import SendPreconditions
 from onyxpass.core.shutdown import Shutdown
+from onyxpass.core.state_reservations import StateReservations
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.invariants import InvariantChecker
 from onyxpass.scheduling import contract
@@ -65,7 +66,8 @@
             self.tell,
         )
         self.answers = FinalAnswers(self._context)
-        self.outcomes = AttemptOutcomes(self._context, self.answers)
+        self.reservations = StateReservations(self._context)
+        self.outcomes = AttemptOutcomes(self._context, self.answers, self.reservations)
         self.preconditions = SendPreconditions(self._context, self.answers)
         self.shutdown = Shutdown(self.registry, self.answers)
 
@@ -230,7 +232,7 @@
                 # State reserved while an attempt is in flight is released when that one ends,
                 # unless a stream has it.
                 if request.has_reserved_state and request.in_flight is None:
-                    self._release_state(request)
+                    self.reservations.release(request)
             case contract.CancelAttempt(_, attempt_number):
                 attempt = request.in_flight
                 if attempt is None or attempt.committed:
@@ -285,17 +287,12 @@
         if not request.finished or request.in_flight is not None:
             return
         if request.has_reserved_state:
-            self._release_state(request)
+            self.reservations.release(request)
         if request.number in self.registry.by_number and all(
             attempt.ended for attempt in request.attempts
         ):
             self.registry.remove(request)
 
-    def _release_state(self, request: Request) -> None:
-        request.has_reserved_state = False
-        if self._context.fleet is not None:
-            self._context.fleet.release(request, request.prefill_interrupted)
-
 
 def _deadlines(settings: contract.Settings) -> dict[str, int]:
     return {known.name: known.deadline_us for known in settings.classes}
--- a/onyxpass/core/metrics.py
+++ b/onyxpass/core/metrics.py
@@ -39,6 +39,9 @@
         self.timeliness = {name: TimelinessCounts() for name in self.downstream}
         self.taken = 0  # requests of clients
         self.upstream = 0  # attempts that were sent completely
+        self.unanswered_sends = 0  # sends without an answer when reserved state was due
+        self.states_released = 0
+        self.states_not_released = 0  # releases that no server confirmed
 
     def completed(self, traffic_class: str) -> None:
         """Count a completed request."""
@@ -74,6 +77,9 @@
             for key in TimelinessCounts.__slots__:
                 rows[f"svc.served.{name}.{key}"] = getattr(timeliness, key)
         rows["svc.upstream_requests"] = self.upstream
+        rows["svc.unanswered_sends"] = self.unanswered_sends
+        rows["svc.states_released"] = self.states_released
+        rows["svc.states_not_released"] = self.states_not_released
         rows["svc.pending"] = self.pending
         rows["svc.members"] = members
         rows["svc.members_unavailable"] = unavailable
--- a/onyxpass/core/outcomes.py
+++ b/onyxpass/core/outcomes.py
@@ -9,6 +9,7 @@
 from onyxpass.core.context import DispatcherContext, enforce
 from onyxpass.core.final_answers import FinalAnswers
 from onyxpass.core.requests import Attempt, Request
+from onyxpass.core.state_reservations import INTERRUPTED, StateReservations
 from onyxpass.core.timing import measure_answer
 from onyxpass.scheduling import contract
 from onyxpass.scheduling.contract import AttemptStatus
@@ -23,17 +24,20 @@
     AttemptStatus.ERROR,
     AttemptStatus.INVALID_REQUEST,
 )
-# Statuses after which a prefill may have succeeded all the same.
-INTERRUPTED = (AttemptStatus.TIMED_OUT, AttemptStatus.CANCELLED, AttemptStatus.RESET)
-NEVER_SENT = (AttemptStatus.UNREACHABLE, AttemptStatus.NOT_SENT)
 log = structlog.get_logger("core")
 
 
 class AttemptOutcomes:
     """Takes in what the fleet reports of attempts."""
 
-    def __init__(self, context: DispatcherContext, answers: FinalAnswers) -> None:
+    def __init__(
+        self,
+        context: DispatcherContext,
+        answers: FinalAnswers,
+        reservations: StateReservations,
+    ) -> None:
         self._context = context
+        self._reservations = reservations
         self._clock = context.clock  # read for each event of a stream
         self._answers = answers
 
@@ -68,7 +72,7 @@
         context = self._context
         if attempt.ended or attempt.stop_status is not None or attempt.committed:
             return False
-        reserved_for_us = self._clock.now_us() - request.reserved_since_us
+        reserved_for_us = self._reservations.reserved_for_us(request)
         limit_us = DELIVERY_SHARE * context.settings.release_within_us
         if not request.has_reserved_state or reserved_for_us < limit_us:
             return True
@@ -95,8 +99,9 @@
         status = self._close(attempt, status)
         if status in INTERRUPTED and not attempt.delivered and not note:
             note = contract.NOT_ARRIVED
-        self._track_reserved_state(request, attempt, status, note)
-        self._log_end(attempt, status, reason)
+        held_us = self._reservations.reserved_for_us(request) if request.has_reserved_state else 0
+        self._reservations.attempt_ended(attempt, status, note)
+        self._log_end(attempt, status, reason, held_us)
         if request.committed is attempt and not request.finished:
             if status is AttemptStatus.COMPLETED:
                 self._answers.complete(request)
@@ -138,8 +143,7 @@
         if not enforce(verdict, request, attempt):
             return False
         request.committed = attempt
-        # The state has moved along with the answer.
-        request.has_reserved_state = False
+        self._reservations.stream_committed(attempt)
         for timer in (attempt.timer, request.deadline_timer):
             if timer is not None:
                 timer.drop()
@@ -167,23 +171,8 @@
         attempt.delivered = attempt.delivered or status in ANSWERED
         return status
 
-    def _track_reserved_state(
-        self, request: Request, attempt: Attempt, status: AttemptStatus, note: int
-    ) -> None:
-        request.prefill_interrupted = status in INTERRUPTED and attempt.may_prefill
-        # What has not arrived does not stop the clock of the state reserved before it.
-        restarts_clock = status not in NEVER_SENT and (
-            attempt.delivered or not request.has_reserved_state
-        )
-        if status is AttemptStatus.PREFILLED:
-            attempt.cached_tokens = note
-        if status is AttemptStatus.PREFILLED or request.prefill_interrupted:
-            request.has_reserved_state = True
-            request.state_holder = attempt.server
-        if restarts_clock:
-            request.reserved_since_us = self._clock.now_us()
-
-    def _log_end(self, attempt: Attempt, status: AttemptStatus, reason: str) -> None:
+    def _log_end(self, attempt: Attempt, status: AttemptStatus, reason: str, held_us: int) -> None:
+        """Log an end; ``held_us``: for how long state was reserved for the request by then."""
         if status is AttemptStatus.PREFILLED:
             return
         request = attempt.request
@@ -196,6 +185,8 @@
         }
         if attempt.view_number:
             fields["view"] = attempt.view_number
+        if held_us:
+            fields |= {"holder": request.state_holder, "held_us": held_us}
         if status is AttemptStatus.COMPLETED:
             log.info("served", **fields, **self._count_completed(attempt))
         else:
--- a/onyxpass/core/release.py
+++ b/onyxpass/core/release.py
@@ -41,22 +41,41 @@
     due_us = max(due_us, clock.now_us() + MIN_BUDGET_US)
     calls: set[asyncio.Task[bool]] = set()
     order: list[str] = []
+    call_count = 0
     try:
         while clock.now_us() < due_us:
             if len(calls) < MAX_CALLS:
                 order = order or _call_order(core, request, others())
                 calls.add(asyncio.create_task(call(order.pop(0))))
+                call_count += 1
             if await _any_succeeds(core, calls, HEDGE_DELAY_US):
+                _report(core, request, call_count, released=True)
                 return True
             if not calls:  # prevents a busy loop where nobody can be called just now
                 await core.wheel.sleep(RETRY_DELAY_US)
-        log.warning("state_not_released", id=request.id)
+        _report(core, request, call_count, released=False)
         return False
     finally:
         for task in calls:
             task.cancel()
 
 
+def _report(core: RequestDispatcher, request: Request, calls: int, *, released: bool) -> None:
+    """Log and count how a release ended; ``calls``: servers that were asked."""
+    core.metrics.states_released += released
+    core.metrics.states_not_released += not released
+    fields = {
+        "id": request.id,
+        "holder": request.state_holder,
+        "held_us": core.reservations.reserved_for_us(request),
+        "calls": calls,
+    }
+    if released:
+        log.info("state_released", **fields)
+    else:
+        log.warning("state_not_released", **fields)
+
+
 def _call_order(core: RequestDispatcher, request: Request, others: Iterable[str]) -> list[str]:
     """Return the servers to call; none that operators excluded, unless there is no other."""
     names = list(dict.fromkeys([request.state_holder, *others]))
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -45,6 +45,7 @@
     timeout_us: int
     sent_us: int
     timer: Timer | None = None
+    unanswered_timer: Timer | None = None  # until its server answers, if state is reserved
     stop_status: AttemptStatus | None = None  # what it was stopped with; it ends once it is closed
     ended: bool = False
     delivered: bool = False  # its server is known to have got it, by an answer or by its kernel
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -232,6 +232,7 @@
                 # leave at any moment, also in the turn of the loop that cancels this task.
                 written, written_us = True, self.core.clock.now_us()
                 ack_tracker.watch(self.core, attempt, wire)
+                self.core.reservations.attempt_sent(attempt, wire.delivered)
                 await wire.flush()
                 self.core.outcomes.request_sent(attempt)
                 status, note, reason = await self._answer(wire, attempt)
