Release reserved state beside a send that has no answer shortly before the limit

Cause: a send counted as in flight from its last byte on, so the clock of the state stood still; only bytes that the kernel reported as not acknowledged were taken for not arrived (net/ack_tracker.py), and relays and kernels of processes that hang acknowledge. Lines at fault: AttemptOutcomes.may_keep_waiting, asked by the ack tracker alone. Ruled out by the reproduction: a release that came late or was not confirmed (none was tried), connects, the router, signals, the list.

A release does not touch state that an attempt waits for at its server, so an attempt that did arrive goes on as it was; its state is released again at its end. A later release replaces one that still runs.

Measured: the reproduction passes (both fronts, five cases), as do the tests of a slow decode server: one attempt, served.

--- a/onyxpass/core/fleet.py
+++ b/onyxpass/core/fleet.py
@@ -145,7 +145,13 @@
         """Drop a server's idle connections; a fleet that keeps none has none to drop."""
 
     def track_release(self, request: Request, work: Coroutine[object, object, None]) -> None:
-        """Run a release of a request's state; what is sent next for it waits for its end."""
+        """Run a release of a request's state; what is sent next for it waits for its end.
+
+        One that still runs is replaced. Prevents a call of the earlier one from being delivered
+        after the send that waited for the later one only, and taking that one's state away.
+        """
+        if request.release_task is not None:
+            request.release_task.cancel()
         task = asyncio.create_task(work)
         request.release_task = task
         self.release_tasks.add(task)
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -109,7 +109,7 @@
         """Close the attempt's connection, then report its end as CANCELLED."""
 
     def release(self, request: Request, settle: bool) -> None:
-        """Release all reserved state.
+        """Release all reserved state that no attempt at a server waits for.
 
         ``settle``: a prefill was just broken off, and may still be ending.
         """
--- a/onyxpass/core/state_reservations.py
+++ b/onyxpass/core/state_reservations.py
@@ -1,7 +1,11 @@
 """The state that servers reserve for a request, from its prefill until its stream begins.
 
 Reserved state must be used by a send or released within ``Settings.release_within_us``, counted
-from the end of the last attempt that its server is known to have had.
+from the end of the last attempt that its server is known to have had. Only an answer shows that a
+server has had an attempt: relays, and the kernels of processes that do not run, acknowledge bytes
+as well. So what has no answer shortly before the limit is released while its attempt goes on. A
+release does not touch state that an attempt waits for at its server (wire page, ``unhold``): an
+attempt that has arrived goes on as it was, and one that has not finds no state later on.
 """
 
 from collections.abc import Callable
@@ -88,6 +92,9 @@
         if attempt.ended or attempt.committed or not request.has_reserved_state:
             return
         self._context.metrics.unanswered_sends += 1
+        if self._context.fleet is not None:
+            # ``has_reserved_state`` stays: if the attempt did arrive, its state outlives this.
+            self._context.fleet.release(request, settle=False)
         log.info(
             "send_unanswered",
             id=request.id,
