Take only an answer as a sign that a server has had an attempt

Cause: net/ack_tracker.py took the kernel's acknowledgement for arrival, and its absence for a reason to stop an attempt after 0.6 of the limit. Neither holds: relays and kernels of processes that hang acknowledge, which is the incident; and one lost packet delays an acknowledgement by 200 ms, for which a booking that was well would have failed.

The acknowledgement is told in send_unanswered and decides nothing.

--- a/onyxpass/core/outcomes.py
+++ b/onyxpass/core/outcomes.py
@@ -14,8 +14,6 @@
 from onyxpass.scheduling import contract
 from onyxpass.scheduling.contract import AttemptStatus
 
-# of the time in which reserved state must be used or released, that a send may take to arrive
-DELIVERY_SHARE = 0.6
 # Statuses that are the server's own answer.
 ANSWERED = (
     AttemptStatus.COMPLETED,
@@ -62,30 +60,6 @@
         attempt.last_event_us = now_us
         return True
 
-    def may_keep_waiting(self, attempt: Attempt) -> bool:
-        """Return whether an attempt that has not arrived may wait on; stop it if it may not.
-
-        Its request may have reserved state, which has to be used or released in time, whatever is
-        on its way.
-        """
-        request = attempt.request
-        context = self._context
-        if attempt.ended or attempt.stop_status is not None or attempt.committed:
-            return False
-        reserved_for_us = self._reservations.reserved_for_us(request)
-        limit_us = DELIVERY_SHARE * context.settings.release_within_us
-        if not request.has_reserved_state or reserved_for_us < limit_us:
-            return True
-        log.info(
-            "attempt_not_delivered",
-            id=request.id,
-            n=attempt.number,
-            server=attempt.server,
-            held_us=reserved_for_us,
-        )
-        context.stop_attempt(attempt, AttemptStatus.TIMED_OUT)
-        return False
-
     def attempt_ended(
         self, attempt: Attempt, status: AttemptStatus, note: int = 0, reason: str = ""
     ) -> None:
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -48,7 +48,7 @@
     unanswered_timer: Timer | None = None  # until its server answers, if state is reserved
     stop_status: AttemptStatus | None = None  # what it was stopped with; it ends once it is closed
     ended: bool = False
-    delivered: bool = False  # its server is known to have got it, by an answer or by its kernel
+    delivered: bool = False  # its server is known to have had it: something of an answer has come
     fully_sent: bool = False  # its last byte has gone out
     status: AttemptStatus | None = None  # how it ended
     # Its server, by the endpoint list at the send:
--- a/onyxpass/core/state_reservations.py
+++ b/onyxpass/core/state_reservations.py
@@ -21,7 +21,7 @@
 NEVER_SENT = (AttemptStatus.UNREACHABLE, AttemptStatus.NOT_SENT)
 # Of the time in which reserved state must be used or released, that a send may stay unanswered.
 UNANSWERED_SHARE = 0.8
-MIN_UNANSWERED_US = 100_000  # after its last byte, whatever has been used up before
+MIN_UNANSWERED_US = 100_000  # after its first byte, whatever has been used up before
 Acknowledged = Callable[[], bool | None]  # by the peer's kernel; None where this can't be told
 log = structlog.get_logger("core")
 
@@ -35,8 +35,8 @@
     def __init__(self, context: DispatcherContext) -> None:
         self._context = context
 
-    def attempt_sent(self, attempt: Attempt, acknowledged: Acknowledged) -> None:
-        """Follow an attempt, all of which was handed to the kernel, until its server answers.
+    def attempt_begun(self, attempt: Attempt, acknowledged: Acknowledged) -> None:
+        """Follow an attempt, whose first byte has gone, until its stream begins or it ends.
 
         Called by the fleet, once for each attempt that it writes.
         """
@@ -50,11 +50,6 @@
             max(left_us, MIN_UNANSWERED_US), lambda: self._unanswered(attempt, acknowledged)
         )
 
-    def answered(self, attempt: Attempt) -> None:
-        """Note that a server has answered an attempt: it had the request."""
-        attempt.delivered = True
-        self._stop_following(attempt)
-
     def attempt_ended(self, attempt: Attempt, status: AttemptStatus, note: int) -> None:
         """Take in how an attempt ended; ``note`` is that of the router's contract."""
         self._stop_following(attempt)
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -140,9 +140,9 @@
         transport = self.writer.transport
         return transport.get_write_buffer_size() > 0 and not transport.is_closing()
 
-    def delivered(self) -> bool | None:
-        """Whether all that was written has come to the other machine; None where this can't be
-        told.
+    def acknowledged(self) -> bool | None:
+        """Whether the other side's kernel has acknowledged all that was written; None where this
+        can't be told.
         """
         transport = self.writer.transport
         if transport.is_closing():
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -15,7 +15,6 @@
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.fleet import ServerActor
 from onyxpass.core.requests import Attempt
-from onyxpass.net import ack_tracker
 from onyxpass.net.connection_budget import Budget, Idle
 from onyxpass.net.dialer import ResourceShortageError, connect
 from onyxpass.net.http import BODY_LIMIT, HOP_BY_HOP, Broken, Wire, body, header
@@ -231,8 +230,7 @@
                 # byte may
                 # leave at any moment, also in the turn of the loop that cancels this task.
                 written, written_us = True, self.core.clock.now_us()
-                ack_tracker.watch(self.core, attempt, wire)
-                self.core.reservations.attempt_sent(attempt, wire.delivered)
+                self.core.reservations.attempt_begun(attempt, wire.acknowledged)
                 await wire.flush()
                 self.core.outcomes.request_sent(attempt)
                 status, note, reason = await self._answer(wire, attempt)
--- a/onyxpass/toolcalls/peers.py
+++ b/onyxpass/toolcalls/peers.py
@@ -74,7 +74,7 @@
                     # guards against a second run: from here on it may have been taken
                     written = True
                     self._ask(writer, attempt)
-                    self.core.reservations.attempt_sent(attempt, lambda: None)
+                    self.core.reservations.attempt_begun(attempt, lambda: None)
                     self.core.outcomes.request_sent(attempt)
                     status, note, reason = await self._answer(reader, writer, attempt)
         except ResourceShortageError as problem:
