Soak open connections until SIGKILL, signals in series, crowds, and state behind silent ways

Need: the soak passed over every request whose servers' ways were troubled under the rule on held state, which is what the incident broke; and no client used a connection after SIGTERM.

The judge: held state counts behind any writer's way, and for ever behind any; a stream that a process cut by ending itself, a request that SIGKILL finds unanswered, time told and sends for clients that left at servers that hang or drain count now. What it passes over is narrower in each case; each has a planted fault.

--- a/onyxpass/soak/checker.py
+++ b/onyxpass/soak/checker.py
@@ -12,8 +12,6 @@
 GONE_S = 0.1  # after a client's close
 TOLD_SLACK_S = 0.15
 DRAIN_S, TOLD_LATEST_S = 1.0, 6.0
-HELD_UP_S = 0.15
-STREAM_S = 5.0  # a replica that streams and falls silent is waited for so long
 Rule = Callable[[Records, float], Iterable[str]]
 
 
@@ -51,7 +49,7 @@
 
 def _stream_may_break(records: Records, asked: Asked) -> bool:
     """Whether its writer, the way there or its dispatcher's calls were troubled while it
-    streamed.
+    streamed, or SIGKILL met it.
     """
     trace = records.trace
     servers = {
@@ -59,9 +57,9 @@
     }
     if any(records.shaken(server, asked.asked_s, asked.ended_s) for server in servers):
         return True
-    return records.troubled(
-        asked.dispatcher, asked.asked_s, asked.ended_s, "broken calls", "terminated"
-    )
+    if records.ended_by_kill(asked.dispatcher, asked.asked_s):
+        return True
+    return records.troubled(asked.dispatcher, asked.asked_s, asked.ended_s, "broken calls")
 
 
 def told_times(records: Records, slack_s: float) -> Iterator[str]:
@@ -70,7 +68,7 @@
         asked = records.asked.get(told.request)
         if asked is None or not asked.asked_s:
             continue
-        if records.shaken(told.server, asked.asked_s, told.at_s):
+        if records.delayed(told.server, asked.asked_s, told.at_s):
             continue  # it was on its way for longer than a network takes
         left_s = max(0.0, asked.asked_s + asked.wait_s - told.at_s)
         if told.told_s > left_s + TOLD_SLACK_S + slack_s:
@@ -84,7 +82,7 @@
         if (
             asked is None
             or not asked.left_s
-            or records.shaken(event.server, asked.asked_s, event.at_s)
+            or records.delayed(event.server, asked.asked_s, event.at_s)
         ):
             continue
         if event.at_s > asked.left_s + GONE_S + slack_s:
@@ -135,21 +133,32 @@
 def held(records: Records, slack_s: float) -> Iterator[str]:
     """What is held is used or let go in time, but by a dispatcher that was killed.
 
-    A link acknowledges what it does not pass on, so that no dispatcher can know that a send has not
-    arrived: requests of which a writer's way was troubled are passed over here (test_faults_held.py
-    has that rule).
+    Where the way to the holder was troubled, the answer to the prefill may have been lost on it: the
+    attempt is out then, however long ago its server ended it, and only what is never let go counts.
     """
+    never = {request for request, freed_s in _last_holds(records).items() if not freed_s}
     for breach in rules.held_briefly(records.trace, 0.3 + slack_s):
-        asked = records.asked.get(breach.partition(":")[0])
+        request = breach.partition(":")[0]
+        asked = records.asked.get(request)
         if asked is None or freed(records, asked):
             continue
-        if not any(
-            records.shaken(server, asked.asked_s, asked.ended_s + 1.0)
-            for server in records.replicas
-        ):
+        if request in never or not _holder_shaken(records, asked):
             yield breach
 
 
+def _last_holds(records: Records) -> dict[str, float]:
+    """By request that was held: when it was let go for the last time, 0 if it still is held."""
+    found: dict[str, float] = {}
+    for event in records.trace.of(What.HELD, What.FREED):
+        found[event.request] = event.at_s if event.what is What.FREED else 0.0
+    return found
+
+
+def _holder_shaken(records: Records, asked: Asked) -> bool:
+    holders = {e.server for e in records.trace.of(What.HELD) if e.request == asked.request}
+    return any(records.shaken(name, asked.asked_s, asked.ended_s + 1.0) for name in holders)
+
+
 def bookings(records: Records, _: float) -> Iterator[str]:
     """A booking runs once, and one that was refused has not run.
 
--- a/onyxpass/soak/cli.py
+++ b/onyxpass/soak/cli.py
@@ -16,6 +16,7 @@
 from onyxpass.soak.schedule import Fault, Shape, described, drawn
 
 BREACHES_SHOWN = 20
+DEADLINES_S = (3.0, 1.6)
 Seconds = Annotated[float, typer.Option(min=6, max=3600, help="Of requests in each soak.")]
 
 
@@ -35,9 +36,10 @@
     broken.
     """
     structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
-    shape = Shape(dispatchers=dispatchers, length_s=length)
     failed = [
-        number for number in range(seed, seed + seeds) if not _one(number, shape, shrink, keep)
+        number
+        for number in range(seed, seed + seeds)
+        if not _one(number, _shape(number, dispatchers, length), shrink, keep)
     ]
     typer.echo(
         f"{seeds - len(failed)} of {seeds} kept all rules" + (f"; not: {failed}" if failed else "")
@@ -45,6 +47,12 @@
     raise typer.Exit(1 if failed else 0)
 
 
+def _shape(seed: int, dispatchers: int, length: float) -> Shape:
+    """Every second soak has deadlines that count by themselves for the time of SIGKILL."""
+    deadline_s = DEADLINES_S[seed % len(DEADLINES_S)]
+    return Shape(dispatchers=dispatchers, length_s=length, deadline_s=deadline_s)
+
+
 def _one(seed: int, shape: Shape, shrink: bool, keep: Path | None) -> bool:
     faults, began_s = drawn(seed, shape), time.monotonic()
     result = asyncio.run(play(seed, shape, faults, keep / str(seed) if keep else None))
--- a/onyxpass/soak/clients.py
+++ b/onyxpass/soak/clients.py
@@ -27,9 +27,17 @@
     BREAKS_OFF = "breaks off"  # sends half a request and waits
     IN_A_HURRY = "in a hurry"  # has a few milliseconds
     SAYS_NOTHING = "says nothing"
+    LISTENS_LONG = "listens long"  # to a stream of a second and more
 
 
-MANNERS = (Manner.STAYS,) * 20 + (Manner.LEAVES,) * 3 + tuple(Manner)
+MANNERS = (
+    *((Manner.STAYS,) * 20),
+    *((Manner.LEAVES,) * 3),
+    *((Manner.LISTENS_LONG,) * 3),
+    *tuple(Manner),
+)
+TOKENS = 40
+LONG_TOKENS = 1_200
 
 
 @dataclass(slots=True)
@@ -70,9 +78,9 @@
         if asked.asked_s:
             self.records.trace.put(What.ANSWERED, request, detail=asked.end)
 
-    def _text(self, request: str, traffic_class: str, wait_s: float) -> bytes:
+    def _text(self, request: str, traffic_class: str, wait_s: float, tokens: int = TOKENS) -> bytes:
         body = json.dumps(
-            {"model": traffic_class, "stream": True, "max_tokens": 40, "messages": []}
+            {"model": traffic_class, "stream": True, "max_tokens": tokens, "messages": []}
         ).encode()
         lines = [
             "POST /v1/chat/completions HTTP/1.1",
@@ -81,13 +89,14 @@
             f"X-Priority-Class: {traffic_class}",
             f"X-Route-Key: s{self.chance.randrange(60)}",
             f"X-Timeout-Ms: {max(1, round(wait_s * 1000))}",
-            "X-Attrs: prefix=p1,prompt_len=400,prefix_len=200,max_out=40",
+            f"X-Attrs: prefix=p1,prompt_len=400,prefix_len=200,max_out={tokens}",
             f"Content-Length: {len(body)}",
         ]
         return "\r\n".join([*lines, "", ""]).encode() + body
 
     async def _ask(self, asked: Asked, manner: Manner) -> None:
-        text = self._text(asked.request, asked.traffic_class, asked.wait_s)
+        tokens = LONG_TOKENS if manner is Manner.LISTENS_LONG else TOKENS
+        text = self._text(asked.request, asked.traffic_class, asked.wait_s, tokens)
         self.records.trace.classes[asked.request] = asked.traffic_class
         for again in (False, True):
             connection = self.idle.pop() if self.idle and not again else await self._connect()
@@ -95,6 +104,7 @@
                 asked.end = "not taken"
                 return
             kept = connection.used > 0
+            asked.on_new_connection = not kept
             connection.writer.write(text)
             if not asked.asked_s:
                 asked.asked_s = time.monotonic()
@@ -169,6 +179,14 @@
             connection.writer.close()
         self.records.bad_clients.append((manner.value, time.monotonic() - began_s))
 
+    async def crowd(self, count: int, for_s: float) -> None:
+        """Open so many connections that say nothing, and close them again."""
+        found = await asyncio.gather(*(self._connect() for _ in range(count)))
+        await asyncio.sleep(for_s)
+        for connection in found:
+            if connection is not None:
+                connection.writer.close()
+
     def close(self) -> None:
         for connection in self.idle:
             connection.writer.close()
--- a/onyxpass/soak/dispatchers.py
+++ b/onyxpass/soak/dispatchers.py
@@ -8,19 +8,21 @@
 import socket
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
 from onyxpass import atomic_file
 from onyxpass.faultshim.control import Control
 from onyxpass.soak.records import Records, Span
+from onyxpass.soak.schedule import Shape
 from onyxpass.testbed.link import Link
 from onyxpass.testbed.settings import SETTINGS
 from onyxpass.testbed.site import free_port
 
-DEADLINE_US = 3_000_000
-KILL_AFTER_S = 3.7  # after SIGTERM: the longest deadline, and 0.7 s more
+KILL_AFTER_DEADLINE_S = 0.7  # SIGKILL comes so long after SIGTERM and the longest deadline
+LONGEST_COUNTED_S = 3.0  # a longer deadline counts as this
+CONNECTIONS = 512  # descriptors that a dispatcher may hold
 LINGER_S = 0.3  # after SIGTERM new connections keep coming
 READY_S = 30.0
 CLASSES = (
@@ -31,13 +33,14 @@
 BOOKINGS = frozenset(("stock-booking",))
 
 
-def settings(dispatchers: int) -> dict[str, Any]:
+def settings(shape: Shape) -> dict[str, Any]:
     """Short deadlines, so that a soak of some seconds sees every end of a request."""
+    deadline_us = round(shape.deadline_s * 1e6)
     grades = [
         {
             "name": name,
-            "promiseUs": 1_000_000,
-            "deadlineUs": DEADLINE_US,
+            "promiseUs": min(1_000_000, deadline_us),
+            "deadlineUs": deadline_us,
             "value": 1.0,
             "repeat": repeat,
             "group": "zone",
@@ -53,7 +56,7 @@
         "grades": grades,
         "limits": limits,
         "rules": rules,
-        "peersTotal": dispatchers,
+        "peersTotal": shape.dispatchers,
     }
 
 
@@ -61,9 +64,15 @@
     """One dispatcher through all its processes; its clients' socket outlives them."""
 
     def __init__(
-        self, number: int, folder: Path, discovery: tuple[Link, Link], records: Records
+        self,
+        number: int,
+        folder: Path,
+        discovery: tuple[Link, Link],
+        records: Records,
+        shape: Shape,
     ) -> None:
         self.number, self.folder, self.ways, self.records = number, folder, discovery, records
+        self.shape = shape
         self.name = f"d{number:02}"
         self.way = 0  # which of discovery's addresses it is told
         self.temporary = folder / self.name
@@ -83,16 +92,16 @@
         self.lives = 0
         self.unserved_s = 0.0  # since when no process takes connections; 0: one does
 
-    def write(self, dispatchers: int) -> None:
+    def write(self) -> None:
         text = json.dumps(
             {
                 "name": self.name,
                 "listen": f"127.0.0.1:{self.port}",
                 "discovery": self.ways[self.way].address,
                 "seed": f"{self.number + 1:x}",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": CONNECTIONS},
                 "known": {},
-                "settings": settings(dispatchers),
+                "settings": settings(self.shape),
             }
         )
         atomic_file.replace(self.config, text.encode())
@@ -150,28 +159,49 @@
         now_s = time.monotonic()
         self.records.dispatchers[self.number].append(Span(now_s, now_s + for_s, what))
 
-    async def terminate(self, child: asyncio.subprocess.Process) -> None:
-        """SIGTERM, and SIGKILL no sooner than the platform's; what its end tells is put down."""
+    async def terminate(
+        self,
+        child: asyncio.subprocess.Process,
+        signals: Sequence[signal.Signals] = (signal.SIGTERM,),
+        pause_s: float = 0.0,
+    ) -> None:
+        """SIGTERM, alone or in a series, and SIGKILL at the platform's earliest.
+
+        What the process's end tells is put down.
+        """
+        first = signals.index(signal.SIGTERM)
+        await self._signal(child, signals[:first], pause_s)
         self.leaves = True
         began_s = time.monotonic()
         if child is self.child:
             self.unserved_s = began_s
-        with contextlib.suppress(ProcessLookupError):
-            child.terminate()
+        sent = asyncio.create_task(self._signal(child, signals[first:], pause_s))
         await asyncio.sleep(LINGER_S)
         if child is self.child:
             self.serves = False
-        left_s = KILL_AFTER_S - (time.monotonic() - began_s)
+        kill_after_s = min(self.shape.deadline_s, LONGEST_COUNTED_S) + KILL_AFTER_DEADLINE_S
+        left_s = kill_after_s - (time.monotonic() - began_s)
         try:
             await asyncio.wait_for(child.wait(), max(0.1, left_s))
         except TimeoutError:
             with contextlib.suppress(ProcessLookupError):
                 child.kill()
             await child.wait()
-        self.records.dispatchers[self.number].append(Span(began_s, time.monotonic(), "terminated"))
+            span = Span(began_s, time.monotonic(), "ended by SIGKILL")
+            self.records.dispatchers[self.number].append(span)
+        await sent
         if child.returncode not in (0, -signal.SIGKILL):
             self.records.problems.append(f"{self.name}: exit code {child.returncode} after SIGTERM")
 
+    @staticmethod
+    async def _signal(
+        child: asyncio.subprocess.Process, signals: Sequence[signal.Signals], pause_s: float
+    ) -> None:
+        for number in signals:
+            with contextlib.suppress(ProcessLookupError):
+                child.send_signal(number)
+            await asyncio.sleep(pause_s)
+
     async def kill(self) -> None:
         child = self.child
         self.serves, self.unserved_s = False, time.monotonic()
--- a/onyxpass/soak/records.py
+++ b/onyxpass/soak/records.py
@@ -5,6 +5,10 @@
 
 from onyxpass.history_checkers.trace import Trace
 
+# A stream that was asked for so long after SIGTERM, or earlier, may meet SIGKILL.
+LAST_TAKEN_S = 0.7
+STREAM_MOST_S = 30.0  # no stream of a soak takes longer
+
 
 @dataclass(slots=True)
 class Asked:
@@ -22,6 +26,7 @@
     end: str = ""  # served, refused, failed, broken, left
     left_s: float = 0.0  # when the client closed, if it did not stay
     again: bool = False  # its client sent it once more, on a new connection
+    on_new_connection: bool = False  # the last time that it was sent
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +69,15 @@
             span.meets(since_s, until_s) and (not whats or span.what in whats) for span in spans
         )
 
+    def ended_by_kill(self, dispatcher: int, asked_s: float) -> bool:
+        """Whether SIGKILL, at its earliest, may have met a stream that was asked for in time."""
+        return any(
+            span.what == "ended by SIGKILL"
+            and asked_s <= min(span.since_s + LAST_TAKEN_S, span.until_s)
+            and span.until_s <= asked_s + STREAM_MOST_S
+            for span in self.dispatchers.get(dispatcher, ())
+        )
+
     def delayed(self, server: str, since_s: float, until_s: float) -> bool:
         """Whether the way there was such that what was sent came later, or in pieces."""
         late = ("stall", "delay", "pieces", "cut")
--- a/onyxpass/soak/run.py
+++ b/onyxpass/soak/run.py
@@ -15,7 +15,7 @@
 from onyxpass.history_checkers.trace import Trace
 from onyxpass.soak import checker
 from onyxpass.soak.clients import Clients
-from onyxpass.soak.dispatchers import CLASSES, DEADLINE_US, Dispatcher
+from onyxpass.soak.dispatchers import CLASSES, CONNECTIONS, Dispatcher
 from onyxpass.soak.records import Records, Span
 from onyxpass.soak.schedule import DISCOVERY, DISPATCHER, Fault, Kind, Shape
 from onyxpass.soak.testbed import Fleet
@@ -79,8 +79,8 @@
             self.ways.append(way)
         both = (self.ways[0], self.ways[1])
         for number in range(self.shape.dispatchers):
-            dispatcher = Dispatcher(number, self.folder, both, self.records)
-            dispatcher.write(self.shape.dispatchers)
+            dispatcher = Dispatcher(number, self.folder, both, self.records, self.shape)
+            dispatcher.write()
             self.dispatchers.append(dispatcher)
             self.clients.append(Clients(self.records, number, dispatcher.port, self.chance))
         places = asyncio.Semaphore(STARTED_AT_ONCE)
@@ -92,16 +92,23 @@
         await asyncio.gather(*(start(dispatcher) for dispatcher in self.dispatchers))
 
     async def _ask_all(self) -> None:
-        """Requests at random moments, each at a dispatcher that serves."""
+        """Requests at random moments, each at a dispatcher that serves.
+
+        Or at one that ends: clients use their open connections for as long as there are any.
+        """
         began_s, number = time.monotonic(), 0
         while time.monotonic() - began_s < self.shape.length_s:
             await asyncio.sleep(self.chance.expovariate(self.shape.requests_per_s))
-            serving = [d.number for d in self.dispatchers if d.serves]
+            serving = [
+                d.number
+                for d in self.dispatchers
+                if d.serves or (d.leaves and self.clients[d.number].idle)
+            ]
             if not serving:
                 continue
             number += 1
             traffic_class = self.chance.choice(CLASSES)[0]
-            wait_s = self.chance.choice((DEADLINE_US / 1e6, 1.5, 0.6))
+            wait_s = self.chance.choice((self.shape.deadline_s, 1.5, 0.6))
             clients = self.clients[self.chance.choice(serving)]
             task = asyncio.create_task(clients.one(f"r{number:05}", traffic_class, wait_s))
             self.asks.add(task)
@@ -129,6 +136,13 @@
                 dispatcher.trouble("restarted", 6.0)
                 await dispatcher.terminate(child)
                 await dispatcher.start(self.library)
+            case Kind.SIGNALS:
+                dispatcher.trouble("restarted", 6.0)
+                await dispatcher.terminate(child, fault.signals, fault.amount)
+                await dispatcher.start(self.library)
+            case Kind.CROWD:
+                dispatcher.trouble("crowd", fault.for_s + 1.0)
+                await self.clients[dispatcher.number].crowd(CONNECTIONS, fault.for_s)
             case Kind.KILL:
                 await dispatcher.kill()
                 dispatcher.trouble("restarted", 6.0)
@@ -150,7 +164,7 @@
                 dispatcher.trouble("reloaded", fault.for_s + 4.0)
                 for _ in range(RELOADS):
                     dispatcher.way = 1 - dispatcher.way
-                    dispatcher.write(self.shape.dispatchers)
+                    dispatcher.write()
                     with suppress(ProcessLookupError):
                         child.send_signal(signal.SIGHUP)
                     await asyncio.sleep(fault.for_s / RELOADS)
--- a/onyxpass/soak/schedule.py
+++ b/onyxpass/soak/schedule.py
@@ -2,6 +2,7 @@
 
 import errno
 import random
+import signal
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -22,6 +23,7 @@
     Call.RENAME: (errno.ENOSPC, errno.EIO),
 }
 BROKEN = (errno.ETIMEDOUT, errno.EHOSTUNREACH)
+MAX_EXTRA_SIGNALS = 2  # before and after the SIGTERM of a series
 
 
 class Kind(Enum):
@@ -29,6 +31,8 @@
 
     # to a dispatcher
     TERMINATE = "terminate"  # SIGTERM, and started again once it has ended
+    SIGNALS = "signals in series"  # SIGHUPs, SIGTERM and more of both; then as above
+    CROWD = "crowd"  # idle clients take every connection that it may have
     KILL = "kill"  # SIGKILL, and started again
     HOLD_UP = "hold up"  # SIGSTOP and SIGCONT
     RELOAD = "reload"  # SIGHUP with discovery moved to its other address, several times in a row
@@ -56,6 +60,8 @@
 DISPATCHER = frozenset(
     (
         Kind.TERMINATE,
+        Kind.SIGNALS,
+        Kind.CROWD,
         Kind.KILL,
         Kind.HOLD_UP,
         Kind.RELOAD,
@@ -73,7 +79,8 @@
 class Fault:
     """``target``: the number of a dispatcher or replica; several dispatchers may be struck at once.
 
-    ``amount``: seconds of a step or delay; ``forced``: the calls that fail.
+    ``amount``: seconds of a step, a delay or between signals; ``forced``: the calls that fail;
+    ``signals``: a series with one SIGTERM or more.
     """
 
     at_s: float
@@ -82,10 +89,12 @@
     targets: tuple[int, ...] = ()
     amount: float = 0.0
     forced: tuple[Forced, ...] = ()
+    signals: tuple[signal.Signals, ...] = ()
 
     def __str__(self) -> str:
         more = [f"{self.amount:g} s"] if self.amount else []
         more += [str(forced) for forced in self.forced]
+        more += [number.name for number in self.signals]
         whom = ",".join(map(str, self.targets))
         return f"{self.at_s:6.2f} s for {self.for_s:.2f} s: {self.kind.value} {whom} {' '.join(more)}".rstrip()
 
@@ -99,6 +108,7 @@
     writers: int = 5
     length_s: float = 20.0
     requests_per_s: float = 60.0
+    deadline_s: float = 3.0  # of all classes
 
     @property
     def replicas(self) -> int:
@@ -121,6 +131,7 @@
     kind = chance.choice(list(Kind))
     at_s += chance.uniform(0, OVERLAP_S)
     for_s, amount, forced = chance.uniform(0.4, 2.0), 0.0, tuple[Forced, ...]()
+    signals: tuple[signal.Signals, ...] = ()
     if kind in DISPATCHER:
         many = chance.choice((1, 2, max(1, shape.dispatchers // 4)))
         targets = tuple(
@@ -147,9 +158,20 @@
             )
         case Kind.BREAK_CALLS:
             forced = (Forced(Call.RECEIVE, chance.choice(BROKEN), chance.choice((20, 100))),)
+        case Kind.SIGNALS:
+            amount = chance.uniform(0.0, 0.3)
+            signals = _signal_series(chance)
         case Kind.DRAIN | Kind.HANG:
             for_s = chance.uniform(2.0, 4.0)
-    return Fault(at_s, for_s, kind, targets, amount, forced)
+    return Fault(at_s, for_s, kind, targets, amount, forced, signals)
+
+
+def _signal_series(chance: random.Random) -> tuple[signal.Signals, ...]:
+    """Draw reloads, the SIGTERM that ends the process, and what comes while it ends."""
+    before = [signal.SIGHUP] * chance.randint(0, MAX_EXTRA_SIGNALS)
+    ending = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+    after = [chance.choice(ending) for _ in range(chance.randint(1, MAX_EXTRA_SIGNALS))]
+    return (*before, signal.SIGTERM, *after)
 
 
 def described(faults: Iterable[Fault]) -> str:
--- a/onyxpass/soak/testbed.py
+++ b/onyxpass/soak/testbed.py
@@ -6,6 +6,7 @@
 import h11
 
 from onyxpass.net.http import Wire, header
+from onyxpass.soak.clients import LONG_TOKENS
 from onyxpass.soak.records import Records, Told
 from onyxpass.testbed.link import Link
 from onyxpass.testbed.replicas import Listed, Speed, StandinDiscovery, StandinReplica, States
@@ -51,7 +52,7 @@
         self.replicas: list[SoakReplica] = []
         self.links: list[Link] = []
         self.rows: list[Listed] = []
-        speed = Speed(read_s=0.015, first_s=0.02, token_s=0.001, tokens=40)
+        speed = Speed(read_s=0.015, first_s=0.02, token_s=0.001, tokens=LONG_TOKENS)
         for role, kind, count in (("read", "reader", readers), ("write", "writer", writers)):
             for number in range(count):
                 replica = SoakReplica(f"{kind}-{number + 1}", role, records, self.states, speed)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
+from signal import SIGHUP, SIGTERM
 
 import pytest
 
@@ -114,6 +115,39 @@
     add(records, (5.0, What.FREED, "reader-1", ""))
 
 
+def held_on_behind_a_silent_writer(records: Records) -> None:
+    """No server knows that its way was troubled, and no page excuses what is held behind it."""
+    held_on(records)
+    records.replicas["writer-1"].append(Span(0.0, 5.0, "cut"))
+
+
+def held_for_ever(records: Records) -> None:
+    """The holder's way is troubled; what comes of the prefill is let go all the same."""
+    records.trace.events = [e for e in records.trace.events if e.what is not What.FREED]
+    add(records, (5.0, What.RECEIVED, "writer-2", "write"), (5.1, What.CLOSED, "writer-2", ""))
+    records.replicas["reader-1"].append(Span(0.0, 5.0, "cut"))
+
+
+def stream_cut_by_a_process_that_ended_by_itself(records: Records) -> None:
+    stream_cut(records)
+    records.dispatchers[0].append(Span(-0.5, 0.2, "terminated"))
+
+
+def stream_asked_for_late_and_cut_by_sigkill(records: Records) -> None:
+    stream_cut(records)
+    records.dispatchers[0].append(Span(-1.0, 0.2, "ended by SIGKILL"))
+
+
+def unanswered_at_sigkill(records: Records) -> None:
+    never_answered(records)
+    records.dispatchers[0].append(Span(-0.1, 0.2, "ended by SIGKILL"))
+
+
+def told_too_much_by_way_of_a_server_that_hangs(records: Records) -> None:
+    told_too_much(records)
+    records.replicas["writer-1"].append(Span(0.0, 1.0, "hang"))
+
+
 def bad_client_stays(records: Records) -> None:
     records.bad_clients.append(("breaks off", 8.0))
 
@@ -126,7 +160,11 @@
     ("answers", never_answered),
     ("answers", too_late),
     ("answers", stream_cut),
+    ("answers", stream_cut_by_a_process_that_ended_by_itself),
+    ("answers", stream_asked_for_late_and_cut_by_sigkill),
+    ("answers", unanswered_at_sigkill),
     ("time told", told_too_much),
+    ("time told", told_too_much_by_way_of_a_server_that_hangs),
     ("clients gone", sent_for_one_that_left),
     ("drains", sent_after_a_drain),
     ("overlap", two_out),
@@ -134,6 +172,8 @@
     ("bookings", booked_twice),
     ("bookings", refused_and_run),
     ("held", held_on),
+    ("held", held_on_behind_a_silent_writer),
+    ("held", held_for_ever),
     ("bad clients", bad_client_stays),
     ("processes", crashed),
 ]
@@ -159,6 +199,20 @@
     assert not breaches(records)
 
 
+def test_a_stream_that_was_asked_for_in_time_may_meet_sigkill() -> None:
+    records = good()
+    stream_cut(records)
+    records.dispatchers[0].append(Span(-0.1, 0.2, "ended by SIGKILL"))
+    assert not breaches(records)
+
+
+def test_an_answer_to_a_prefill_that_was_lost_on_the_way_stops_the_clock() -> None:
+    records = good()
+    held_on(records)
+    records.replicas["reader-1"].append(Span(0.0, 5.0, "cut"))
+    assert not breaches(records), "its attempt is out till the dispatcher gives it up"
+
+
 def test_a_booking_that_its_client_sent_again_after_a_kill_is_no_breach() -> None:
     records = good()
     booked_twice(records)
@@ -194,6 +248,31 @@
     assert result.ends["served"] > 20
 
 
+@pytest.mark.parametrize(("seed", "deadline_s"), [(1, 3.0), (2, 1.6)])
+def test_a_seeded_soak_with_signals_in_series_and_a_crowd(
+    tmp_path: Path, seed: int, deadline_s: float
+) -> None:
+    """Clients use their open connections until SIGKILL, which comes at its earliest."""
+    shape = Shape(
+        dispatchers=6,
+        readers=2,
+        writers=4,
+        length_s=8.0,
+        requests_per_s=25.0,
+        deadline_s=deadline_s,
+    )
+    always = [
+        Fault(1.0, 1.0, Kind.CROWD, (0,)),
+        Fault(1.2, 1.5, Kind.HANG, (4,)),
+        Fault(1.4, 1.5, Kind.CUT, (5,)),
+        Fault(2.0, 0.5, Kind.SIGNALS, (1, 2), 0.1, signals=(SIGHUP, SIGTERM, SIGHUP, SIGTERM)),
+    ]
+    faults = always + [fault for fault in drawn(seed, shape) if fault.at_s > 3.0]
+    result = asyncio.run(asyncio.wait_for(play(seed, shape, faults, tmp_path / "soak"), 120))
+    assert not result.breaches, "\n".join(result.breaches)
+    assert result.ends["served"] > 20
+
+
 def drawn_calls() -> tuple:  # type: ignore[type-arg]
     return next(
         f.forced for seed in range(99) for f in drawn(seed, SHAPE) if f.kind is Kind.FAIL_CALLS
