Let others have their turn while a stream that has piled up is forwarded

Cause: events that have come together are forwarded without a single wait, so requests, timers and other streams stand still until the last one has gone; with slow writes that is seconds. Ruled out: the loop's skipped polls (three rounds at most) and the accept queue (the requests were registered).

--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -14,6 +14,7 @@
 from onyxpass.config.platform_file import Address
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.fleet import ServerActor
+from onyxpass.core.loop_turn import LoopTurn
 from onyxpass.core.requests import Attempt
 from onyxpass.net.connection_budget import Budget, Idle
 from onyxpass.net.dialer import ResourceShortageError, connect
@@ -370,6 +371,7 @@
         self, incoming: Incoming, attempt: Attempt, events: Events, whole_at_end: bool
     ) -> tuple[AttemptStatus, int, str]:
         client = attempt.request.client
+        turn = LoopTurn(self.core.clock)
         while True:
             heirs = self.heirs()
             if (
@@ -389,8 +391,10 @@
                 if not self.core.outcomes.stream_event_received(attempt):
                     raise Broken("nobody waits for this stream")
                 # a client that takes nothing holds no replica for ever
+                turn.begin_step()
                 async with self.wheel.limit(TAKE_US):
                     await client.forward(whole)
+                await turn.end_step()
             elif isinstance(part, h11.EndOfMessage):
                 attempt.output_tokens = events.tokens()
                 if attempt.committed and whole_at_end and not events.rest:
--- a/onyxpass/toolcalls/peers.py
+++ b/onyxpass/toolcalls/peers.py
@@ -10,6 +10,7 @@
 from onyxpass.config.platform_file import Address
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.fleet import ActorFleet, ServerActor
+from onyxpass.core.loop_turn import LoopTurn
 from onyxpass.core.release import release
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.net.dialer import ResourceShortageError, connect
@@ -116,6 +117,7 @@
     ) -> tuple[AttemptStatus, int, str]:
         """Follow one attempt to its response. Text and tool calls both are events of the stream."""
         answering: set[asyncio.Task[None]] = set()
+        turn = LoopTurn(self.core.clock)
         try:
             while True:
                 async with self.wheel.limit(STALL_US):
@@ -131,8 +133,10 @@
                         )
                         if not self.core.outcomes.stream_event_received(attempt):
                             return AttemptStatus.CANCELLED, 0, "nobody waits"
+                        turn.begin_step()
                         async with self.wheel.limit(STALL_US):  # a client that takes nothing
                             await attempt.request.client.forward(part)
+                        await turn.end_step()
                     case Call(int() | str() as id, "tools/call", params) if (
                         self.role is not Role.PREFILL
                     ):
