--- a/onyxpass/soak/__init__.py
+++ b/onyxpass/soak/__init__.py
@@ -1,3 +1,1 @@
-"""A soak of real dispatchers on the loopback, under overlapping faults drawn from a seed, judged
-after it.
-"""
+"""A soak of real dispatchers on the loopback under overlapping faults, checked after it."""
--- a/onyxpass/soak/checker.py
+++ b/onyxpass/soak/checker.py
@@ -1,4 +1,7 @@
-"""What must hold of a soak's records. Each rule is a function of them and yields its breaches."""
+"""What must hold of a soak's records. Each rule is a function of them and yields its breaches.
+
+What a rule passes over stands in its docstring, with the reason; docs/design/SOAK.md has the list.
+"""
 
 from collections.abc import Callable, Iterable, Iterator
 
@@ -16,14 +19,12 @@
 
 
 def slack_of(records: Records) -> float:
-    """What this process's own pauses may have put on every time that it noted."""
+    """Return what this process's own pauses may have put on every time that it noted."""
     return 0.1 + 2 * records.lag_s
 
 
 def freed(records: Records, asked: Asked) -> bool:
-    """Whether its dispatcher was killed while the request was open: then nobody owes it
-    anything.
-    """
+    """Return whether its dispatcher was killed while it was open: nobody owes it anything then."""
     return records.troubled(asked.dispatcher, asked.asked_s, asked.ended_s + 1.0, "killed")
 
 
@@ -42,14 +43,16 @@
         if asked.end in ("broken", "never") and not asked.events:
             yield f"{asked.request}: {asked.end} with no answer after {took_s:.2f} s"
         elif took_s > asked.wait_s + LATE_S + slack_s:
-            yield f"{asked.request}: {asked.end} after {took_s:.2f} s with {asked.wait_s:.2f} s to wait"
+            wait_s = asked.wait_s
+            yield f"{asked.request}: {asked.end} after {took_s:.2f} s with {wait_s:.2f} s to wait"
         elif asked.end in ("broken", "never") and not _stream_may_break(records, asked):
             yield f"{asked.request}: its stream broke off, and nothing happened to its writer"
 
 
 def _stream_may_break(records: Records, asked: Asked) -> bool:
-    """Whether its writer, the way there or its dispatcher's calls were troubled while it
-    streamed, or SIGKILL met it.
+    """Return whether something excuses a stream that broke.
+
+    Its writer, the way there or its dispatcher's calls were troubled meanwhile, or SIGKILL met it.
     """
     trace = records.trace
     servers = {
@@ -72,7 +75,8 @@
             continue  # it was on its way for longer than a network takes
         left_s = max(0.0, asked.asked_s + asked.wait_s - told.at_s)
         if told.told_s > left_s + TOLD_SLACK_S + slack_s:
-            yield f"{told.request}: {told.server} was told {told.told_s:.3f} s with {left_s:.3f} s left"
+            told_s = f"{told.told_s:.3f} s with {left_s:.3f} s left"
+            yield f"{told.request}: {told.server} was told {told_s}"
 
 
 def clients_gone(records: Records, slack_s: float) -> Iterator[str]:
@@ -91,8 +95,9 @@
 
 
 def drains(records: Records, slack_s: float) -> Iterator[str]:
-    """Nothing to a server past its drain time, which runs from when the dispatcher counts as
-    told.
+    """Find what came to a server past its drain time.
+
+    That runs from when the dispatcher counts as notified.
     """
     told: dict[str, float] = {}
     for event in records.trace.of(What.DRAIN_TOLD, What.RECEIVED):
@@ -114,7 +119,8 @@
             ]
             due_s = max([since_s, *ends]) + TOLD_LATEST_S + DRAIN_S + slack_s
         if event.at_s > due_s:
-            yield f"{event.request}: at {event.server} {event.at_s - since_s:.2f} s after its drain was told"
+            late_s = event.at_s - since_s
+            yield f"{event.request}: at {event.server} {late_s:.2f} s after its drain was told"
 
 
 def overlaps(records: Records, slack_s: float) -> Iterator[str]:
@@ -131,10 +137,11 @@
 
 
 def held(records: Records, slack_s: float) -> Iterator[str]:
-    """What is held is used or let go in time, but by a dispatcher that was killed.
+    """Find state that was not used or let go in time, but by a dispatcher that was killed.
 
-    Where the way to the holder was troubled, the answer to the prefill may have been lost on it: the
-    attempt is out then, however long ago its server ended it, and only what is never let go counts.
+    Where the way to the holder was troubled, the answer to the prefill may have been lost on it:
+    the attempt is out then, however long ago its server ended it, and only what is never let go
+    counts.
     """
     never = {request for request, freed_s in _last_holds(records).items() if not freed_s}
     for breach in rules.held_briefly(records.trace, 0.3 + slack_s):
@@ -160,7 +167,7 @@
 
 
 def bookings(records: Records, _: float) -> Iterator[str]:
-    """A booking runs once, and one that was refused has not run.
+    """Find bookings that ran twice, and refused ones that ran.
 
     Not so where the dispatcher was killed and the client, whose kept connection ended, sent it to
     the next process once more: that one knows nothing of the first.
@@ -176,11 +183,12 @@
 
 
 def attempts(records: Records, _: float) -> Iterator[str]:
+    """Find requests with more attempts than the settings allow."""
     yield from rules.few_attempts(records.trace)
 
 
 def bad_clients(records: Records, slack_s: float) -> Iterator[str]:
-    """A client that breaks off in the middle and stays is answered or closed."""
+    """Find clients that broke off in the middle, stayed, and were not ended in time."""
     for manner, after_s in records.bad_clients:
         if after_s > BAD_CLIENT_S + slack_s:
             yield f"a client that {manner} was ended after {after_s:.2f} s"
--- a/onyxpass/soak/cli.py
+++ b/onyxpass/soak/cli.py
@@ -1,6 +1,4 @@
-"""``onyxpass soak``: real dispatchers under overlapping faults, judged; for development
-machines.
-"""
+"""``onyxpass soak``: real dispatchers under overlapping faults; for development machines."""
 
 import asyncio
 import time
@@ -32,9 +30,7 @@
         Path | None, typer.Option(help="A folder for the logs of soaks that failed.")
     ] = None,
 ) -> None:
-    """Play soaks drawn from seeds, always the same from one seed; exit code 1 if any rule was
-    broken.
-    """
+    """Play soaks drawn from seeds, the same from one seed; exit code 1 if a rule was broken."""
     structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
     failed = [
         number
--- a/onyxpass/soak/clients.py
+++ b/onyxpass/soak/clients.py
@@ -1,5 +1,6 @@
-"""Clients of a soak: most ask on kept connections and stay; some leave early, dawdle or say
-nothing.
+"""Clients of a soak.
+
+Most ask on kept connections and stay; some listen long, leave early, dawdle or say nothing.
 """
 
 import asyncio
@@ -51,9 +52,7 @@
 
 
 class Clients:
-    """All clients of one dispatcher's address; requests never share a connection at the same
-    time.
-    """
+    """All clients of one dispatcher's address; a connection has one request at a time."""
 
     def __init__(self, records: Records, dispatcher: int, port: int, chance: random.Random) -> None:
         self.records, self.dispatcher, self.port, self.chance = records, dispatcher, port, chance
@@ -159,8 +158,10 @@
             wire.start_next_cycle()
             connection.used += 1
             self.idle.append(connection)
+        elif asked.end == "left":
+            connection.writer.transport.abort()
         else:
-            connection.writer.transport.abort() if asked.end == "left" else connection.writer.close()
+            connection.writer.close()
 
     async def _be_bad(self, manner: Manner, request: str, traffic_class: str) -> None:
         """Say half of it, or nothing, and stay till the dispatcher ends it."""
@@ -188,13 +189,14 @@
                 connection.writer.close()
 
     def close(self) -> None:
+        """Close the idle connections."""
         for connection in self.idle:
             connection.writer.close()
         self.idle.clear()
 
 
 def ended(status: int) -> str:
-    """What a whole answer means."""
+    """Return what a complete answer of this status means."""
     if status == 200:
         return "served"
     return "refused" if status in (429, 503) else "failed"
--- a/onyxpass/soak/dispatchers.py
+++ b/onyxpass/soak/dispatchers.py
@@ -93,6 +93,7 @@
         self.unserved_s = 0.0  # since when no process takes connections; 0: one does
 
     def write(self) -> None:
+        """Write its file anew, with the address of discovery that it is told at present."""
         text = json.dumps(
             {
                 "name": self.name,
@@ -156,6 +157,7 @@
         return b'"listening"' in text and b'"form": "full"' in text
 
     def trouble(self, what: str, for_s: float) -> None:
+        """Record that it is troubled from now on."""
         now_s = time.monotonic()
         self.records.dispatchers[self.number].append(Span(now_s, now_s + for_s, what))
 
@@ -203,6 +205,7 @@
             await asyncio.sleep(pause_s)
 
     async def kill(self) -> None:
+        """Kill its process, which its clients have to notice by themselves."""
         child = self.child
         self.serves, self.unserved_s = False, time.monotonic()
         self.trouble("killed", 0.5)
--- a/onyxpass/soak/minimizer.py
+++ b/onyxpass/soak/minimizer.py
@@ -1,6 +1,4 @@
-"""Reduces the faults of a schedule that fails to the fewest that still do, without I/O of its
-own.
-"""
+"""Reduces the faults of a schedule that fails to the fewest that still do, without I/O."""
 
 from collections.abc import Awaitable, Callable, Sequence
 
--- a/onyxpass/soak/records.py
+++ b/onyxpass/soak/records.py
@@ -41,16 +41,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Span:
+    """For how long a party was troubled, and by what; seconds of the monotonic clock."""
+
     since_s: float
     until_s: float
     what: str
 
     def meets(self, since_s: float, until_s: float) -> bool:
+        """Return whether it and that time have a moment in common."""
         return self.since_s <= until_s and since_s <= self.until_s
 
 
 @dataclass(slots=True)
 class Records:
+    """All that one soak saw; ``dispatchers`` and ``replicas``: when each was troubled."""
+
     trace: Trace
     asked: dict[str, Asked] = field(default_factory=dict)
     told: list[Told] = field(default_factory=list)
@@ -64,13 +69,14 @@
     problems: list[str] = field(default_factory=list)
 
     def troubled(self, dispatcher: int, since_s: float, until_s: float, *whats: str) -> bool:
+        """Return whether a dispatcher was troubled then, by one of ``whats`` if any are named."""
         spans = self.dispatchers.get(dispatcher, ())
         return any(
             span.meets(since_s, until_s) and (not whats or span.what in whats) for span in spans
         )
 
     def ended_by_kill(self, dispatcher: int, asked_s: float) -> bool:
-        """Whether SIGKILL, at its earliest, may have met a stream that was asked for in time."""
+        """Return whether SIGKILL may have met a stream that was asked for in time."""
         return any(
             span.what == "ended by SIGKILL"
             and asked_s <= min(span.since_s + LAST_TAKEN_S, span.until_s)
@@ -79,11 +85,12 @@
         )
 
     def delayed(self, server: str, since_s: float, until_s: float) -> bool:
-        """Whether the way there was such that what was sent came later, or in pieces."""
+        """Return whether the way there was such that what was sent came later, or in pieces."""
         late = ("stall", "delay", "pieces", "cut")
         return any(
             s.meets(since_s, until_s) and s.what in late for s in self.replicas.get(server, ())
         )
 
     def shaken(self, server: str, since_s: float, until_s: float) -> bool:
+        """Return whether a server, or the way to it, was troubled then."""
         return any(span.meets(since_s, until_s) for span in self.replicas.get(server, ()))
--- a/onyxpass/soak/schedule.py
+++ b/onyxpass/soak/schedule.py
@@ -96,7 +96,8 @@
         more += [str(forced) for forced in self.forced]
         more += [number.name for number in self.signals]
         whom = ",".join(map(str, self.targets))
-        return f"{self.at_s:6.2f} s for {self.for_s:.2f} s: {self.kind.value} {whom} {' '.join(more)}".rstrip()
+        what = f"{self.kind.value} {whom} {' '.join(more)}".rstrip()
+        return f"{self.at_s:6.2f} s for {self.for_s:.2f} s: {what}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,11 +113,12 @@
 
     @property
     def replicas(self) -> int:
+        """The number of all servers."""
         return self.readers + self.writers
 
 
 def drawn(seed: int, shape: Shape) -> list[Fault]:
-    """Groups of two or three faults that overlap in time, with a rest between groups."""
+    """Draw groups of two or three faults that overlap in time, with a rest between groups."""
     chance = random.Random(seed)
     found: list[Fault] = []
     at_s = 1.0
@@ -175,4 +177,5 @@
 
 
 def described(faults: Iterable[Fault]) -> str:
+    """Return a line for each fault."""
     return "\n".join(f"  {fault}" for fault in faults)
--- a/onyxpass/soak/testbed.py
+++ b/onyxpass/soak/testbed.py
@@ -37,14 +37,13 @@
         return await super()._work(wire, request, text)
 
     def break_all(self) -> None:
+        """Reset every connection."""
         for writer in list(self.writers):
             writer.transport.abort()
 
 
 class Fleet:
-    """Replicas by number: readers first, then writers. Each is listed at the address of its
-    link.
-    """
+    """Replicas by number: readers first, then writers; each is listed at its link's address."""
 
     def __init__(self, readers: int, writers: int, records: Records) -> None:
         self.records, self.states = records, States()
@@ -59,7 +58,14 @@
                 self.replicas.append(replica)
                 self.rows.append(Listed(replica, kind, HALLS[number % len(HALLS)]))
 
+    def tell_start(self, number: int) -> None:
+        """Tell of a replica that has just started anew."""
+        row = self.rows[number]
+        row.born_ms = round(time.time() * 1000)
+        self.discovery.change(row.replica.name, "active")
+
     async def start(self) -> None:
+        """Start the replicas, their links and discovery."""
         for replica, row in zip(self.replicas, self.rows, strict=True):
             await replica.start()
             link = Link(replica.port)
@@ -70,5 +76,6 @@
         await self.discovery.start()
 
     async def stop(self) -> None:
+        """Stop everything that was started."""
         for server in (self.discovery, *self.links, *self.replicas):
             await server.stop()
