Count the wait to be accepted as part of the time that a request's reading has

Cause: ClientConnection.due_us began at accept. A client that stopped in the middle while it waited in the queue (no process at an inherited socket, a crowd) had its wait and 2.5 s more; 3 s are owed in all.

Change: Front._welcome counts the 2.5 s from when the connection may have come, with at least 1 s from accept. The soak's judge knows at which dispatcher a bad client was and takes off just the time in which no process took connections.

Tests of clients' times, net, crossings and the program pass.

--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -22,6 +22,7 @@
 
 # from connecting, or from a later request's first byte, to a request's last byte
 FIRST_US = 2_500_000
+FIRST_LEAST_US = 1_000_000  # of that, however long the connection waited to be accepted
 IDLE_US = 8_000_000  # between requests
 LEAVE_US = 2_000_000  # for a client to take the rest of its answer
 REST_MOST = 16  # past the limit, of what still waits in the kernel as the listener closes
@@ -179,11 +180,14 @@
 
     def _welcome(self, sock: socket.socket, waited_since_ns: int) -> None:
         now_us = self.clock.now_us()
-        connection = ClientConnection(now_us, now_us + FIRST_US)
-        connection.arrived_us = self.clock.at_us(waited_since_ns)
+        arrived_us = self.clock.at_us(waited_since_ns)
         if self.shared and (silent := silent_ms(sock)) is not None:
             # Guards against a request that waited for this process longer than it has lived.
-            connection.arrived_us = min(connection.arrived_us, now_us - silent * 1000)
+            arrived_us = min(arrived_us, now_us - silent * 1000)
+        # Prevents a client that stopped in the middle from waiting in the queue and then for the
+        # whole time of a connection that has just come.
+        due_us = max(arrived_us + FIRST_US, now_us + FIRST_LEAST_US)
+        connection = ClientConnection(now_us, due_us, arrived_us=arrived_us)
         self._keep(connection, self._converse(sock, connection))
 
     def _gone(self, task: asyncio.Task[None]) -> None:
--- a/onyxpass/soak/checker.py
+++ b/onyxpass/soak/checker.py
@@ -188,10 +188,15 @@
 
 
 def bad_clients(records: Records, slack_s: float) -> Iterator[str]:
-    """Find clients that broke off in the middle, stayed, and were not ended in time."""
-    for manner, after_s in records.bad_clients:
-        if after_s > BAD_CLIENT_S + slack_s:
-            yield f"a client that {manner} was ended after {after_s:.2f} s"
+    """Find clients that broke off in the middle, stayed, and were not ended in time.
+
+    While no process takes connections from an inherited socket, nobody can end them.
+    """
+    for bad in records.bad_clients:
+        after_s = bad.ended_s - bad.began_s
+        unserved_s = records.unserved_s(bad.dispatcher, bad.began_s, bad.ended_s)
+        if after_s > BAD_CLIENT_S + unserved_s + slack_s:
+            yield f"a client that {bad.manner} was ended after {after_s:.2f} s"
 
 
 def processes(records: Records, _: float) -> Iterator[str]:
--- a/onyxpass/soak/clients.py
+++ b/onyxpass/soak/clients.py
@@ -13,7 +13,7 @@
 import h11
 
 from onyxpass.history_checkers.trace import What
-from onyxpass.soak.records import Asked, Records
+from onyxpass.soak.records import Asked, BadClient, Records
 
 # a client that breaks off in the middle has its error or a close within this time
 BAD_CLIENT_S = 3.0
@@ -178,7 +178,8 @@
             pass
         finally:
             connection.writer.close()
-        self.records.bad_clients.append((manner.value, time.monotonic() - began_s))
+        bad_client = BadClient(manner.value, self.dispatcher, began_s, time.monotonic())
+        self.records.bad_clients.append(bad_client)
 
     async def crowd(self, count: int, for_s: float) -> None:
         """Open so many connections that say nothing, and close them again."""
--- a/onyxpass/soak/records.py
+++ b/onyxpass/soak/records.py
@@ -39,6 +39,16 @@
     told_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class BadClient:
+    """A client that said half a request or nothing, and stayed until it was ended."""
+
+    manner: str
+    dispatcher: int
+    began_s: float
+    ended_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Span:
     """For how long a party was troubled, and by what; seconds of the monotonic clock."""
@@ -62,8 +72,7 @@
     dispatchers: dict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))
     replicas: dict[str, list[Span]] = field(default_factory=lambda: defaultdict(list))
     discovery: list[Span] = field(default_factory=list)
-    # what they did, till they were ended
-    bad_clients: list[tuple[str, float]] = field(default_factory=list)
+    bad_clients: list[BadClient] = field(default_factory=list)
     lag_s: float = 0.0  # the longest that this process itself was kept from running
     # of the processes: ends, log lines, violations
     problems: list[str] = field(default_factory=list)
@@ -75,6 +84,14 @@
             span.meets(since_s, until_s) and (not whats or span.what in whats) for span in spans
         )
 
+    def unserved_s(self, dispatcher: int, since_s: float, until_s: float) -> float:
+        """Return for how long of that time no process took a dispatcher's connections."""
+        return sum(
+            min(span.until_s, until_s) - max(span.since_s, since_s)
+            for span in self.dispatchers.get(dispatcher, ())
+            if span.what == "no process" and span.meets(since_s, until_s)
+        )
+
     def ended_by_kill(self, dispatcher: int, asked_s: float) -> bool:
         """Return whether SIGKILL may have met a stream that was asked for in time."""
         return any(
