--- a/onyxpass/soak/checker.py
+++ b/onyxpass/soak/checker.py
@@ -15,6 +15,15 @@
 GONE_S = 0.1  # after a client's close
 TOLD_SLACK_S = 0.15
 DRAIN_S, TOLD_LATEST_S = 1.0, 6.0
+# Troubles of a dispatcher after which it may have to ask for the list anew.
+LOSES_THE_WATCH = (
+    "restarted",
+    "reloaded",
+    "killed",
+    "ended by SIGKILL",
+    "failed calls",
+    "broken calls",
+)
 Rule = Callable[[Records, float], Iterable[str]]
 
 
@@ -113,7 +122,7 @@
         due_s = since_s + DRAIN_S + slack_s
         if any(
             span.meets(since_s - 3.0, event.at_s) for span in records.discovery
-        ) or records.troubled(asked.dispatcher, since_s - 3.0, event.at_s):
+        ) or records.troubled(asked.dispatcher, since_s - 3.0, event.at_s, *LOSES_THE_WATCH):
             ends = [
                 span.until_s for span in records.discovery if span.meets(since_s - 3.0, event.at_s)
             ]
@@ -132,7 +141,7 @@
         since_s, until_s = (asked.asked_s, asked.ended_s) if asked else (0.0, float("inf"))
         if asked is not None and freed(records, asked):
             continue
-        if not records.shaken(first, since_s - 1.0, until_s + 1.0):
+        if not records.delayed(first, since_s - 1.0, until_s + 1.0):
             yield breach
 
 
@@ -149,7 +158,7 @@
         asked = records.asked.get(request)
         if asked is None or freed(records, asked):
             continue
-        if request in never or not _holder_shaken(records, asked):
+        if request in never or not _prefill_answer_lost(records, asked):
             yield breach
 
 
@@ -161,9 +170,11 @@
     return found
 
 
-def _holder_shaken(records: Records, asked: Asked) -> bool:
+def _prefill_answer_lost(records: Records, asked: Asked) -> bool:
     holders = {e.server for e in records.trace.of(What.HELD) if e.request == asked.request}
-    return any(records.shaken(name, asked.asked_s, asked.ended_s + 1.0) for name in holders)
+    return any(
+        records.may_lose_answers(name, asked.asked_s, asked.ended_s + 1.0) for name in holders
+    )
 
 
 def bookings(records: Records, _: float) -> Iterator[str]:
--- a/onyxpass/soak/records.py
+++ b/onyxpass/soak/records.py
@@ -4,10 +4,14 @@
 from dataclasses import dataclass, field
 
 from onyxpass.history_checkers.trace import Trace
+from onyxpass.soak.schedule import Kind
 
 # A stream that was asked for so long after SIGTERM, or earlier, may meet SIGKILL.
 LAST_TAKEN_S = 0.7
 STREAM_MOST_S = 30.0  # no stream of a soak takes longer
+# Faults of a server or the way to it by what they may do to what is sent.
+DELAYS = frozenset(kind.value for kind in (Kind.STALL, Kind.DELAY, Kind.PIECES, Kind.CUT))
+LOSES_ANSWERS = DELAYS | {Kind.RESET.value, Kind.RESTART.value}
 
 
 @dataclass(slots=True)
@@ -103,11 +107,21 @@
 
     def delayed(self, server: str, since_s: float, until_s: float) -> bool:
         """Return whether the way there was such that what was sent came later, or in pieces."""
-        late = ("stall", "delay", "pieces", "cut")
         return any(
-            s.meets(since_s, until_s) and s.what in late for s in self.replicas.get(server, ())
+            span.meets(since_s, until_s) and span.what in DELAYS
+            for span in self.replicas.get(server, ())
         )
 
     def shaken(self, server: str, since_s: float, until_s: float) -> bool:
-        """Return whether a server, or the way to it, was troubled then."""
-        return any(span.meets(since_s, until_s) for span in self.replicas.get(server, ()))
+        """Return whether a server, or the way to it, was troubled then; a drain is no trouble."""
+        return any(
+            span.meets(since_s, until_s) and span.what != Kind.DRAIN.value
+            for span in self.replicas.get(server, ())
+        )
+
+    def may_lose_answers(self, server: str, since_s: float, until_s: float) -> bool:
+        """Return whether an answer of that server may have been lost, or have come late."""
+        return any(
+            span.meets(since_s, until_s) and span.what in LOSES_ANSWERS
+            for span in self.replicas.get(server, ())
+        )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -92,6 +92,21 @@
     ]
 
 
+def two_out_at_a_server_that_hangs(records: Records) -> None:
+    two_out(records)
+    records.replicas["writer-1"].append(Span(0.0, 1.0, "hang"))
+
+
+def stream_cut_while_its_writer_drains(records: Records) -> None:
+    stream_cut(records)
+    records.replicas["writer-1"].append(Span(0.0, 1.0, "drain"))
+
+
+def sent_after_a_drain_to_a_dispatcher_with_a_crowd(records: Records) -> None:
+    sent_after_a_drain(records)
+    records.dispatchers[0].append(Span(-3.0, 1.0, "crowd"))
+
+
 def five_attempts(records: Records) -> None:
     for n in range(5):
         add(
@@ -166,8 +181,11 @@
     ("time told", told_too_much),
     ("time told", told_too_much_by_way_of_a_server_that_hangs),
     ("clients gone", sent_for_one_that_left),
+    ("answers", stream_cut_while_its_writer_drains),
     ("drains", sent_after_a_drain),
+    ("drains", sent_after_a_drain_to_a_dispatcher_with_a_crowd),
     ("overlap", two_out),
+    ("overlap", two_out_at_a_server_that_hangs),
     ("attempts", five_attempts),
     ("bookings", booked_twice),
     ("bookings", refused_and_run),
