--- a/onyxpass/history_checkers/configuration.py
+++ b/onyxpass/history_checkers/configuration.py
@@ -1,6 +1,4 @@
-"""What must hold of the desired configuration at many nodes, read from their logs after the
-fact.
-"""
+"""What must hold of the desired configuration at many nodes, read from their logs."""
 
 import json
 from collections.abc import Iterable, Mapping, Sequence
@@ -12,8 +10,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Word:
-    """One line of a node's log: what it ordered, merged or brought in force, and what it had
-    seen then.
+    """One line of a node's log: what it ordered, merged or brought in force.
+
+    ``seen``: the changes that it had seen by then, by origin.
     """
 
     at_ns: int
@@ -27,7 +26,7 @@
 
 
 def read(files: Iterable[Path]) -> list[Word]:
-    """All such lines, by time; a line that is cut off or of another kind is passed over."""
+    """Return all such lines by time; a line that is cut off or of another kind is left out."""
     found = [
         Word(raw["at_ns"], raw["node"], raw["event"], raw["digest"], raw["seen"])
         for _, raw in objects(files)
@@ -37,8 +36,9 @@
 
 
 def never_back(words: Sequence[Word]) -> Iterable[str]:
-    """No node brings in force what lacks a change that it had in force before, in any of its
-    lives.
+    """Find nodes that brought in force what lacks a change that they had in force before.
+
+    A node is the same in all its lives.
     """
     last: dict[str, Word] = {}
     for word in words:
@@ -51,7 +51,7 @@
 
 
 def in_force_everywhere(words: Sequence[Word], hosts: Iterable[str]) -> Iterable[str]:
-    """In the end each host has every change that was ordered, and all have the same."""
+    """Find hosts that in the end lack a change that was ordered, or differ from others."""
     ends: dict[str, Word] = {
         word.node: word for word in words if word.what == "configuration_in_force"
     }
@@ -71,18 +71,20 @@
 
 
 def one_digest(words: Sequence[Word]) -> Iterable[str]:
-    """Who has seen the same changes has the same state, whatever way they came."""
+    """Find nodes that have seen the same changes and hold another state."""
     found: dict[str, Word] = {}
     for word in words:
         key = json.dumps(sorted(word.seen.items()))
         other = found.setdefault(key, word)
         if other.digest != word.digest:
-            yield f"{word.node} and {other.node} have seen the same and hold {word.digest}, {other.digest}"
+            digests = f"{word.digest}, {other.digest}"
+            yield f"{word.node} and {other.node} have seen the same and hold {digests}"
 
 
 def latency_s(words: Sequence[Word], hosts: Iterable[str]) -> list[float]:
-    """For each order: from it till the last host had it in force; those that never were are left
-    out.
+    """Return for each order the seconds until the last host had it in force.
+
+    Orders that were never in force everywhere are left out.
     """
     found = []
     everyone = set(hosts)
--- a/onyxpass/history_checkers/history.py
+++ b/onyxpass/history_checkers/history.py
@@ -6,7 +6,7 @@
 
 | line | by whom | of it |
 | --- | --- | --- |
-| ``ask``, ``answer`` | who wants a lease | its ``number``; the answer's ``token`` where it was granted |
+| ``ask``, ``answer`` | who wants a lease | its ``number``; the answer's ``token`` if granted |
 | ``held``, ``lost`` | its holder | the token under which it may act, and from when on no more |
 | ``begin``, ``end``, ``refused`` | a resource | an effect under a token: ``effect`` is its id |
 """
@@ -23,6 +23,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Line:
+    """One history line of one process; ``fields`` are those of its kind."""
+
     at_ns: int
     what: str
     source: str  # the file that it stood in: one process, in all its lives
@@ -34,7 +36,7 @@
 
 
 def read(files: Iterable[Path]) -> list[Line]:
-    """All history lines of these logs, by time. Whatever else stands there is passed over."""
+    """Return all history lines of these logs by time; whatever else stands there is left out."""
     found = [
         Line(int(raw["at_ns"]), str(raw["what"]), path.name, int(raw["pid"]), raw)
         for path, raw in objects(files)
@@ -44,6 +46,7 @@
 
 
 def by(lines: Iterable[Line], *names: str) -> dict[tuple[Any, ...], list[Line]]:
+    """Group lines by these fields, in the order in which they came."""
     groups: dict[tuple[Any, ...], list[Line]] = defaultdict(list)
     for line in lines:
         groups[tuple(line[name] for name in names)].append(line)
@@ -51,8 +54,9 @@
 
 
 def effects_apart(lines: list[Line]) -> Iterable[str]:
-    """At a resource, effects of two tokens never overlap. One without an end lasts to the end of
-    all.
+    """Find effects of two tokens that overlapped at a resource.
+
+    One without an end lasts to the end of all.
     """
     mine = [line for line in lines if line.what in ("begin", "end")]
     for (resource, lease), group in by(mine, "resource", "lease").items():
@@ -64,23 +68,23 @@
             for other in running.values():
                 if (other["token"], other["holder"]) != (line["token"], line["holder"]):
                     yield (
-                        f"{resource}: {line['holder']} began under token {line['token']} of {lease} "
-                        f"while {other['holder']}'s effect of token {other['token']} was under way"
+                        f"{resource}: {line['holder']} began under token {line['token']} of "
+                        f"{lease} while {other['holder']}'s effect of token {other['token']} was "
+                        "under way"
                     )
             running[line["effect"]] = line
 
 
 def tokens_grow(lines: list[Line]) -> Iterable[str]:
-    """At a resource, the tokens of what is let in never fall, and one number is never two
-    holders'.
-    """
+    """Find tokens that fell at a resource, and numbers that two holders had there."""
     for (resource, lease), group in by(
         (x for x in lines if x.what == "begin"), "resource", "lease"
     ).items():
         last: Line | None = None
         for line in group:
             if last is not None and line["token"] < last["token"]:
-                yield f"{resource}: token {line['token']} of {lease} was let in after {last['token']}"
+                after = f"was let in after {last['token']}"
+                yield f"{resource}: token {line['token']} of {lease} {after}"
             elif (
                 last is not None
                 and line["token"] == last["token"]
@@ -92,8 +96,9 @@
 
 
 def holders_apart(lines: list[Line]) -> Iterable[str]:
-    """No two holders at once, by their own account. Of one that was killed nothing more is
-    known.
+    """Find two holders at once, by their own account.
+
+    Of one that was killed nothing more is known.
     """
     for (lease,), group in by((x for x in lines if x.what in ("held", "lost")), "lease").items():
         spans: list[tuple[int, int, Line]] = []
@@ -113,13 +118,13 @@
         for (_, end, first), (began, _, second) in pairwise(spans):
             if began < end:
                 yield (
-                    f"{lease}: {second['holder']} held token {second['token']} while {first['holder']} "
-                    f"held {first['token']}"
+                    f"{lease}: {second['holder']} held token {second['token']} while "
+                    f"{first['holder']} held {first['token']}"
                 )
 
 
 def grants_in_order(lines: list[Line]) -> Iterable[str]:
-    """The lease as a register that only grows is linearizable.
+    """Find grants by which the lease, as a register that only grows, is not linearizable.
 
     A grant that was answered before another was asked for has the smaller token; none is granted to
     two. What was asked and never answered may or may not have taken a number, so numbers may be
@@ -161,5 +166,5 @@
 
 
 def breaches(lines: list[Line], checks: Iterable[str] = tuple(CHECKS)) -> list[str]:
-    """Every breach, with the name of what does not hold."""
+    """Return every breach, with the name of what does not hold."""
     return [f"{name}: {breach}" for name in checks for breach in CHECKS[name](lines)]
--- a/onyxpass/history_checkers/lines.py
+++ b/onyxpass/history_checkers/lines.py
@@ -7,9 +7,7 @@
 
 
 def objects(files: Iterable[Path]) -> Iterator[tuple[Path, dict[str, Any]]]:
-    """Each line's JSON object with the file that it stood in; a line that is cut off is passed
-    over.
-    """
+    """Yield each line's JSON object with its file; a line that is cut off is passed over."""
     for path in files:
         for text in path.read_text(errors="replace").splitlines():
             try:
--- a/onyxpass/history_checkers/trace.py
+++ b/onyxpass/history_checkers/trace.py
@@ -12,6 +12,8 @@
 
 
 class What(Enum):
+    """What happened to a request, an attempt or a state."""
+
     ASKED = "asked"  # the client's last byte went out
     ANSWERED = "answered"  # its final answer came whole, or its connection ended
     RECEIVED = "received"  # the last byte of an attempt came to a replica
@@ -24,6 +26,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
+    """One thing that one end saw."""
+
     at_s: float
     what: What
     request: str = ""
@@ -41,12 +45,15 @@
     clock: Callable[[], float] = time.monotonic  # the emulator has its own
 
     def put(self, what: What, request: str = "", server: str = "", detail: str = "") -> None:
+        """Record an event of this moment."""
         self.events.append(Event(self.clock(), what, request, server, detail))
 
     def of(self, *whats: What) -> list[Event]:
+        """Return the events of these kinds, in their order."""
         return [event for event in self.events if event.what in whats]
 
     def answers(self) -> Counter[str]:
+        """Return how many requests ended in which way."""
         return Counter(event.detail for event in self.of(What.ANSWERED))
 
 
@@ -55,7 +62,7 @@
 
 
 def one_answer(trace: Trace) -> Iterable[str]:
-    """Each request that was asked has one final answer, and nobody else has one."""
+    """Find requests that were asked and have not one final answer, or the other way round."""
     asked = Counter(event.request for event in trace.of(What.ASKED))
     answered = Counter(event.request for event in trace.of(What.ANSWERED))
     for request in asked.keys() | answered.keys():
@@ -64,8 +71,9 @@
 
 
 def no_overlap(trace: Trace, slack_s: float = 0.05) -> Iterable[str]:
-    """One attempt out at a time. ``slack_s``: for a replica to notice a close before the next
-    one.
+    """Find attempts that were out beside another one of their request.
+
+    ``slack_s``: for a replica to notice a close before the next attempt.
     """
     out: dict[str, tuple[str, float]] = {}
     # not seen closed yet, and what came after it when
@@ -88,20 +96,21 @@
 
 
 def few_attempts(trace: Trace) -> Iterable[str]:
+    """Find requests with more attempts than are allowed."""
     for request, count in Counter(event.request for event in trace.of(What.RECEIVED)).items():
         if count > ATTEMPTS_MOST:
             yield f"{request}: {count} attempts"
 
 
 def bookings_once(trace: Trace, bookings: frozenset[str]) -> Iterable[str]:
-    """A booking runs once at most."""
+    """Find bookings that ran more than once."""
     for request, count in Counter(event.request for event in trace.of(What.RAN)).items():
         if count > 1 and trace.classes.get(request) in bookings:
             yield f"{request}: ran {count} times"
 
 
 def refused_never_ran(trace: Trace, bookings: frozenset[str]) -> Iterable[str]:
-    """What is refused is harmless to ask again, so a booking that is refused has not run."""
+    """Find bookings that were refused, which says that they have not run, and ran."""
     ran = {event.request for event in trace.of(What.RAN)}
     for event in trace.of(What.ANSWERED):
         if (
@@ -113,7 +122,7 @@
 
 
 def drains_kept(trace: Trace, slack_s: float = 0.05) -> Iterable[str]:
-    """Nothing new to a server later than 1 s after its drain was told."""
+    """Find what came to a server later than 1 s after its drain was told."""
     told: dict[str, float] = {}
     for event in trace.of(What.DRAIN_TOLD, What.RECEIVED):
         if event.what is What.DRAIN_TOLD and event.detail == "up":  # it takes work again
@@ -126,7 +135,7 @@
 
 
 def held_briefly(trace: Trace, slack_s: float = 0.35) -> Iterable[str]:
-    """What is held is used or let go within 300 ms of the last attempt's end."""
+    """Find state that was not used or let go within 300 ms of the last attempt's end."""
     held: dict[str, float] = {}
     out: Counter[str] = Counter()
     idle_since: dict[str, float] = defaultdict(float)
@@ -140,7 +149,8 @@
     for event in trace.of(What.HELD, What.FREED, What.RECEIVED, What.CLOSED):
         request = event.request
         if late(request, event.at_s):
-            yield f"{request}: held for {event.at_s - idle_since[request]:.2f} s with no attempt out"
+            held_s = event.at_s - idle_since[request]
+            yield f"{request}: held for {held_s:.2f} s with no attempt out"
             del held[request]
         if event.what is What.HELD:
             held[request] = event.at_s
@@ -158,7 +168,7 @@
 
 
 def breaches(trace: Trace, bookings: Iterable[str] = ("stock-booking",)) -> list[str]:
-    """Every breach of every rule, each with the rule's name."""
+    """Return every breach of every rule, each with the rule's name."""
     never_twice = frozenset(bookings)
     rules: dict[str, Callable[[], Iterable[str]]] = {
         "one final answer": lambda: one_answer(trace),
--- a/tests/hot_restart/test_inherited_listener.py
+++ b/tests/hot_restart/test_inherited_listener.py
@@ -16,6 +16,15 @@
 SLACK_MS = 150
 
 
+async def start_on(path: Path, passed: socket.socket) -> Process:
+    """A dispatcher that inherits its clients' socket."""
+    descriptor = passed.fileno()
+    environment = {"ROUTER_PASSED_SOCKET": str(descriptor)}
+    return await Process.start(
+        "serve", "--config", str(path), environment=environment, pass_fds=(descriptor,)
+    )
+
+
 def test_a_request_that_waited_for_the_next_process_tells_what_is_left(tmp_path: Path) -> None:
     async def go() -> None:
         reader, writer = Replica(READ), Replica(STREAM)
@@ -25,14 +34,7 @@
                     sink.write(ask("a1", "a", ms=WAIT_MS, close=True))
                     sent_s = time.monotonic()
                     await asyncio.sleep(WAITED_S)
-                    environment = {"ROUTER_PASSED_SOCKET": str(passed.fileno())}
-                    process = await Process.start(
-                        "serve",
-                        "--config",
-                        str(path),
-                        environment=environment,
-                        pass_fds=(passed.fileno(),),
-                    )
+                    process = await start_on(path, passed)
                     assert (await source.read()).startswith(b"HTTP/1.1 200")
                     waited_ms = (time.monotonic() - sent_s) * 1000
                 for head in (*reader.heads, *writer.heads):
@@ -56,14 +58,7 @@
                 async with connection(passed.getsockname()[1]) as (source, sink):
                     sink.write(ask("a1", "a", ms=WAIT_MS)[:-40])
                     await asyncio.sleep(WAITED_S)
-                    environment = {"ROUTER_PASSED_SOCKET": str(passed.fileno())}
-                    process = await Process.start(
-                        "serve",
-                        "--config",
-                        str(path),
-                        environment=environment,
-                        pass_fds=(passed.fileno(),),
-                    )
+                    process = await start_on(path, passed)
                     await process.line("listening")
                     listening_s = time.monotonic()
                     await source.read()
