Keep the soak's own ports and a process that is still being loaded out of its verdict

Change: free_port draws below the ports of outgoing connections; a process that was told to end before it listened counts as ended; a new connection closed without a byte during a crowd is passed over, and listed. Breaches of answers name dispatcher and kind of connection.

--- a/onyxpass/soak/checker.py
+++ b/onyxpass/soak/checker.py
@@ -49,8 +49,12 @@
             asked.dispatcher, asked.asked_s, asked.ended_s, "broken calls"
         ):
             continue  # its own connection was broken at the dispatcher's side
+        if _shut_unread(records, asked):
+            continue
         if asked.end in ("broken", "never") and not asked.events:
-            yield f"{asked.request}: {asked.end} with no answer after {took_s:.2f} s"
+            on = "a new" if asked.on_new_connection else "a kept"
+            where = f"at d{asked.dispatcher:02} on {on} connection"
+            yield f"{asked.request}: {asked.end} with no answer after {took_s:.2f} s {where}"
         elif took_s > asked.wait_s + LATE_S + slack_s:
             wait_s = asked.wait_s
             yield f"{asked.request}: {asked.end} after {took_s:.2f} s with {wait_s:.2f} s to wait"
@@ -58,6 +62,16 @@
             yield f"{asked.request}: its stream broke off, and nothing happened to its writer"
 
 
+def _shut_unread(records: Records, asked: Asked) -> bool:
+    """Return whether a new connection may have been closed unread in favour of a crowd's."""
+    return (
+        asked.end == "broken"
+        and asked.on_new_connection
+        and not asked.status
+        and records.troubled(asked.dispatcher, asked.asked_s, asked.ended_s, "crowd")
+    )
+
+
 def _stream_may_break(records: Records, asked: Asked) -> bool:
     """Return whether something excuses a stream that broke.
 
--- a/onyxpass/soak/dispatchers.py
+++ b/onyxpass/soak/dispatchers.py
@@ -91,6 +91,7 @@
         self.leaves = False  # whether its present process has been told to end
         self.lives = 0
         self.unserved_s = 0.0  # since when no process takes connections; 0: one does
+        self._log_offset = 0  # where the log of its present process begins
 
     def write(self) -> None:
         """Write its file anew, with the address of discovery that it is told at present."""
@@ -122,7 +123,7 @@
         if self.passed is not None:
             environment = {**environment, "ROUTER_PASSED_SOCKET": str(self.passed.fileno())}
         with self.log.open("ab") as log:
-            offset = self.log.stat().st_size
+            self._log_offset = self.log.stat().st_size
             child = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", "onyxpass", "serve", "--config", str(self.config)),
                 stdout=log,
@@ -132,7 +133,9 @@
             )
         self.control, self.child, self.leaves = control, child, False
         due_s = time.monotonic() + READY_S
-        while not self._ready(offset):
+        while not (self._logged(b'"listening"') and self._logged(b'"form": "full"')):
+            if child.returncode is not None and self.leaves:
+                return  # told to end while it was starting
             if child.returncode is not None or time.monotonic() > due_s:
                 state = (
                     f"exit code {child.returncode}"
@@ -150,11 +153,11 @@
             self.records.dispatchers[self.number].append(span)
         self.unserved_s = 0.0
 
-    def _ready(self, offset: int) -> bool:
+    def _logged(self, text: bytes) -> bool:
+        """Return whether its present process has logged this."""
         with self.log.open("rb") as log:
-            log.seek(offset)
-            text = log.read()
-        return b'"listening"' in text and b'"form": "full"' in text
+            log.seek(self._log_offset)
+            return text in log.read()
 
     def trouble(self, what: str, for_s: float) -> None:
         """Record that it is troubled from now on."""
@@ -192,7 +195,9 @@
             span = Span(began_s, time.monotonic(), "ended by SIGKILL")
             self.records.dispatchers[self.number].append(span)
         await sent
-        if child.returncode not in (0, -signal.SIGKILL):
+        # A program that is still being loaded ends by the signal's default, and has taken nothing.
+        loading = child.returncode == -signal.SIGTERM and not self._logged(b'"listening"')
+        if child.returncode not in (0, -signal.SIGKILL) and not loading:
             self.records.problems.append(f"{self.name}: exit code {child.returncode} after SIGTERM")
 
     @staticmethod
--- a/onyxpass/testbed/site.py
+++ b/onyxpass/testbed/site.py
@@ -3,8 +3,10 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
+import random
 import socket
 import sys
 from collections.abc import Mapping
@@ -16,10 +18,24 @@
 from onyxpass.testbed.replicas import StandinFleet
 from onyxpass.testbed.settings import dispatcher_file
 
+# The numbers that the kernel gives to outgoing connections (ip(7)).
+OUTGOING_PORTS = Path("/proc/sys/net/ipv4/ip_local_port_range")
+FIRST_PORT = 12_000
+MIN_PORTS = 1_000  # below the outgoing ones, to draw from; with fewer, the kernel chooses
+
 
 def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return int(sock.getsockname()[1])
+    """Return a port that nobody listens on, one that no outgoing connection is given if possible.
+
+    Prevents a server that is stopped and started again from finding its port in use.
+    """
+    first_outgoing = int(OUTGOING_PORTS.read_text().split()[0])
+    drawn = first_outgoing - FIRST_PORT >= MIN_PORTS
+    chance = random.SystemRandom()
+    while True:
+        port = chance.randrange(FIRST_PORT, first_outgoing) if drawn else 0
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)) as sock:
+            return int(sock.getsockname()[1])
 
 
 @dataclass(slots=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -240,6 +240,15 @@
     assert not breaches(records), "its attempt is out till the dispatcher gives it up"
 
 
+def test_a_new_connection_may_be_shut_unread_for_a_crowd() -> None:
+    records = good()
+    never_answered(records)
+    records.dispatchers[0].append(Span(0.0, 1.0, "crowd"))
+    assert breaches(records), "it was a kept connection"
+    records.asked["r1"] = replace(records.asked["r1"], on_new_connection=True)
+    assert not breaches(records)
+
+
 def test_an_attempt_that_was_closed_and_comes_late_is_no_overlap() -> None:
     """Found in a soak: the way to a reader stalled, its attempt was closed, and came when a writer
     had the request.
