Log a process that did not get to its timers, and pulse the soak's delayed sends

Whether the machine kept them from running was nowhere to be seen.

Change: process_held_up tells by how much the timers were late (over 0.15 s), when (monotonic) and the processor time so far; state tells that as well. The soak's checker leaves out times, and nothing else, of requests open during such a stall if the process used under half of it.

Tests: a stall of the wheel, a log with and without processor time, what counts and what does not during a stall.

--- a/onyxpass/core/timer_wheel.py
+++ b/onyxpass/core/timer_wheel.py
@@ -1,6 +1,7 @@
 """A timer wheel: timers are coarse ticks; to set or drop one costs a set operation, no heap."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from types import TracebackType
 
@@ -11,11 +12,17 @@
 TICK_US = 5_000
 MAX_SLEEP_TICKS = 64  # with no timer in between
 STALL_TICKS = 4  # so far behind, the process has been stalled
+HELD_UP_US = 150_000  # a stall that is logged
 ROUNDS_AFTER_STALL = 6  # of the event loop, that go before the timers
 SLOTS = 512  # a revolution is 2.56 s; what lies further ahead waits some revolutions in its slot
 log = structlog.get_logger("wheel")
 
 
+def cpu_us() -> int:
+    """Return the processor time that this process has used, in microseconds."""
+    return time.process_time_ns() // 1000
+
+
 class Timer:
     """One pending call. It never fires early, and at most a tick or so late."""
 
@@ -153,6 +160,8 @@
             self._rounds_since_stall < ROUNDS_AFTER_STALL
             and self.clock.now_us() // TICK_US >= self._next_tick + STALL_TICKS
         ):
+            if not self._rounds_since_stall:
+                self._log_stall()
             self._rounds_since_stall += 1
             self._next = loop.call_soon(self._advance_and_sleep)
             return
@@ -169,6 +178,18 @@
         except Exception as error:  # noqa: BLE001 - ``run`` raises it: no process without its wheel
             failed.set_exception(error)
 
+    def _log_stall(self) -> None:
+        """Log a stall that keeps this process from all its times.
+
+        ``at_us`` is monotonic; ``cpu_us`` is all processor time so far, as in the line ``state``:
+        if it has hardly grown, the machine did not run the process.
+        """
+        now_us = self.clock.now_us()
+        late_us = now_us - self._next_tick * TICK_US
+        if late_us > HELD_UP_US:
+            at_us = self.clock.monotonic_us(now_us)
+            log.info("process_held_up", late_us=late_us, at_us=at_us, cpu_us=cpu_us())
+
     def _sleep_until(self, loop: asyncio.AbstractEventLoop, tick: int) -> None:
         if self._next is not None:
             self._next.cancel()
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -12,7 +12,7 @@
 from onyxpass.config.platform_file import NOWHERE, Config, ConfigError, managed, share_of
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import RequestDispatcher
-from onyxpass.core.timer_wheel import TimerWheel
+from onyxpass.core.timer_wheel import TimerWheel, cpu_us
 from onyxpass.hot_restart.inherited_listener import inherited_listener
 from onyxpass.hot_restart.process_registry import ProcessRegistry
 from onyxpass.net.control import Control
@@ -150,6 +150,7 @@
         log.info(
             "state",
             requests=len(self.core.registry.by_number),
+            cpu_us=cpu_us(),
             clients=len(self.front.open),
             connections=self.replicas.budget.open,
             exchanges=sum(real.values()),
--- a/onyxpass/soak/checker.py
+++ b/onyxpass/soak/checker.py
@@ -9,7 +9,7 @@
 from onyxpass.history_checkers.trace import What
 from onyxpass.soak.clients import BAD_CLIENT_S
 from onyxpass.soak.dispatchers import BOOKINGS
-from onyxpass.soak.records import Asked, Records
+from onyxpass.soak.records import NOT_RUN, Asked, Records
 
 LATE_S = 0.5  # past its time an answer earns nothing; later it is lost
 GONE_S = 0.1  # after a client's close
@@ -37,11 +37,21 @@
     return records.troubled(asked.dispatcher, asked.asked_s, asked.ended_s + 1.0, "killed")
 
 
+def not_run(records: Records, asked: Asked) -> bool:
+    """Return whether the machine kept its dispatcher from running while it was open.
+
+    No process keeps times while it does not run. What is not a matter of time still counts.
+    """
+    return records.troubled(asked.dispatcher, asked.asked_s, asked.ended_s + 1.0, NOT_RUN)
+
+
 def answers(records: Records, slack_s: float) -> Iterator[str]:
     """Each request of a client that stays has one whole answer, in time."""
     for asked in records.asked.values():
         if not asked.asked_s or asked.left_s or freed(records, asked):
             continue
+        if not_run(records, asked) and asked.end not in ("broken", "never"):
+            continue  # late, and its answer came all the same
         if records.troubled(asked.dispatcher, asked.asked_s, asked.ended_s, "no process"):
             continue
         took_s = (asked.first_s if asked.events else asked.ended_s) - asked.asked_s
@@ -92,7 +102,7 @@
     """No attempt tells its replica more time than the client has left."""
     for told in records.told:
         asked = records.asked.get(told.request)
-        if asked is None or not asked.asked_s:
+        if asked is None or not asked.asked_s or not_run(records, asked):
             continue
         if records.delayed(told.server, asked.asked_s, told.at_s):
             continue  # it was on its way for longer than a network takes
@@ -109,6 +119,7 @@
         if (
             asked is None
             or not asked.left_s
+            or not_run(records, asked)
             or records.delayed(event.server, asked.asked_s, event.at_s)
         ):
             continue
@@ -133,6 +144,8 @@
         since_s, asked = told.get(event.server), records.asked.get(event.request)
         if since_s is None or asked is None or records.delayed(event.server, since_s, event.at_s):
             continue
+        if records.troubled(asked.dispatcher, since_s, event.at_s, NOT_RUN):
+            continue
         due_s = since_s + DRAIN_S + slack_s
         if any(
             span.meets(since_s - 3.0, event.at_s) for span in records.discovery
@@ -179,7 +192,8 @@
         asked = records.asked.get(request)
         if asked is None or freed(records, asked):
             continue
-        if request in never or not _prefill_answer_lost(records, asked):
+        late_excused = _prefill_answer_lost(records, asked) or not_run(records, asked)
+        if request in never or not late_excused:
             yield breach
 
 
@@ -226,6 +240,8 @@
     """
     for bad in records.bad_clients:
         after_s = bad.ended_s - bad.began_s
+        if records.troubled(bad.dispatcher, bad.began_s, bad.ended_s, NOT_RUN):
+            continue
         unserved_s = records.unserved_s(bad.dispatcher, bad.began_s, bad.ended_s)
         if after_s > BAD_CLIENT_S + unserved_s + slack_s:
             yield f"a client that {bad.manner} was ended after {after_s:.2f} s"
--- a/onyxpass/soak/cli.py
+++ b/onyxpass/soak/cli.py
@@ -55,7 +55,8 @@
     ends = ", ".join(f"{n} {end}" for end, n in sorted(result.ends.items()))
     took_s = time.monotonic() - began_s
     count = len(result.breaches)
-    typer.echo(f"seed {seed}: {count} breaches; {ends}; lag {result.lag_s:.3f} s; {took_s:.0f} s")
+    times = f"lag {result.lag_s:.3f} s; not run {result.not_run_s:.1f} s; {took_s:.0f} s"
+    typer.echo(f"seed {seed}: {count} breaches; {ends}; {times}")
     if not result.breaches:
         return True
     typer.echo("\n".join(f"  {breach[:240]}" for breach in result.breaches[:BREACHES_SHOWN]))
--- a/onyxpass/soak/dispatchers.py
+++ b/onyxpass/soak/dispatchers.py
@@ -14,7 +14,7 @@
 
 from onyxpass import atomic_file
 from onyxpass.faultshim.control import Control
-from onyxpass.soak.records import Records, Span
+from onyxpass.soak.records import NOT_RUN, Records, Span
 from onyxpass.soak.schedule import Shape
 from onyxpass.testbed.link import Link
 from onyxpass.testbed.settings import SETTINGS
@@ -23,6 +23,7 @@
 KILL_AFTER_DEADLINE_S = 0.7  # SIGKILL comes so long after SIGTERM and the longest deadline
 LONGEST_COUNTED_S = 3.0  # a longer deadline counts as this
 CONNECTIONS = 512  # descriptors that a dispatcher may hold
+BUSY_SHARE = 0.5  # of a stall, in which a process that was run would have used the processor
 LINGER_S = 0.3  # after SIGTERM new connections keep coming
 READY_S = 30.0
 CLASSES = (
@@ -233,7 +234,8 @@
             self.serves = False
 
     def read_log(self) -> None:
-        """Violations and faults of its own that any of its processes logged."""
+        """Take violations, faults of its own and stalls from the logs of all its processes."""
+        cpu_us = 0
         for line in self.log.read_text(errors="replace").splitlines():
             try:
                 told = json.loads(line)
@@ -241,5 +243,18 @@
                 if line.strip():
                     self.records.problems.append(f"{self.name}: log: {line[:200]}")
                 continue
+            if told.get("event") == "listening":
+                cpu_us = 0  # another process
+            if told.get("event") == "process_held_up":
+                self._note_stall(told, cpu_us)
+            cpu_us = told.get("cpu_us", cpu_us)
             if told.get("event") == "violation" or "exception" in told or "Traceback" in line:
                 self.records.problems.append(f"{self.name}: log: {line[:600]}")
+
+    def _note_stall(self, told: Mapping[str, Any], cpu_before_us: int) -> None:
+        """Record a stall in which its process hardly used the processor since its last line."""
+        if told["cpu_us"] - cpu_before_us < BUSY_SHARE * told["late_us"]:
+            until_s = told["at_us"] / 1e6
+            span = Span(until_s - told["late_us"] / 1e6, until_s, NOT_RUN)
+            self.records.dispatchers[self.number].append(span)
+            self.records.not_run_s += told["late_us"] / 1e6
--- a/onyxpass/soak/injector.py
+++ b/onyxpass/soak/injector.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from onyxpass.faultshim.control import Control
 from onyxpass.soak.clients import Clients
 from onyxpass.soak.dispatchers import CONNECTIONS, Dispatcher
 from onyxpass.soak.records import Records, Span
@@ -17,6 +18,8 @@
 from onyxpass.testbed.server import Server
 
 LISTEN_RETRY_S = 0.05
+DELAY_PULSE_S = 0.1  # with a send that began in it, 0.14 s at most
+DELAY_PAUSE_S = 0.3
 RELOADS = 3
 RESTART_EFFECT_S = 6.0  # for which a new process may not know what the one before it was told
 RELOAD_EFFECT_S = 4.0  # for which a moved discovery's changes may not be known yet
@@ -129,9 +132,7 @@
                 control.force()
             case Kind.DELAY_SENDS:
                 dispatcher.trouble("delayed sends", fault.for_s + CALLS_EFFECT_S)
-                control.delay_sends(fault.amount)
-                await asyncio.sleep(fault.for_s)
-                control.delay_sends(0)
+                await _delay_in_pulses(control, fault)
 
     async def _inject_at_discovery(self, fault: Fault) -> None:
         discovery = self._parties.fleet.discovery
@@ -193,6 +194,19 @@
             direction.set(Mode.PASS)
 
 
+async def _delay_in_pulses(control: Control, fault: Fault) -> None:
+    """Delay the sends of a moment, again and again.
+
+    A process is held up for up to 0.15 s (the pages); one whose every send is slow is overloaded.
+    """
+    until_s = time.monotonic() + fault.for_s
+    while time.monotonic() < until_s:
+        control.delay_sends(fault.amount)
+        await asyncio.sleep(DELAY_PULSE_S)
+        control.delay_sends(0)
+        await asyncio.sleep(DELAY_PAUSE_S)
+
+
 async def start_again(server: Server) -> None:
     """Start at its own port, which an outgoing connection may have been given meanwhile.
 
--- a/onyxpass/soak/records.py
+++ b/onyxpass/soak/records.py
@@ -8,6 +8,7 @@
 
 # A stream that was asked for so long after SIGTERM, or earlier, may meet SIGKILL.
 LAST_TAKEN_S = 0.7
+NOT_RUN = "not run by the machine"
 STREAM_MOST_S = 30.0  # no stream of a soak takes longer
 # Faults of a server or the way to it by what they may do to what is sent.
 DELAYS = frozenset(kind.value for kind in (Kind.STALL, Kind.DELAY, Kind.PIECES, Kind.CUT))
@@ -80,6 +81,7 @@
     lag_s: float = 0.0  # the longest that this process itself was kept from running
     # of the processes: ends, log lines, violations
     problems: list[str] = field(default_factory=list)
+    not_run_s: float = 0.0  # for how long processes were kept from running, in all
 
     def troubled(self, dispatcher: int, since_s: float, until_s: float, *whats: str) -> bool:
         """Return whether a dispatcher was troubled then, by one of ``whats`` if any are named."""
--- a/onyxpass/soak/run.py
+++ b/onyxpass/soak/run.py
@@ -34,6 +34,7 @@
     breaches: list[str]
     ends: Counter[str] = field(default_factory=Counter)
     lag_s: float = 0.0
+    not_run_s: float = 0.0  # for how long the machine kept dispatchers from running, in all
 
 
 class Soak:
@@ -68,7 +69,8 @@
         for dispatcher in self.dispatchers:
             dispatcher.read_log()
         ends = Counter(asked.end for asked in self.records.asked.values())
-        return Result(checker.breaches(self.records), ends, self.records.lag_s)
+        records = self.records
+        return Result(checker.breaches(records), ends, records.lag_s, records.not_run_s)
 
     async def _open(self) -> None:
         await self.fleet.start()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,11 +6,12 @@
 import time
 
 import pytest
+import structlog
 from helpers import SETTINGS, fleet
 
 from onyxpass.core.actor import Actor
 from onyxpass.core.clock import Clock
-from onyxpass.core.timer_wheel import TICK_US, TimerWheel
+from onyxpass.core.timer_wheel import TICK_US, TimerWheel, cpu_us
 from onyxpass.scheduling import contract
 from onyxpass.scheduling.contract import AttemptStatus
 from tests.support.dispatcher_bed import Bed, HandClock
@@ -373,3 +374,20 @@
     assert bed.core.preconditions.remaining_ms(attempt) == (attempt.timeout_us - 200_000) // 1000
     bed.clock.us += attempt.timeout_us
     assert bed.core.preconditions.remaining_ms(attempt) == 1
+
+
+def test_a_stall_of_the_process_is_logged_with_the_processor_time_it_had() -> None:
+    async def go() -> None:
+        wheel = TimerWheel(Clock())
+        running = asyncio.create_task(wheel.run())
+        await wheel.sleep(20_000)
+        time.sleep(0.4)
+        await wheel.sleep(20_000)
+        running.cancel()
+
+    with structlog.testing.capture_logs() as lines:
+        asyncio.run(go())
+    held_up = [line for line in lines if line["event"] == "process_held_up"]
+    assert held_up and max(line["late_us"] for line in held_up) >= 300_000
+    assert all(abs(line["at_us"] / 1e6 - time.monotonic()) < 60 for line in held_up)
+    assert all(0 < line["cpu_us"] <= cpu_us() for line in held_up)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import json
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
@@ -12,10 +13,12 @@
 
 from onyxpass.history_checkers.trace import Event, Trace, What
 from onyxpass.soak.checker import RULES, breaches
+from onyxpass.soak.dispatchers import Dispatcher
 from onyxpass.soak.minimizer import shrunk
-from onyxpass.soak.records import Asked, BadClient, Records, Span, Told
+from onyxpass.soak.records import NOT_RUN, Asked, BadClient, Records, Span, Told
 from onyxpass.soak.run import play
 from onyxpass.soak.schedule import DISCOVERY, DISPATCHER, Fault, Kind, Shape, drawn
+from onyxpass.testbed.link import Link
 
 SHAPE = Shape(dispatchers=24, length_s=60.0)
 
@@ -249,6 +252,44 @@
     assert not breaches(records)
 
 
+@pytest.mark.parametrize("planted", [too_late, told_too_much, held_on, sent_for_one_that_left])
+def test_times_are_not_judged_while_the_machine_does_not_run_a_dispatcher(
+    planted: Callable[[Records], None],
+) -> None:
+    records = good()
+    planted(records)
+    records.dispatchers[0].append(Span(-0.5, 0.3, NOT_RUN))
+    assert not breaches(records)
+
+
+@pytest.mark.parametrize("planted", [never_answered, stream_cut, held_for_ever, two_out])
+def test_what_is_no_matter_of_time_counts_also_while_a_dispatcher_is_not_run(
+    planted: Callable[[Records], None],
+) -> None:
+    records = good()
+    planted(records)
+    records.dispatchers[0].append(Span(-0.5, 0.3, NOT_RUN))
+    assert breaches(records)
+
+
+@pytest.mark.parametrize(("cpu_us", "spans"), [(100_000, 1), (900_000, 0)])
+def test_a_stall_counts_as_not_run_if_the_process_hardly_used_the_processor(
+    tmp_path: Path, cpu_us: int, spans: int
+) -> None:
+    links = (Link(1), Link(1))
+    records = Records(Trace())
+    dispatcher = Dispatcher(1, tmp_path, links, records, SHAPE)
+    lines = [
+        {"event": "listening"},
+        {"event": "state", "cpu_us": 50_000},
+        {"event": "process_held_up", "late_us": 800_000, "at_us": 9_000_000, "cpu_us": cpu_us},
+    ]
+    dispatcher.log.write_text("".join(json.dumps(line) + "\n" for line in lines))
+    dispatcher.read_log()
+    found = [span for span in records.dispatchers[1] if span.what == NOT_RUN]
+    assert [(span.since_s, span.until_s) for span in found] == [(8.2, 9.0)] * spans
+
+
 def test_an_attempt_that_was_closed_and_comes_late_is_no_overlap() -> None:
     """Found in a soak: the way to a reader stalled, its attempt was closed, and came when a writer
     had the request.
