Count no stall at the start of the timer wheel

Seen: the soak printed 2e10 s of stalls. The first tick is that of the start now; the test of stalls holds a start to no line.

--- a/onyxpass/core/timer_wheel.py
+++ b/onyxpass/core/timer_wheel.py
@@ -142,6 +142,7 @@
         """Fire timers until cancelled; an error of the wheel itself is raised here."""
         self._loop = asyncio.get_running_loop()
         self._failed = self._loop.create_future()
+        self._next_tick = self.clock.now_us() // TICK_US  # a start is no stall
         self._advance_and_sleep()
         try:
             await self._failed  # never done but by an error, which ends the program
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -385,6 +385,14 @@
         await wheel.sleep(20_000)
         running.cancel()
 
+    async def only_start() -> None:
+        running = asyncio.create_task(TimerWheel(Clock()).run())
+        await asyncio.sleep(0.01)
+        running.cancel()
+
+    with structlog.testing.capture_logs() as lines:
+        asyncio.run(only_start())
+    assert not lines, "a start is no stall"
     with structlog.testing.capture_logs() as lines:
         asyncio.run(go())
     held_up = [line for line in lines if line["event"] == "process_held_up"]
