Give the test of a logged stall a timer that is due in it

Its stall fell into the wheel's sleep of up to 64 ticks with no timer due, where nothing is late; it had passed on the false stall of the start. With a timer due after 20 ms the stall of 400 ms is logged.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -381,8 +381,10 @@
         wheel = TimerWheel(Clock())
         running = asyncio.create_task(wheel.run())
         await wheel.sleep(20_000)
+        late = wheel.after(20_000, lambda: None)
         time.sleep(0.4)
         await wheel.sleep(20_000)
+        late.drop()
         running.cancel()
 
     async def only_start() -> None:
