--- a/review/common.py
+++ b/review/common.py
@@ -69,6 +69,7 @@
     def __init__(self) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.processes: list[subprocess.Popen[bytes]] = []
+        self.instances: set[int] = set()  # processes that an agent of the case has started
 
     def start(
         self, name: str, command: str | list[str], env: Mapping[str, str] | None = None
@@ -121,6 +122,10 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+        for pid in self.instances:  # left by an agent that was killed
+            command = Path(f"/proc/{pid}/cmdline")
+            if command.exists() and str(self.folder).encode() in command.read_bytes():
+                os.kill(pid, signal.SIGKILL)
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
