--- a/review/1/play.py
+++ b/review/1/play.py
@@ -34,7 +34,7 @@
 GRACE_S = 1.1
 LATEST_S = 30.0  # after its time, until which a client waits on, for the record
 PROMPT_CHARACTERS = 8_000
-MEMORY_MB, SOCKETS = 192, 1024
+MEMORY_MB, SOCKETS = 112, 896
 CLASSES = (("part-lookup", 6.0, 47), ("shift-summary", 15.0, 31), ("stock-booking", 7.5, 22))
 SETTINGS = {
     "az": "boa-vista",
