--- a/review/2/play.py
+++ b/review/2/play.py
@@ -15,7 +15,7 @@
 from common import BROKEN, HELD, NOT_RUN, Bench, CannotRunError, Record, free_port, program, trouble
 
 HERE = Path(__file__).resolve().parent
-CLIENTS = 8
+CLIENTS = 24
 PLAY_S, CHANGE_AT_S = 12.0, 5.0
 ANSWER_S = 10.0  # the class's deadline is 7.5 s
 CONFIG = """
