--- a/review/common.py
+++ b/review/common.py
@@ -1,8 +1,10 @@
 """Helpers of the cases: programs of the project as processes, free ports, and the record."""
 
 import asyncio
+import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -18,6 +20,7 @@
 ROOT = Path(__file__).resolve().parents[1]
 PYTHON = ROOT / ".venv" / "bin" / "python"
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes of a case
+PORTS = (15_000, 32_000)
 STOP_S = 5.0  # for a process to end after SIGTERM
 
 
@@ -31,9 +34,14 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that nobody listens on."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return int(sock.getsockname()[1])
+    """Return a port of the loopback address that nobody listens on, below the outgoing ports."""
+    generator = random.SystemRandom()
+    while True:
+        with (
+            contextlib.suppress(OSError),
+            socket.create_server(("127.0.0.1", generator.randrange(*PORTS))) as sock,
+        ):
+            return int(sock.getsockname()[1])
 
 
 def run_command() -> str:
