--- a/review/3/play.py
+++ b/review/3/play.py
@@ -172,7 +172,7 @@
 
 async def main() -> int:
     """Run the case, and end whatever it has started."""
-    record, bench = Record(HERE), Bench()
+    record, bench = Record(HERE / "record.txt"), Bench()
     try:
         async with asyncio.timeout(100):
             return await play(bench, record)
--- a/review/common.py
+++ b/review/common.py
@@ -59,10 +59,10 @@
 
 
 class Record:
-    """Writes ``record.txt``: one line an event, with the seconds since the start."""
+    """Writes a case's ``record.txt``: one line an event, with the seconds since the start."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w", buffering=1)
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w", buffering=1)
         self._began_s = time.monotonic()
 
     def __call__(self, what: str, **fields: Any) -> None:
