--- a/review/3/case.py
+++ b/review/3/case.py
@@ -115,6 +115,8 @@
         writer.write(line({"id": number, "method": "tools/call", "params": call}))
         self.record.write("call", at=self.name, request=request, id=number, name="book_out")
         reply = json.loads(await reader.readuntil(b"\n"))
+        if "id" not in reply:  # the attempt was called off
+            return
         shown = reply.get("result", reply.get("error"))
         self.record.write("reply", at=self.name, id=reply["id"], reply=shown)
         text = "Two of part D-7 are booked out." if "result" in reply else "Nothing is booked."
