--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,10 @@
-"""A booking is asked for again under its name after the front was killed with its call out."""
+"""Bookings are asked for again under their names after the store was restarted and emptied."""
 
 import asyncio
 import json
 import os
-import secrets
 import sys
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -12,7 +12,10 @@
 
 ANSWER_S = 30.0  # for a client to get its final answer
 LEDGER_S = 0.8  # that the ledger's tool server takes for a call
-KILLED_AFTER_S = 0.4  # from the call at the ledger to the kill of the front, before its result
+GONE_AFTER_S = 0.3  # from the call at the ledger to the client's leaving, before the result
+RECORDED_S = 2.5  # for the results that come after that to be recorded
+AWAY_S = 0.5  # that the store is away
+BOOKINGS = 3
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -61,7 +64,7 @@
     def __init__(self, record: Record) -> None:
         super().__init__()
         self.record = record
-        self.ran: list[str] = []
+        self.ran: list[str] = []  # the bookings, by the order that the writer names
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -75,11 +78,11 @@
 
     async def run(self, message: dict[str, Any], writer: asyncio.StreamWriter) -> None:
         """Run one call; a call whose sender has gone has run all the same."""
-        name, key = message["params"]["name"], message["id"]
-        self.ran.append(name)
-        self.record.write("run", at="ledger", name=name, key=key)
+        key, order = message["id"], message["params"]["arguments"]["order"]
+        self.ran.append(order)
+        self.record.write("run", at="ledger", key=key, order=order)
         await asyncio.sleep(LEDGER_S)
-        self.record.write("ran", at="ledger", name=name, key=key)
+        self.record.write("ran", at="ledger", key=key, order=order)
         if not writer.is_closing():
             writer.write(line({"id": key, "result": {"booked": 2}}))
 
@@ -96,7 +99,7 @@
 
 
 class Writer(Server):
-    """A writer that speaks JSON-RPC; the ids of its calls are new with each run."""
+    """A writer that speaks JSON-RPC and makes the same call at each run of a request."""
 
     def __init__(self, name: str, record: Record) -> None:
         super().__init__()
@@ -109,16 +112,16 @@
             writer.write(line({"id": message["id"], "result": {}}))
             await writer.drain()
             return
-        request, number = message["params"]["request"], f"call_{secrets.token_hex(6)}"
+        request = message["params"]["request"]
         self.record.write("run", at=self.name, request=request)
-        call = {"name": "book_out", "arguments": {"part": "D-7", "count": 2}}
-        writer.write(line({"id": number, "method": "tools/call", "params": call}))
-        self.record.write("call", at=self.name, request=request, id=number, name="book_out")
+        call = {"name": "book_out", "arguments": {"part": "D-7", "count": 2, "order": request}}
+        writer.write(line({"id": "c1", "method": "tools/call", "params": call}))
+        self.record.write("call", at=self.name, request=request, id="c1", name="book_out")
         reply = json.loads(await reader.readuntil(b"\n"))
         if "id" not in reply:  # the attempt was called off
             return
         shown = reply.get("result", reply.get("error"))
-        self.record.write("reply", at=self.name, id=reply["id"], reply=shown)
+        self.record.write("reply", at=self.name, request=request, id="c1", reply=shown)
         text = "Two of part D-7 are booked out." if "result" in reply else "Nothing is booked."
         writer.write(line({"method": "text", "params": {"text": text}}))
         writer.write(line({"id": message["id"], "result": {"finish": "stop"}}))
@@ -126,29 +129,34 @@
         await reader.read()
 
 
-async def generate(port: int, record: Record, request: str, number: int) -> bool:
-    """Ask for a booking under this name; return whether a final answer came."""
+async def generate(port: int, record: Record, request: str, gives_up: asyncio.Event) -> None:
+    """Ask for a booking under this name, until it is answered or the client gives it up."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     params = {
         "class": "stock-booking",
         "request": request,
         "session": "s-7",
-        "prompt": "Book two of part D-7 out for the north group.",
+        "prompt": f"Book two of part D-7 out for the north group, order {request}.",
     }
-    record.write("sent", request=request, id=number)
-    writer.write(line({"id": number, "method": "generate", "params": params}))
+    record.write("sent", request=request)
+    writer.write(line({"id": 1, "method": "generate", "params": params}))
+    leaving = asyncio.create_task(gives_up.wait())
     try:
         async with asyncio.timeout(ANSWER_S):
             while True:
-                message: dict[str, Any] = json.loads(await reader.readuntil(b"\n"))
-                if message.get("id") == number:
+                reading = asyncio.create_task(reader.readuntil(b"\n"))
+                await asyncio.wait((reading, leaving), return_when=asyncio.FIRST_COMPLETED)
+                if not reading.done():
+                    reading.cancel()
+                    record.write("given_up", request=request)
+                    return
+                message: dict[str, Any] = json.loads(reading.result())
+                if message.get("id") == 1:
                     answer = message.get("result", message.get("error"))
-                    record.write("answered", request=request, id=number, answer=answer)
-                    return True
-    except (OSError, asyncio.IncompleteReadError) as error:
-        record.write("broke", request=request, id=number, why=type(error).__name__)
-        return False
+                    record.write("answered", request=request, answer=answer)
+                    return
     finally:
+        leaving.cancel()
         writer.close()
 
 
@@ -183,22 +191,30 @@
     async with Programs(record) as programs:
         path = programs.folder / "toolcalls.toml"
         path.write_text(toml(config))
-        front = await start_front(programs, path, "front-1.log")
-        asked = asyncio.create_task(generate(port, record, "booking-1", 1))
+        await start_front(programs, path, "front.log")
+        names, gives_up = [f"booking-{n}" for n in range(1, BOOKINGS + 1)], asyncio.Event()
+        first = [asyncio.create_task(generate(port, record, name, gives_up)) for name in names]
+        if not await until(lambda: len(ledger.ran) == BOOKINGS, 10):
+            raise CannotRunError("not every call came to the ledger")
+        await asyncio.sleep(GONE_AFTER_S)
+        gives_up.set()
+        await asyncio.gather(*first)
+        await asyncio.sleep(RECORDED_S)
+        record.write("store_holds", keys=sorted(store.values))
         if TROUBLE:
-            if not await until(lambda: bool(ledger.ran), 10):
-                raise CannotRunError("no call came to the ledger")
-            await asyncio.sleep(KILLED_AFTER_S)
-            record.write("killed", pid=front.pid)
-            front.kill()
-            await front.wait()
-        if not await asked:
-            await start_front(programs, path, "front-2.log")
-            record.write("started_again")
-            await generate(port, record, "booking-1", 2)
-
-    record.write("verdict", booked_at_ledger=len(ledger.ran))
-    return 1 if len(ledger.ran) > 1 else 0
+            store.kill()
+            store.values.clear()
+            record.write("store_killed")
+            await asyncio.sleep(AWAY_S)
+            await store.start()
+            record.write("store_back", keys=sorted(store.values))
+        await asyncio.sleep(1.0)
+        await asyncio.gather(*(generate(port, record, name, asyncio.Event()) for name in names))
+
+    counts = Counter(ledger.ran)
+    doubled = sorted(name for name, count in counts.items() if count > 1)
+    record.write("verdict", bookings=BOOKINGS, ledger_calls=len(ledger.ran), doubled=doubled)
+    return 1 if doubled else 0
 
 
 def main() -> int:
