--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,7 @@
 )
 
 SOCKETS = 512
-CLIENTS, CONNECTIONS = 6, 150  # bad clients, and the connections that each opens at once
+CLIENTS, CONNECTIONS = 6, 110  # bad clients, and the connections that each opens at once
 HOLDS_S = (0.21, 0.24, 0.27, 0.31, 0.36, 0.42)  # for which each keeps them before it goes
 TROUBLE_AT_S, PLAY_S = 5.0, 40.0
 CLASSES = ("part-lookup", "shift-summary", "stock-booking")
