Take a descriptor that asyncio has closed for a hang-up

Callers saw the dispatcher end with exit code 1, "ValueError: file descriptor cannot be a negative integer (-1)", as silent clients reset while all slots were taken; what it had taken was never answered.

Cause: after a reset asyncio closes the socket one turn of the event loop before the connection's task runs and leaves the index. The accept loop looks for a connection to displace in between, and poll_socket registered descriptor -1. The accept loop is a task on which the process rests.

Change: poll_socket reports a hang-up for a closed descriptor, so no rule of its callers changes and no exception is caught. Such a connection is counted as broken instead of displaced.

--- a/onyxpass/net/connections.py
+++ b/onyxpass/net/connections.py
@@ -60,6 +60,11 @@
         """
         return self.wire is not None and self.wire.unread and not self.wire.hung_up
 
+    @property
+    def ended(self) -> bool:
+        """Whether the connection has ended by itself, although its task has not been told yet."""
+        return self.wire is not None and self.wire.hung_up
+
     def progress(self) -> tuple[int, int]:
         """Return the sort key for displacement: reads of the current request, and its start.
 
@@ -124,7 +129,9 @@
         for stage, min_age_us in DISPLACEMENT_ORDER:
             if (connection := self._displaceable(stage, now_us - min_age_us)) is not None:
                 task = self._by_stage[stage][connection]
-                connection.close_reason = CloseReason.DISPLACED
+                connection.close_reason = (
+                    CloseReason.CONNECTION_BROKE if connection.ended else CloseReason.DISPLACED
+                )
                 self.remove(task)
                 return task, connection
         return None
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -202,12 +202,17 @@
 
 
 def poll_socket(writer: asyncio.StreamWriter, events: int) -> int:
-    """Return the events that the kernel reports on a connection that is open here.
+    """Return the events that the kernel reports on a connection.
 
-    These are those of ``events``, an error, or a hang-up.
+    These are those of ``events``, an error, or a hang-up. A connection that asyncio has closed has
+    hung up: after a reset it closes the socket one turn of the event loop before the tasks that
+    use the connection are told.
     """
+    descriptor = writer.get_extra_info("socket").fileno()
+    if descriptor < 0:
+        return select.POLLHUP
     poller = select.poll()
-    poller.register(writer.get_extra_info("socket"), events)
+    poller.register(descriptor, events)
     return sum(returned for _, returned in poller.poll(0))
 
 
