Schedule repeated timers before their work, so that an error ends none

Ruled out: the other timers of the dispatcher fire once, or renew themselves in a finally (ProcessRegistry).

Change: the next timer is set first. An error is logged as timer_failed as before.

Measured: test_a_repeated_timer_survives_an_error fails without the change and passes with it.

--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -154,11 +154,13 @@
         )
 
     def _sweep(self) -> None:
-        self.replicas.sweep()
+        # scheduled first, so that one failure does not end the repetition
         self.wheel.after(SWEEP_INTERVAL_US, self._sweep)
+        self.replicas.sweep()
 
     def _log_state(self) -> None:
         """Log the open resources and the servers whose exchanges differ from the router's count."""
+        self.wheel.after(STATE_LOG_INTERVAL_US, self._log_state)  # first, as in ``_sweep``
         tracked = {
             server.id: len(server.pending_tokens.keys() | server.streams.keys())
             for server in self.core.router.servers.values()
@@ -182,7 +184,6 @@
                 server.id for server in self.core.router.servers.values() if server.ejection_level
             ],
         )
-        self.wheel.after(STATE_LOG_INTERVAL_US, self._log_state)
 
     def reload(self, read: Callable[[], Config]) -> None:
         """Apply the reloadable keys of the changed file; called on SIGHUP."""
--- a/tests/test_reset_clients.py
+++ b/tests/test_reset_clients.py
@@ -11,14 +11,19 @@
 import signal
 import socket
 import struct
+from collections import Counter
 from collections.abc import AsyncIterator
 from pathlib import Path
 
 import h11
-from cluster import PREFILLED, STREAM, Replica, chat_request
+import pytest
+from cluster import PREFILLED, STREAM, Replica, chat_request, running_cluster
+from cluster import run_async as run_cluster
 from fault_injection import ChildProcess, open_connection, run_async, servers_and_config
 from hot_restart.test_inherited_listener import start_with_socket
+from standins import until
 
+from onyxpass import serve
 from onyxpass.config.platform_file import connection_limit
 from onyxpass.core.reasons import CloseReason
 from onyxpass.net.connections import ClientConnection, ClientConnections, Stage
@@ -29,6 +34,7 @@
 SILENCE_S = (0.2, 0.4)  # of a client before its reset: longer than until it may be displaced
 RUN_S = 3.0
 REQUESTS = 8
+REPETITIONS = 3  # of a timer that fails each time
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time
 
 
@@ -74,6 +80,26 @@
     asyncio.run(scenario())
 
 
+def test_a_repeated_timer_survives_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against one error of one connection that ends the sweep, or the state log, for good."""
+    for name in ("SWEEP_INTERVAL_US", "STATE_LOG_INTERVAL_US"):
+        monkeypatch.setattr(serve, name, 10_000)
+    calls = Counter[str]()
+
+    def fail(name: str) -> None:
+        calls[name] += 1
+        raise ValueError(name)
+
+    async def scenario() -> None:
+        async with running_cluster([], []) as cluster:
+            replicas = cluster.dispatcher.replicas
+            monkeypatch.setattr(replicas, "sweep", lambda: fail("sweep"))
+            monkeypatch.setattr(serve, "cpu_us", lambda: fail("state log"))
+            await until(lambda: min(calls["sweep"], calls["state log"]) >= REPETITIONS)
+
+    run_cluster(scenario)
+
+
 async def stay_silent_and_reset(port: int, draw: random.Random) -> None:
     """Connect, say nothing, and end with a reset, again and again; a refusal is tried again."""
     while True:
