Read every peer's input in turns of 10 ms, and validate each event once

Callers saw nobody answered for half a minute beside one stream that opens with load reports without end; most other requests of that time were lost.

Cause: a read of buffered bytes returns without a turn of the event loop, and only forwarded events counted against LoopTurn; an opening of comments forwards nothing. EventSplitter validated the whole opening again at each comment. Three hypotheses were told apart: no yield (a count of turns: none), growing work (bytes validated), nothing gives the stream up (excluded: a slow stream of comments is given up in time without the change).

Change: end_long_turn before each step of every loop over a peer's input. It counts the turn's time, not the task's, so forty peers share one turn; it replaces LoopTurn, and the test of LoopTurn asks the same of it, on the programs' loop and on a plain one. Each event is validated once; lists, prefill answers and agents' answers are not copied at each piece. An interruption of a reader that has yielded waits for its next wait.

--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -13,6 +13,7 @@
 
 import structlog
 
+from onyxpass.core import event_loop
 from onyxpass.core.actor import Actor
 from onyxpass.core.clock import Clock
 from onyxpass.core.context import DispatcherContext, enforce
@@ -160,6 +161,7 @@
         """Return all metrics by name, including the number of servers that the router avoids."""
         avoided = self.router.avoided(self.clock.now_us()) & self.endpoints.by_id.keys()
         rows = self.metrics.rows(len(self.endpoints.by_id), len(avoided))
+        rows["svc.longest_loop_turn_us"] = event_loop.longest_turn_us()
         return rows | {"svc.violations": self.invariants.violations.total()}
 
     def receive(self, message: contract.Event) -> None:
--- a/onyxpass/core/loop_turn.py
+++ b/onyxpass/core/loop_turn.py
@@ -1,31 +1,20 @@
-"""Limits how long one task can occupy the event loop with steps that do not wait."""
+"""Limits how long tasks can occupy the event loop with steps that do not wait."""
 
 import asyncio
+import time
 
-from onyxpass.core.clock import Clock
+from onyxpass.core.event_loop import turn_began_ns
 
-MAX_TURN_US = 10_000  # total time of steps without a wait, after which the task yields
+MAX_TURN_US = 10_000  # time of a turn of the event loop after which a task yields
 
 
-class LoopTurn:
-    """Adds up the time of a task's steps and yields once it is too long; used by that task only.
+async def end_long_turn() -> None:
+    """Yield to all other tasks, timers and sockets if the present turn has lasted ``MAX_TURN_US``.
 
-    A stream whose events have already arrived is forwarded without a single wait. Without yielding,
-    requests, timers and other streams would not be served until the end of that stream.
+    To be called before each step of a loop whose input may already be buffered: such a loop never
+    waits, and without yielding it would keep requests, timers and other streams from being served
+    for as long as its peer sends. The time of the turn counts, whichever tasks used it, so many
+    such loops together exceed it by one step each.
     """
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._used_us = 0
-        self._step_began_us = 0
-
-    def begin_step(self) -> None:
-        """Record the start of a step."""
-        self._step_began_us = self._clock.now_us()
-
-    async def end_step(self) -> None:
-        """Record the end of a step; yield to other tasks if the steps have taken too long."""
-        self._used_us += self._clock.now_us() - self._step_began_us
-        if self._used_us >= MAX_TURN_US:
-            self._used_us = 0
-            await asyncio.sleep(0)
+    if time.monotonic_ns() - turn_began_ns() >= MAX_TURN_US * 1000:
+        await asyncio.sleep(0)
--- a/onyxpass/net/endpoint_watcher.py
+++ b/onyxpass/net/endpoint_watcher.py
@@ -78,19 +78,22 @@
     """
 
     def __init__(self, max_bytes: int = MAX_LIST_BYTES) -> None:
-        self._partial_line, self._lines, self._size, self._max_bytes = (
-            b"",
-            list[bytes](),
-            0,
-            max_bytes,
-        )
+        self._partial_line = bytearray()
+        self._lines: list[bytes] = []
+        self._size = 0
+        self._max_bytes = max_bytes
         self._depth = 0  # nesting depth of the current object, by its braces
         self.line_count = 0  # complete lines so far, including empty ones
 
     def feed(self, data: bytes) -> list[dict[str, Any]]:
-        *lines, self._partial_line = (self._partial_line + data).split(b"\n")
-        self.line_count += len(lines)
-        found = [message for line in lines if (message := self._line(line.strip())) is not None]
+        found: list[dict[str, Any]] = []
+        line, *more_lines = data.split(b"\n")
+        self._partial_line += line
+        for next_line in more_lines:
+            self.line_count += 1
+            if (message := self._line(bytes(self._partial_line).strip())) is not None:
+                found.append(message)
+            self._partial_line = bytearray(next_line)
         if self._size + len(self._partial_line) > self._max_bytes:
             raise EndpointListError("an object or line exceeds the size limit")
         return found
@@ -331,7 +334,7 @@
                 raise HttpError("connection closed")
 
     async def _fetch_list(self, wire: HttpConnection) -> None:
-        due_us, text = self._send_get(wire, ENDPOINTS_PATH), b""
+        due_us, text = self._send_get(wire, ENDPOINTS_PATH), bytearray()
         while (part := await self._next_body_part(wire, due_us)) is not None:
             text += part
             if len(text) > MAX_LIST_BYTES:
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -8,6 +8,7 @@
 import h11
 
 from onyxpass.core.event_loop import unseen_since_ns
+from onyxpass.core.loop_turn import end_long_turn
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.net.tcp import acknowledged
 
@@ -93,9 +94,11 @@
 
         Raises HttpError if the peer closes within a message or breaks the protocol.
         """
-        while (event := self.poll()) is None:
+        while True:
+            await end_long_turn()
+            if (event := self.poll()) is not None:
+                return event
             await self.read_more()
-        return event
 
     def poll(self) -> h11.Event | type[h11.PAUSED] | None:
         """Return the next event from bytes already received; None if more bytes are needed."""
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -12,7 +12,6 @@
 from onyxpass.config.platform_file import Address
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.fleet import ServerActor
-from onyxpass.core.loop_turn import LoopTurn
 from onyxpass.core.requests import Attempt
 from onyxpass.net.connection_budget import ConnectionBudget, IdleConnection
 from onyxpass.net.dialer import ResourceShortageError, connect
@@ -356,7 +355,7 @@
         self.answered_us = self.core.clock.now_us()
         if head.status_code == 200:
             return await self._relay_stream(incoming, attempt, head)
-        text = b""
+        text = bytearray()
         while isinstance(part := await incoming.next(), bytes):
             text += part
             if len(text) > BODY_LIMIT:
@@ -365,7 +364,7 @@
             raise HttpError("connection closed within a body")
         not_run = header(head, b"x-not-processed") is not None
         if head.status_code == 202:
-            return AttemptStatus.PREFILLED, cached_tokens(text), ""
+            return AttemptStatus.PREFILLED, cached_tokens(bytes(text)), ""
         if head.status_code == 410:
             return AttemptStatus.OVERLOADED, 1, "no state"
         if head.status_code in (503, 504) and not_run:
@@ -386,7 +385,6 @@
         self, incoming: ResponseReader, attempt: Attempt, events: EventSplitter, whole_at_end: bool
     ) -> tuple[AttemptStatus, int, str]:
         client = attempt.request.client
-        turn = LoopTurn(self.core.clock)
         while True:
             successor = self.successor()
             if (
@@ -409,10 +407,8 @@
                 if not self.core.outcomes.stream_event_received(attempt):
                     raise HttpError("the request does not accept this stream any more")
                 # bounded, so that a client that reads nothing does not occupy the replica for ever
-                turn.begin_step()
                 async with self.wheel.timeout(CLIENT_WRITE_TIMEOUT_US):
                     await client.forward(complete)
-                await turn.end_step()
             elif isinstance(part, h11.EndOfMessage):
                 attempt.output_tokens = events.tokens()
                 if attempt.committed and whole_at_end and not events.has_partial_event:
--- a/onyxpass/net/response_reader.py
+++ b/onyxpass/net/response_reader.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from onyxpass.core.loop_turn import end_long_turn
 from onyxpass.core.timer_wheel import Timeout, TimerWheel
 from onyxpass.net.http import BODY_LIMIT, HttpConnection, HttpError, header
 
@@ -59,8 +60,9 @@
         return self.chunked and ended and not (self._parts or self._lookahead or self.wire.pending)
 
     def interrupt_wait(self) -> None:
+        """Interrupt the present wait for the next part, or the next such wait if there is none."""
+        self._interrupted = True
         if self._wait is not None:
-            self._interrupted = True
             self._wait.expire()
 
     async def next(self, silence_us: int | None = None) -> Part:
@@ -70,6 +72,7 @@
         of its own.
         """
         while True:
+            await end_long_turn()
             event, self._lookahead = self._lookahead, None
             if event is None:
                 event = self.wire.poll()
@@ -101,6 +104,9 @@
     async def _read_more(self, silence_us: int | None) -> None:
         """Read more bytes; HttpError if a head or chunk has begun and is not completed in time."""
         part = bool(self._parts) or self.wire.pending
+        if self._interrupted and not part:
+            self._interrupted = False
+            raise WaitInterrupted
         if not part and silence_us is None:  # the timer of the attempt ends the wait
             await self.wire.read_more()
         else:
@@ -113,7 +119,7 @@
                     self._wait = None if part else timeout
                     await self.wire.read_more()
             except TimeoutError:
-                if self._interrupted:
+                if self._interrupted and not part:
                     self._interrupted = False
                     raise WaitInterrupted from None
                 raise HttpError(
@@ -136,6 +142,7 @@
         """
         self._partial = bytearray(partial or b"")
         self._opened = partial is not None
+        self._validated_bytes = 0  # of the complete events before the first one with data
         self.tail = b""  # last bytes of the events returned so far
 
     def feed(self, data: bytes) -> bytes:
@@ -143,14 +150,19 @@
 
         Nothing is returned until the first event with data is complete.
         """
-        search_from = max(0, len(self._partial) - 2)
+        search_from = max(self._validated_bytes, len(self._partial) - 2)
         self._partial += data
         end = max(
             at + len(b) if (at := self._partial.rfind(b, search_from)) >= 0 else 0
             for b in EVENT_ENDS
         )
         if end and not self._opened:
-            self._opened = has_data_event(bytes(self._partial[:end]))
+            # Each event is validated once: a stream may begin with any number of comments.
+            is_first = self._validated_bytes == 0
+            self._opened = has_data_event(
+                bytes(self._partial[self._validated_bytes : end]), is_first
+            )
+            self._validated_bytes = end
         if not end or not self._opened:
             # prevents an event without an end from filling the memory
             if len(self._partial) > MAX_EVENT_BYTES:
@@ -158,6 +170,7 @@
             return b""
         complete = bytes(self._partial[:end])
         del self._partial[:end]
+        self._validated_bytes = 0
         self.tail = (
             complete if len(complete) >= TAIL_BYTES else (self.tail + complete)[-TAIL_BYTES:]
         )
@@ -179,17 +192,18 @@
         return bool(self._partial)
 
 
-def has_data_event(text: bytes) -> bool:
+def has_data_event(text: bytes, is_first: bool = True) -> bool:
     """Return whether one of these complete events carries data.
 
-    Raises HttpError if they are not valid events of a response.
+    ``is_first``: the stream begins with them, and so perhaps with a byte order mark. Raises HttpError
+    if they are not valid events of a response.
     """
     data: list[str] = []
     try:
-        lines = (
-            text.decode("utf-8").removeprefix("\ufeff").replace("\r\n", "\n").replace("\r", "\n")
-        )
-        for line in lines.split("\n"):
+        lines = text.decode("utf-8")
+        if is_first:
+            lines = lines.removeprefix("\ufeff")
+        for line in lines.replace("\r\n", "\n").replace("\r", "\n").split("\n"):
             name, _, value = line.partition(":")
             if line and name.encode() not in EVENT_FIELDS:
                 raise HttpError("invalid server-sent event")
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -10,6 +10,7 @@
 import structlog
 
 from onyxpass.config.platform_file import NO_ADDRESS, Config, ConfigError, connection_limit, managed
+from onyxpass.core import event_loop
 from onyxpass.core.clock import Clock, cpu_us
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.timer_wheel import TimerWheel
@@ -170,6 +171,7 @@
             "state",
             requests=len(self.core.registry.by_number),
             cpu_us=cpu_us(),
+            longest_turn_us=event_loop.take_recent_longest_turn_us(),
             clients=len(self.front.connections),
             connections=self.replicas.budget.open,
             exchanges=sum(open_exchanges.values()),
@@ -294,6 +296,7 @@
     gc.collect()
     gc.enable()  # disabled by start.run() during the imports
     gc.freeze()  # excludes the objects of the start from later collections
+    event_loop.restart_longest_turn()
     stop_signal = asyncio.create_task(stopping.wait())
     await asyncio.wait([stop_signal, *dispatcher.tasks], return_when=asyncio.FIRST_COMPLETED)
     for task in dispatcher.tasks:
--- a/onyxpass/toolcalls/replicas.py
+++ b/onyxpass/toolcalls/replicas.py
@@ -10,7 +10,6 @@
 from onyxpass.config.platform_file import Address
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.fleet import ActorFleet, ServerActor
-from onyxpass.core.loop_turn import LoopTurn
 from onyxpass.core.release import release
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.net.dialer import ResourceShortageError, connect
@@ -126,7 +125,6 @@
         Returns the attempt's status, its note in the router's contract, and a reason.
         """
         result_tasks: set[asyncio.Task[None]] = set()
-        turn = LoopTurn(self.core.clock)
         try:
             while True:
                 async with self.wheel.timeout(STREAM_STALL_TIMEOUT_US):
@@ -142,11 +140,9 @@
                         )
                         if not self.core.outcomes.stream_event_received(attempt):
                             return AttemptStatus.CANCELLED, 0, "nobody waits"
-                        turn.begin_step()
                         # Ends the attempt of a client that does not read its stream.
                         async with self.wheel.timeout(STREAM_STALL_TIMEOUT_US):
                             await attempt.request.client.forward(part)
-                        await turn.end_step()
                     case RpcRequest(int() | str() as id, "tools/call", params) if (
                         self.role is not Role.PREFILL
                     ):
--- a/onyxpass/toolcalls/rpc.py
+++ b/onyxpass/toolcalls/rpc.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Any, NoReturn
 
+from onyxpass.core.loop_turn import end_long_turn
+
 LINE_LIMIT = 256 * 1024  # bytes
 Id = str | int
 
@@ -133,6 +135,7 @@
     ``limit=LINE_LIMIT``; raises RpcError if a line is longer.
     """
     while True:
+        await end_long_turn()
         try:
             text = await reader.readuntil(b"\n")
         except asyncio.IncompleteReadError:
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -22,6 +22,7 @@
 )
 from onyxpass.config.platform_file import Address, ConfigError, managed
 from onyxpass.config.settings import read_settings
+from onyxpass.core import event_loop
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.timer_wheel import TimerWheel
@@ -307,6 +308,7 @@
         loop.add_signal_handler(number, stopping.set)
     service = ToolcallService(config, load_config)
     await service.start()
+    event_loop.restart_longest_turn()
     loop.add_signal_handler(signal.SIGHUP, service.reload, load_config)
     ended = asyncio.create_task(stopping.wait())
     await asyncio.wait([ended, *service.tasks], return_when=asyncio.FIRST_COMPLETED)
--- a/tests/test_stream_backlog.py
+++ b/tests/test_stream_backlog.py
@@ -22,14 +22,15 @@
     servers_and_config,
 )
 
-from onyxpass.core.loop_turn import MAX_TURN_US, LoopTurn
+from onyxpass.core import event_loop
+from onyxpass.core.loop_turn import MAX_TURN_US, end_long_turn
 from onyxpass.toolcalls.front import RpcClient
-from tests.support.dispatcher_bed import ManualClock
 
 BACKLOG_EVENTS = 200
 DELAY_S = 0.02  # duration of each send
 # Bound of the other client's response time; forwarding in one go takes BACKLOG_EVENTS times DELAY_S, 4 s.
 MAX_OTHER_S = 1.5
+BUSY_TASKS, BUSY_STEPS, BUSY_STEP_US = 40, 60, 500  # of tasks whose input is buffered
 EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"x"}}]}\n\n'
 
 
@@ -102,17 +103,49 @@
     calls.run(scenario)
 
 
-def test_a_turn_ends_once_its_steps_have_used_its_time() -> None:
+def test_a_turn_ends_once_its_steps_have_used_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each second step of half a turn yields, on the programs' loop and on any other one."""
+    now_ns = 10**9
+    monkeypatch.setattr(time, "monotonic_ns", lambda: now_ns)
+
     async def scenario() -> None:
-        clock = ManualClock()
-        turn = LoopTurn(clock)
+        nonlocal now_ns
         others = asyncio.Event()
+        await asyncio.sleep(0)
+        await end_long_turn()
         for step, yields in enumerate((False, True, False, True)):
             asyncio.get_running_loop().call_soon(others.set)
-            turn.begin_step()
-            clock.us += MAX_TURN_US // 2
-            await turn.end_step()
+            now_ns += MAX_TURN_US * 1000 // 2
+            await end_long_turn()
             assert others.is_set() is yields, step
+            if yields:
+                await end_long_turn()  # notes the start of a turn on a plain loop
             others.clear()
 
-    asyncio.run(scenario())
+    for factory in (event_loop.make, asyncio.new_event_loop):
+        with asyncio.Runner(loop_factory=factory) as runner:
+            runner.run(scenario())
+
+
+def test_many_tasks_with_buffered_input_share_one_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a turn of as many times ``MAX_TURN_US`` as there are busy tasks."""
+    now_ns = 10**9
+    monkeypatch.setattr(time, "monotonic_ns", lambda: now_ns)
+
+    async def busy() -> None:
+        nonlocal now_ns
+        for _ in range(BUSY_STEPS):
+            await end_long_turn()
+            now_ns += BUSY_STEP_US * 1000
+
+    async def scenario() -> None:
+        event_loop.restart_longest_turn()
+        await asyncio.gather(*(busy() for _ in range(BUSY_TASKS)))
+        await asyncio.sleep(0)
+        longest_us = MAX_TURN_US + BUSY_TASKS * BUSY_STEP_US
+        assert MAX_TURN_US <= event_loop.longest_turn_us() <= longest_us
+        assert event_loop.take_recent_longest_turn_us() == event_loop.longest_turn_us()
+        assert event_loop.take_recent_longest_turn_us() == 0
+
+    with asyncio.Runner(loop_factory=event_loop.make) as runner:
+        runner.run(scenario())
