Let a claim on a tool call count only in a store that has lost nothing

Callers who asked again under the same request's name, after the store had come back empty, booked a second time and were told that all was done.

Cause: the absence of a key was taken for "never happened". SET NX proves that only in a store that has lost nothing; the front forgot a call at its end, so only the store knew it. Ruled out: a claim sent twice by the library (retries are off), and the run id of the leases as a remedy (a store emptied without a restart keeps it; SET and GET alone don't tell it).

Classes that may be repeated don't wait. The test bed of test_toolcalls waits until claims count.

--- /dev/null
+++ b/onyxpass/store/claim_generation.py
@@ -0,0 +1,73 @@
+"""Decides whether the store still has every claim that was made in it, without I/O.
+
+A claim proves that a call is made for the first time only in a store that has lost nothing. All
+fronts of a store share a random *generation*, a key that never expires. Each front also counts up a
+*heartbeat* key of its own. A store without the generation, or with another one, is new or was
+emptied; one with an older heartbeat was restored from a copy.
+
+After a loss a new generation begins, and for a *recovery period* no claim counts. Within it every
+running front notices the new generation and writes the claims that it remembers to the store again,
+as clients reclaim locks after a restart of an NFSv4 server.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+# of one look at the store by each front; a copy that is younger than this goes unnoticed
+HEARTBEAT_INTERVAL_US = 1_000_000
+# Several looks, so that every front has noticed the loss and has written its claims again.
+RECOVERY_PERIOD_US = 3 * HEARTBEAT_INTERVAL_US
+
+
+@dataclass(frozen=True, slots=True)
+class StoreReading:
+    """What the store holds of the shared generation and of this front's heartbeat."""
+
+    generation: str | None
+    heartbeat: int | None
+
+
+class StoreChange(Enum):
+    """What a reading shows."""
+
+    NONE = "none"
+    EMPTIED = "emptied"  # no generation: the store is new or has lost its keys
+    REPLACED = "replaced"  # another front has begun a generation, or this front has just started
+    RESTORED = "restored"  # the generation is the same, and the heartbeat is older
+
+
+class StoreGeneration:
+    """The generation that this front takes part in, and from when on its claims count."""
+
+    def __init__(self, recovery_period_us: int = RECOVERY_PERIOD_US) -> None:
+        self.recovery_period_us = recovery_period_us
+        self.current: str | None = None
+        self.heartbeat = 0  # the last one that the store has confirmed
+        self._opens_at_us: int | None = None  # None: the claims are not all written again yet
+
+    def compare(self, reading: StoreReading) -> StoreChange:
+        """Return what a reading shows, without taking it over."""
+        if reading.generation is None:
+            return StoreChange.EMPTIED
+        if reading.generation != self.current:
+            return StoreChange.REPLACED
+        if (reading.heartbeat or 0) < self.heartbeat:
+            return StoreChange.RESTORED
+        return StoreChange.NONE
+
+    def close(self) -> None:
+        """Let no claim count until a generation is joined: the store has lost something."""
+        self.current = self._opens_at_us = None
+
+    def join(self, generation: str, heartbeat: int, noticed_us: int) -> None:
+        """Take part in a generation; the store has all claims that this front remembers.
+
+        The recovery period counts from when this front noticed the generation, which was after it
+        had begun.
+        """
+        self.current, self.heartbeat = generation, heartbeat
+        self._opens_at_us = noticed_us + self.recovery_period_us
+
+    def is_open(self, now_us: int) -> bool:
+        """Return whether a claim proves that a call is made for the first time."""
+        return self._opens_at_us is not None and now_us >= self._opens_at_us
--- a/onyxpass/store/redis.py
+++ b/onyxpass/store/redis.py
@@ -6,15 +6,21 @@
 """
 
 import json
-from collections.abc import Awaitable, Mapping
+from collections.abc import Awaitable, Mapping, Sequence
 from typing import Any, TypeVar
 
 from redis.asyncio import Redis
+from redis.asyncio.client import Pipeline
 from redis.asyncio.retry import Retry
 from redis.backoff import NoBackoff
 from redis.exceptions import RedisError
 
+from onyxpass.store.claim_generation import StoreReading
+
 CALL_KEY_PREFIX = "onyxpass:call:"
+CLAIM_GENERATION_KEY = "onyxpass:claims:generation"
+CLAIM_HEARTBEAT_KEY_PREFIX = "onyxpass:claims:heartbeat:"
+CLAIM_HEARTBEAT_TTL_S = 3_600  # so that the keys of fronts that have ended go
 INSTANCE_KEY_PREFIX = "onyxpass:instance:"
 DESIRED_KEY_PREFIX = "onyxpass:wanted:"
 DEFAULT_TIMEOUT_MS = 300
@@ -52,10 +58,50 @@
 
     # Tool calls
 
-    async def claim_call(self, key: str, record: Mapping[str, Any], ttl_s: int) -> bool:
-        """Claim a tool call for ``ttl_s``; True for the first caller, the only one to send it."""
-        command = self._redis.set(CALL_KEY_PREFIX + key, json.dumps(record), nx=True, ex=ttl_s)
-        return bool(await _result_of(command))
+    async def claim_call(
+        self, key: str, record: Mapping[str, Any], ttl_s: int, front: str
+    ) -> tuple[bool, StoreReading]:
+        """Claim a tool call for ``ttl_s``; True if the store has no claim on it.
+
+        The reading is of a later moment than the claim, and tells whether the claim proves
+        anything: a store that has lost its keys takes each claim for a first one.
+        """
+        pipeline = self._redis.pipeline(transaction=False)
+        pipeline.set(CALL_KEY_PREFIX + key, json.dumps(record), nx=True, ex=ttl_s)
+        claimed, generation, heartbeat = await self._read_claims(pipeline, front)
+        return bool(claimed), StoreReading(generation, heartbeat)
+
+    async def read_claims(self, front: str) -> StoreReading:
+        """Return the generation of the claims, and the heartbeat of this front."""
+        generation, heartbeat = await self._read_claims(
+            self._redis.pipeline(transaction=False), front
+        )
+        return StoreReading(generation, heartbeat)
+
+    async def _read_claims(self, pipeline: Pipeline, front: str) -> list[Any]:
+        """Execute the commands of a pipeline, and read generation and heartbeat as the last two."""
+        pipeline.get(CLAIM_GENERATION_KEY)
+        pipeline.get(CLAIM_HEARTBEAT_KEY_PREFIX + front)
+        *results, generation, heartbeat = await _result_of(pipeline.execute())
+        heartbeat_text = _text(heartbeat) or ""
+        is_number = heartbeat_text.isascii() and heartbeat_text.isdecimal()
+        return [*results, _text(generation), int(heartbeat_text) if is_number else None]
+
+    async def begin_claims(self, generation: str, *, replace: bool) -> None:
+        """Begin a generation of claims; unless ``replace`` is set, one that exists is kept."""
+        await _result_of(self._redis.set(CLAIM_GENERATION_KEY, generation, nx=not replace))
+
+    async def write_heartbeat(self, front: str, heartbeat: int) -> None:
+        """Store the heartbeat of this front."""
+        key = CLAIM_HEARTBEAT_KEY_PREFIX + front
+        await _result_of(self._redis.set(key, str(heartbeat), ex=CLAIM_HEARTBEAT_TTL_S))
+
+    async def restore_calls(self, calls: Sequence[tuple[str, str, int]]) -> None:
+        """Store the records of claimed calls again, each with its key, JSON text and TTL in s."""
+        pipeline = self._redis.pipeline(transaction=False)
+        for key, record, ttl_s in calls:
+            pipeline.set(CALL_KEY_PREFIX + key, record, ex=ttl_s)
+        await _result_of(pipeline.execute())
 
     async def record_call(self, key: str, record: Mapping[str, Any], ttl_s: int) -> None:
         """Store the state of a claimed call for another ``ttl_s``; the call stays claimed."""
@@ -105,6 +151,13 @@
         return value if isinstance(value, dict) else None
 
 
+def _text(value: object) -> str | None:
+    """Return a reply as text; None if the key is absent."""
+    if isinstance(value, bytes):
+        return value.decode("utf-8", "replace")
+    return None if value is None else str(value)
+
+
 async def _result_of(command: Awaitable[Result]) -> Result:
     try:
         return await command
--- /dev/null
+++ b/onyxpass/toolcalls/call_claims.py
@@ -0,0 +1,140 @@
+"""Claims on tool calls: which calls are made for the first time, also after the store lost its keys."""
+
+import asyncio
+import secrets
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import structlog
+
+from onyxpass.core.timer_wheel import TimerWheel
+from onyxpass.store.claim_generation import HEARTBEAT_INTERVAL_US, StoreChange, StoreGeneration
+from onyxpass.store.redis import RedisStore, StoreUnavailableError
+from onyxpass.toolcalls.call_journal import CallJournal
+
+RESTORED_PER_COMMAND = 200  # claims written again with one round trip to the store
+MAX_JOIN_ATTEMPTS = 4  # while other fronts begin generations at the same time
+OPEN_POLL_US = 20_000  # between two looks whether claims count again
+# beyond the recovery period, until a call that waits for it is given up
+OPEN_MARGIN_US = 2 * HEARTBEAT_INTERVAL_US
+CLAIM_TOKEN_KEY = "claim"  # of a record: which claim has written it
+log = structlog.get_logger("tools")
+
+
+class CallNotWantedError(Exception):
+    """The stream that made a call ended while the call waited to be claimed."""
+
+
+class CallClaims:
+    """The claims of one front; ``run`` must be running for them to count."""
+
+    def __init__(
+        self,
+        store: RedisStore,
+        journal: CallJournal,
+        front: str,
+        wheel: TimerWheel,
+        generation: StoreGeneration,
+    ) -> None:
+        """``front`` names this process among all that share the store."""
+        self.store, self.journal, self.front = store, journal, front
+        self.wheel, self.generation = wheel, generation
+        self._store_error = ""  # of the last look at the store; empty: it answered
+        self._looking = asyncio.Lock()
+
+    async def run(self) -> None:
+        """Look at the store at each heartbeat, until cancelled."""
+        while True:
+            try:
+                await self._look()
+            except StoreUnavailableError as error:
+                if not self._store_error:
+                    log.warning("store_unavailable", why=str(error))
+                self._store_error = str(error)
+            await self.wheel.sleep(min(HEARTBEAT_INTERVAL_US, self.generation.recovery_period_us))
+
+    async def claim(
+        self,
+        key: str,
+        record: Mapping[str, Any],
+        ttl_s: int,
+        *,
+        idempotent: bool,
+        is_wanted: Callable[[], bool],
+    ) -> dict[str, Any] | None:
+        """Claim a call; None if it is made for the first time, otherwise its record.
+
+        A call that may be repeated does not wait for a recovery period. Raises
+        ``StoreUnavailableError`` if it can't be told whether the call was made before, and
+        ``CallNotWantedError``.
+        """
+        token = secrets.token_hex(8)
+        record = {**record, CLAIM_TOKEN_KEY: token}
+        due_us = self.wheel.clock.now_us() + self.generation.recovery_period_us + OPEN_MARGIN_US
+        while True:
+            if (known := self.journal.get(key)) is not None:
+                return known
+            if not idempotent:
+                await self._wait_until_open(due_us, is_wanted)
+            is_first, reading = await self.store.claim_call(key, record, ttl_s, self.front)
+            if self.generation.compare(reading) is not StoreChange.NONE and not idempotent:
+                await self._look()
+                continue
+            if not is_first:
+                found = await self.store.recorded_call(key)
+                if found is None:
+                    raise StoreUnavailableError("the claim on the call is gone")
+                if found.get(CLAIM_TOKEN_KEY) != token:
+                    return found
+            self.journal.put(key, record, ttl_s)
+            return None
+
+    async def _wait_until_open(self, due_us: int, is_wanted: Callable[[], bool]) -> None:
+        """Wait for the end of a recovery period.
+
+        Raises ``StoreUnavailableError`` if the store does not answer or the period does not end in
+        time, and ``CallNotWantedError``.
+        """
+        while not self.generation.is_open(now_us := self.wheel.clock.now_us()):
+            if self._store_error:
+                raise StoreUnavailableError(self._store_error)
+            if not is_wanted():
+                raise CallNotWantedError
+            if now_us >= due_us:
+                raise StoreUnavailableError("the store has lost its records: fronts are recovering")
+            await self.wheel.sleep(OPEN_POLL_US)
+
+    async def _look(self) -> None:
+        """Compare the store with what this front knows, and write its claims again after a loss."""
+        async with self._looking:
+            for _ in range(MAX_JOIN_ATTEMPTS):
+                reading = await self.store.read_claims(self.front)
+                change = self.generation.compare(reading)
+                if change is StoreChange.NONE:
+                    break
+                self.generation.close()
+                if change is StoreChange.REPLACED and reading.generation is not None:
+                    await self._join(reading.generation, reading.heartbeat or 0)
+                else:
+                    log.warning("store_lost_claims", change=change.value, claims=len(self.journal))
+                    await self.store.begin_claims(
+                        secrets.token_hex(8), replace=change is StoreChange.RESTORED
+                    )
+            heartbeat = self.generation.heartbeat + 1
+            await self.store.write_heartbeat(self.front, heartbeat)
+            self.generation.heartbeat = heartbeat
+            self._store_error = ""
+
+    async def _join(self, generation: str, heartbeat: int) -> None:
+        """Write all claims of this front to the store, and take part in its generation."""
+        noticed_us = self.wheel.clock.now_us()
+        batch: list[tuple[str, str, int]] = []
+        for key, entry in self.journal.newest_first():
+            batch.append((key, entry.record, entry.remaining_s))
+            if len(batch) == RESTORED_PER_COMMAND:
+                await self.store.restore_calls(batch)
+                batch = []
+        if batch:
+            await self.store.restore_calls(batch)
+        self.generation.join(generation, heartbeat, noticed_us)
+        log.info("claims_generation_joined", generation=generation, claims=len(self.journal))
--- a/onyxpass/toolcalls/replicas.py
+++ b/onyxpass/toolcalls/replicas.py
@@ -14,7 +14,7 @@
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.net.dialer import ResourceShortageError, connect
 from onyxpass.scheduling import contract
-from onyxpass.scheduling.contract import AttemptStatus, HealthCheckResult, Role
+from onyxpass.scheduling.contract import AttemptStatus, HealthCheckResult, Idempotency, Role
 from onyxpass.toolcalls import rpc
 from onyxpass.toolcalls.rpc import RpcError, RpcRequest, RpcResponse
 from onyxpass.toolcalls.tool_call_relay import ToolCall, ToolCallRelay, ToolCallState
@@ -190,7 +190,12 @@
             writer.write(rpc.error(id, problem))
             return None
         call = payload.calls[id] = ToolCall(
-            attempt.request.id, id, name, arguments, lambda: not attempt.ended
+            attempt.request.id,
+            id,
+            name,
+            arguments,
+            is_wanted=lambda: not attempt.ended,
+            idempotent=self.core.idempotency_of(attempt.request) is Idempotency.IDEMPOTENT,
         )
         self.relay.start(call)
         return call
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -1,8 +1,11 @@
 """The JSON-RPC front end as a program: its configuration file and the service."""
 
 import asyncio
+import hashlib
 import ipaddress
+import secrets
 import signal
+import tempfile
 import tomllib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
@@ -27,7 +30,10 @@
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.scheduling import contract
+from onyxpass.store.claim_generation import RECOVERY_PERIOD_US, StoreGeneration
 from onyxpass.store.redis import RedisStore
+from onyxpass.toolcalls.call_claims import CallClaims
+from onyxpass.toolcalls.call_journal import CallJournal
 from onyxpass.toolcalls.front import RpcFront
 from onyxpass.toolcalls.replicas import STREAM_STALL_TIMEOUT_US, RpcReplicas
 from onyxpass.toolcalls.tool_call_relay import ToolCallRelay, ToolServer
@@ -51,6 +57,8 @@
     tool_timeout_us: int = 10_000_000
     store_timeout_ms: int = 300
     claim_ttl_s: int = 86_400
+    recovery_us: int = RECOVERY_PERIOD_US  # without claims, after the store has lost its keys
+    journal: Path | None = None  # None: ``journal_path`` chooses
     connections: int = 256
     sources: Path | None = None  # the file that names the watched files, in place of ``servers``
 
@@ -60,7 +68,14 @@
 
 def toolcalls_values(config: ToolcallsConfig) -> dict[str, Any]:
     servers = [[s.id, s.kind, s.zone, s.cell, str(address)] for s, address in config.servers]
+    # Keys that are not set are left out: the configuration digest stays that of earlier versions.
+    optional_values: dict[str, Any] = {}
+    if config.recovery_us != RECOVERY_PERIOD_US:
+        optional_values["recovery_us"] = config.recovery_us
+    if config.journal is not None:
+        optional_values["journal"] = str(config.journal)
     return {
+        **optional_values,
         "name": config.name,
         "listen": str(config.listen),
         "servers": sorted(servers),
@@ -123,6 +138,8 @@
             tool_timeout_us=int(tools.get("timeout_ms", 10_000)) * 1000,
             store_timeout_ms=int(store.get("timeout_ms", 300)),
             claim_ttl_s=int(store.get("claim_ttl_s", 86_400)),
+            recovery_us=int(store.get("recovery_ms", RECOVERY_PERIOD_US // 1000)) * 1000,
+            journal=base / str(store["journal"]) if "journal" in store else None,
             connections=int(raw.get("connections", 256)),
             sources=base / str(raw["sources"]) if "sources" in raw else None,
         )
@@ -134,6 +151,8 @@
         raise ConfigError(
             f"tools.timeout_ms must lie between 0 and {STREAM_STALL_TIMEOUT_US // 1000}"
         )
+    if config.recovery_us <= 0:
+        raise ConfigError("store.recovery_ms must be positive")
     if len({server.id for server, _ in servers}) < len(servers):
         raise ConfigError("two servers have the same id")
     return config
@@ -146,21 +165,42 @@
         raise ConfigError(f"{path}: {problem}") from problem
 
 
+def journal_path(config: ToolcallsConfig) -> Path:
+    """Return the path of a front's journal: by default in the folder for temporary files."""
+    if config.journal is not None:
+        return config.journal
+    identity = f"{config.name}|{config.listen}|{config.store_url}"
+    digest = hashlib.blake2b(identity.encode("utf-8", "surrogatepass"), digest_size=6).hexdigest()
+    return Path(tempfile.gettempdir()) / f"onyxpass-calls-{digest}.jsonl"
+
+
 class ToolcallService:
     """The JSON-RPC front end with its servers, its store and its tool server."""
 
     kind = "toolcalls"
 
     def __init__(
-        self, config: ToolcallsConfig, load_config: Callable[[], ToolcallsConfig] | None = None
+        self,
+        config: ToolcallsConfig,
+        load_config: Callable[[], ToolcallsConfig] | None = None,
+        journal: Path | None = None,
     ) -> None:
+        """``journal`` is the file of the calls that this front has claimed; None: in memory only."""
         self.config = config
         self.load_config = load_config or (lambda: self.config)
         self.clock = Clock()
         self.wheel = TimerWheel(self.clock)
         self.core = RequestDispatcher(config.settings, config.seed, self.clock, self.wheel)
         self.store = RedisStore(config.store_url, config.store_timeout_ms)
-        self.relay = ToolCallRelay(self.store, config.claim_ttl_s)
+        self.journal = CallJournal(journal)
+        self.claims = CallClaims(
+            self.store,
+            self.journal,
+            f"{config.name}:{secrets.token_hex(4)}",
+            self.wheel,
+            StoreGeneration(config.recovery_us),
+        )
+        self.relay = ToolCallRelay(self.claims, config.claim_ttl_s)
         self.tool_server = ToolServer(
             config.tools, self.wheel, self.relay.record, config.tool_timeout_us, config.connect_us
         )
@@ -183,7 +223,12 @@
             )
 
     async def start(self) -> None:
-        for work in (self.core.run(), self.wheel.run(), self.tool_server.run()):
+        for work in (
+            self.core.run(),
+            self.wheel.run(),
+            self.tool_server.run(),
+            self.claims.run(),
+        ):
             self.tasks.append(asyncio.create_task(work))
         if self.file_source is not None:
             self.tasks.append(asyncio.create_task(self.file_source.follow()))
@@ -298,6 +343,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.store.close()
+        self.journal.close()
 
 
 async def serve(config: ToolcallsConfig, load_config: Callable[[], ToolcallsConfig]) -> None:
@@ -306,7 +352,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    service = ToolcallService(config, load_config)
+    service = ToolcallService(config, load_config, journal_path(config))
     await service.start()
     event_loop.restart_longest_turn()
     loop.add_signal_handler(signal.SIGHUP, service.reload, load_config)
--- a/onyxpass/toolcalls/tool_call_relay.py
+++ b/onyxpass/toolcalls/tool_call_relay.py
@@ -13,8 +13,9 @@
 from onyxpass.config.platform_file import Address
 from onyxpass.core.actor import Actor
 from onyxpass.core.timer_wheel import Timer, TimerWheel
-from onyxpass.store.redis import RedisStore, StoreUnavailableError
+from onyxpass.store.redis import StoreUnavailableError
 from onyxpass.toolcalls import rpc
+from onyxpass.toolcalls.call_claims import CallClaims, CallNotWantedError
 from onyxpass.toolcalls.rpc import RpcError, RpcResponse
 
 log = structlog.get_logger("tools")
@@ -38,6 +39,7 @@
     name: str
     arguments: Mapping[str, Any]
     is_wanted: Callable[[], bool]  # whether the stream that made the call is still open
+    idempotent: bool = False  # whether its request may be repeated without harm
     state: ToolCallState = ToolCallState.CLAIMING
     result: Any = None
     error: RpcError | None = None
@@ -250,8 +252,8 @@
     A call that was sent is followed until it ends, even if the stream that made it has ended.
     """
 
-    def __init__(self, store: RedisStore, ttl_s: int) -> None:
-        self.store, self.ttl_s = store, ttl_s
+    def __init__(self, claims: CallClaims, ttl_s: int) -> None:
+        self.claims, self.ttl_s = claims, ttl_s
         self.tool_server: ToolServer | None = None
         self.open_calls: dict[str, ToolCall] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -282,9 +284,10 @@
         """Record the present state of a call, after the records of its earlier states."""
         if call.state is not ToolCallState.SENT:
             self.open_calls.pop(call.key, None)
+        record = call.to_record()
+        self.claims.journal.put(call.key, record, self.ttl_s)
         self._start_task(
-            self._write_record(call.key, call.to_record(), self._last_writes.get(call.key)),
-            call.key,
+            self._write_record(call.key, record, self._last_writes.get(call.key)), call.key
         )
 
     def _start_task(self, work: Any, key: str = "") -> None:
@@ -299,18 +302,16 @@
 
     async def _claim(self, call: ToolCall) -> None:
         try:
-            if await self.store.claim_call(
-                call.key, {"state": ToolCallState.CLAIMING.value, "name": call.name}, self.ttl_s
-            ):
-                if self.tool_server is not None:
-                    self.tool_server.tell(SendCall(call))
-                else:
-                    self._fail_unsent(
-                        call, RpcError(rpc.CALL_NOT_MADE, "nobody waits for it any more")
-                    )
-                    self.record(call)
-                return
-            record = await self.store.recorded_call(call.key) or {}
+            record = await self.claims.claim(
+                call.key,
+                {"state": ToolCallState.CLAIMING.value, "name": call.name},
+                self.ttl_s,
+                idempotent=call.idempotent,
+                is_wanted=lambda: call.is_wanted() and not call.withdrawn,
+            )
+        except CallNotWantedError:
+            self._fail_unsent(call, RpcError(rpc.CALL_NOT_MADE, "nobody waits for it any more"))
+            return
         except StoreUnavailableError as problem:
             # Prevents a call from being made twice: without a claim it is not made at all.
             log.warning("store_unavailable", why=str(problem), call=call.key)
@@ -318,6 +319,20 @@
                 call, RpcError(rpc.STORE_UNAVAILABLE, "the store is down: the call was not made")
             )
             return
+        if record is None:
+            self._send(call)
+        else:
+            self._use_record(call, record)
+
+    def _send(self, call: ToolCall) -> None:
+        if self.tool_server is not None:
+            self.tool_server.tell(SendCall(call))
+        else:
+            self._fail_unsent(call, RpcError(rpc.CALL_NOT_MADE, "nobody waits for it any more"))
+            self.record(call)
+
+    def _use_record(self, call: ToolCall, record: Mapping[str, Any]) -> None:
+        """Settle a call that was claimed before by its record."""
         state = record.get("state")
         if state == ToolCallState.DONE.value:  # made before: the recorded result is used
             call.result, call.state = record.get("result"), ToolCallState.DONE
@@ -346,7 +361,7 @@
         # The write is retried, because a store outage may be short.
         for wait_s in (0.1, 1.0, 5.0, 0.0):
             try:
-                await self.store.record_call(key, record, self.ttl_s)
+                await self.claims.store.record_call(key, record, self.ttl_s)
                 return
             except StoreUnavailableError as problem:
                 log.warning("call_not_recorded", call=key, why=str(problem), record=record)
--- /dev/null
+++ b/tests/test_store_loss.py
@@ -0,0 +1,347 @@
+"""Bookings that are asked for again after the store of claims has lost what it held.
+
+Guards against an absent key that is taken for "never happened": the store came back empty, the claim
+on each booking succeeded once more, and the ledger ran six calls for three bookings. The store stand-in
+of these tests answers SET and GET only.
+"""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+import standins as st
+from test_toolcalls import ToolCallTestBed, run
+
+from onyxpass.store.claim_generation import StoreChange, StoreGeneration, StoreReading
+from onyxpass.store.redis import CALL_KEY_PREFIX, CLAIM_GENERATION_KEY, CLAIM_HEARTBEAT_KEY_PREFIX
+from onyxpass.testbed.store import StoreFault
+from onyxpass.toolcalls import rpc
+from onyxpass.toolcalls.call_journal import MAX_OBSOLETE_LINES, CallJournal
+from onyxpass.toolcalls.service import ToolcallService, journal_path, parse
+
+RECOVERY_MS = 200
+LONG_RECOVERY_MS = 3_000
+SLACK_S = 2.0  # on a busy machine
+CALL_KEY = f"{CALL_KEY_PREFIX}r1:c1"
+
+
+class PlainStore(st.RespStore):
+    """A store that understands no more than SET and GET."""
+
+    def execute(self, command: str, words: list[str]) -> bytes:
+        if command not in ("SET", "GET"):
+            return b"-ERR unknown command\r\n"
+        return super().execute(command, words)
+
+
+class Fronts(ToolCallTestBed):
+    """Several fronts on one store, with one tool server."""
+
+    def __init__(self, folder: Path, recovery_ms: int) -> None:
+        super().__init__(st.call_tool("c1"))
+        self.store = PlainStore()
+        self.folder, self.recovery_ms = folder, recovery_ms
+        self.services: dict[str, ToolcallService] = {}
+
+    async def start_front(self, name: str) -> ToolcallService:
+        """Start a front, or start it again, and wait until its claims count."""
+        raw = self.config()
+        raw["name"] = name
+        raw["store"] |= {"recovery_ms": self.recovery_ms, "journal": str(self.folder / name)}
+        config = parse(raw)
+        service = ToolcallService(config, journal=journal_path(config))
+        self.services[name] = service
+        await service.start()
+        return service
+
+    async def open_front(self, name: str) -> ToolcallService:
+        service = await self.start_front(name)
+        await st.until(lambda: service.claims.generation.is_open(service.clock.now_us()))
+        return service
+
+    async def kill(self, name: str) -> None:
+        """End a front without letting it finish anything."""
+        service = self.services.pop(name)
+        assert service.front.server is not None
+        service.front.server.close()
+        await service.close()
+
+    async def ask(self, name: str, request: str = "r1", **params: str) -> dict[str, object]:
+        """Ask a front for a booking, and return its answer's only call, or its error."""
+        client = await st.Client(self.services[name].front.port).start()
+        client.generate(1, request=request, **params)
+        answer = await client.response(1)
+        await client.stop()
+        calls = answer["result"]["calls"] if "result" in answer else [answer["error"]]
+        return dict(calls[0])
+
+
+@asynccontextmanager
+async def fronts(folder: Path, recovery_ms: int = RECOVERY_MS) -> AsyncIterator[Fronts]:
+    bed = Fronts(folder, recovery_ms)
+    for server in bed.servers:
+        await server.start()
+    try:
+        yield bed
+    finally:
+        for name in list(bed.services):
+            await bed.kill(name)
+        for server in bed.servers:
+            await server.stop()
+
+
+async def until_heartbeat(bed: Fronts) -> None:
+    """Wait until each front has written another heartbeat."""
+    before = heartbeats(bed)
+    await st.until(lambda: all(v > before.get(k, "") for k, v in heartbeats(bed).items()))
+
+
+def heartbeats(bed: Fronts) -> dict[str, str]:
+    prefix = CLAIM_HEARTBEAT_KEY_PREFIX
+    return {k: f"{v:>9}" for k, v in bed.store.data.items() if k.startswith(prefix)}
+
+
+# What the store loses. Each gets the store's copy from before the booking.
+
+
+async def restart_empty(bed: Fronts, _: dict[str, str]) -> None:
+    await bed.store.restart()
+
+
+async def lose_all_keys(bed: Fronts, _: dict[str, str]) -> None:
+    bed.store.data.clear()
+
+
+async def restart_from_copy(bed: Fronts, copy: dict[str, str]) -> None:
+    await bed.store.restart(copy)
+
+
+async def go_back_to_copy(bed: Fronts, copy: dict[str, str]) -> None:
+    bed.store.data = dict(copy)
+
+
+async def lose_generation_and_claim(bed: Fronts, _: dict[str, str]) -> None:
+    del bed.store.data[CLAIM_GENERATION_KEY], bed.store.data[CALL_KEY]
+
+
+async def lose_nothing(_: Fronts, __: dict[str, str]) -> None:
+    pass
+
+
+Loss = Callable[[Fronts, dict[str, str]], Awaitable[None]]
+LOSSES: tuple[Loss, ...] = (
+    restart_empty,
+    lose_all_keys,
+    restart_from_copy,
+    go_back_to_copy,
+    lose_generation_and_claim,
+    lose_nothing,
+)
+
+
+async def book_and_lose(bed: Fronts, loss: Loss) -> None:
+    """Book once at the first front; then the store loses what it loses."""
+    copy = bed.store.snapshot()
+    assert (await bed.ask("f1"))["state"] == "done"
+    await st.until(lambda: bed.store.recorded_calls()["r1:c1"]["state"] == "done")
+    await until_heartbeat(bed)
+    await loss(bed, copy)
+
+
+async def check_served_again(bed: Fronts, name: str) -> None:
+    """Assert that the repeat has the recorded result, and that a new booking is served in time."""
+    assert (await bed.ask(name))["state"] == "done"
+    bed.check_calls(1)
+    began_s = time.monotonic()
+    assert (await bed.ask(name, "r2"))["state"] == "done"
+    assert time.monotonic() - began_s <= bed.recovery_ms / 1000 + SLACK_S
+    bed.check_calls(2)
+
+
+@pytest.mark.parametrize("loss", LOSSES)
+def test_a_repeat_at_the_same_front_is_not_sent_again(tmp_path: Path, loss: Loss) -> None:
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            await bed.open_front("f1")
+            await book_and_lose(bed, loss)
+            await check_served_again(bed, "f1")
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("loss", LOSSES)
+def test_a_repeat_at_another_front_is_not_sent_again(tmp_path: Path, loss: Loss) -> None:
+    """The front that remembers the claim writes it again before the other one opens."""
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            for name in ("f1", "f2"):
+                await bed.open_front(name)
+            await book_and_lose(bed, loss)
+            await check_served_again(bed, "f2")
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("loss", LOSSES)
+def test_a_repeat_at_a_front_that_starts_after_the_loss_is_not_sent_again(
+    tmp_path: Path, loss: Loss
+) -> None:
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            await bed.open_front("f1")
+            await book_and_lose(bed, loss)
+            await bed.start_front("f2")
+            await check_served_again(bed, "f2")
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("restarted_first", [True, False])
+@pytest.mark.parametrize("loss", LOSSES)
+def test_a_repeat_at_a_front_that_was_killed_meanwhile_is_not_sent_again(
+    tmp_path: Path, loss: Loss, restarted_first: bool
+) -> None:
+    """Its journal remembers the claim, whether it starts before the loss or after it."""
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            await bed.open_front("f1")
+            copy = bed.store.snapshot()
+            await book_and_lose(bed, lose_nothing)
+            await bed.kill("f1")
+            if restarted_first:
+                await bed.start_front("f1")
+                await loss(bed, copy)
+            else:
+                await loss(bed, copy)
+                await bed.start_front("f1")
+            await check_served_again(bed, "f1")
+
+    run(scenario)
+
+
+def test_a_call_that_is_out_while_the_store_is_emptied_is_not_sent_again(tmp_path: Path) -> None:
+    """The client is told that the outcome is unknown, or that the call is out; never that it is done."""
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            for name in ("f1", "f2"):
+                await bed.open_front(name)
+            bed.tool_server.release.clear()
+            first = asyncio.create_task(bed.ask("f1"))
+            await st.until(lambda: bed.tool_server.call_ids)
+            bed.store.data.clear()
+            assert (await bed.ask("f2"))["state"] == "unknown"
+            bed.tool_server.release.set()
+            assert (await first)["state"] == "done"
+            await st.until(lambda: bed.store.recorded_calls()["r1:c1"]["state"] == "done")
+            assert (await bed.ask("f2"))["state"] == "done"
+            bed.check_calls(1)
+
+    run(scenario)
+
+
+def test_calls_that_may_be_repeated_do_not_wait_for_a_recovery(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with fronts(tmp_path, LONG_RECOVERY_MS) as bed:
+            service = await bed.open_front("f1")
+            bed.store.data.clear()
+            closed = asyncio.create_task(bed.ask("f1", "r1"))
+            await st.until(lambda: bed.store.data.get(CLAIM_GENERATION_KEY))
+            for name in ("part-lookup", "shift-summary"):
+                assert (await bed.ask("f1", name, traffic_class=name))["state"] == "done"
+            assert not service.claims.generation.is_open(service.clock.now_us())
+            assert not closed.done()
+            assert (await closed)["state"] == "done"
+            bed.check_calls(3)
+
+    run(scenario)
+
+
+def test_a_claim_whose_answer_is_lost_is_not_sent(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with fronts(tmp_path, LONG_RECOVERY_MS) as bed:
+            await bed.open_front("f1")
+            await until_heartbeat(bed)
+            bed.store.faults = [StoreFault.LOST]
+            client = await st.Client(bed.services["f1"].front.port).start()
+            client.generate(1, request="r1")
+            (call,) = (await client.response(1))["result"]["calls"]
+            assert call["state"] == "not made"
+            results = [r["error"]["code"] for writer in bed.writers for r in writer.results]
+            assert results == [rpc.STORE_UNAVAILABLE]
+            assert (await bed.ask("f1"))["state"] == "unknown", "the claim stands in the store"
+            bed.check_calls(0)
+            await client.stop()
+
+    run(scenario)
+
+
+# The decision
+
+
+def test_each_loss_is_told_by_what_the_store_holds() -> None:
+    generation = StoreGeneration(recovery_period_us=100)
+    assert generation.compare(StoreReading(None, None)) is StoreChange.EMPTIED
+    assert generation.compare(StoreReading("g1", None)) is StoreChange.REPLACED
+    generation.join("g1", 0, noticed_us=1000)
+    generation.heartbeat = 7
+    assert not generation.is_open(1099)
+    assert generation.is_open(1100)
+    assert generation.compare(StoreReading("g1", 7)) is StoreChange.NONE
+    assert generation.compare(StoreReading("g1", 8)) is StoreChange.NONE, "its answer was lost"
+    for heartbeat in (6, None):
+        assert generation.compare(StoreReading("g1", heartbeat)) is StoreChange.RESTORED
+    assert generation.compare(StoreReading("g2", 7)) is StoreChange.REPLACED
+    assert generation.compare(StoreReading(None, 7)) is StoreChange.EMPTIED
+    generation.close()
+    assert not generation.is_open(10**9)
+    assert generation.compare(StoreReading("g1", 7)) is StoreChange.REPLACED, "joined anew"
+
+
+# The journal
+
+
+def test_a_journal_outlives_its_process_and_a_line_that_was_cut_off(tmp_path: Path) -> None:
+    path = tmp_path / "calls"
+    journal = CallJournal(path)
+    journal.put("a", {"state": "claiming"}, 60)
+    journal.put("a", {"state": "done", "result": 1}, 60)
+    journal.put("expired", {"state": "done"}, 0)
+    assert len(CallJournal(path)) == 0, "locked: kept in memory only"
+    journal.close()
+    path.write_text(path.read_text() + '["b", "{')
+    journal = CallJournal(path)
+    journal.put("c", {"state": "sent"}, 60)
+    journal.close()
+    journal = CallJournal(path)
+    assert journal.get("a") == {"state": "done", "result": 1}
+    assert journal.get("c") == {"state": "sent"}
+    assert journal.get("b") is None
+    assert journal.get("expired") is None
+    assert [key for key, _ in journal.newest_first()] == ["c", "a"]
+    assert path.stat().st_mode & 0o777 == 0o600
+    journal.close()
+
+
+def test_a_journal_stays_bounded(tmp_path: Path) -> None:
+    path = tmp_path / "calls"
+    journal = CallJournal(path)
+    for _ in range(2 * MAX_OBSOLETE_LINES):
+        journal.put("a", {"state": "sent"}, 60)
+    assert len(path.read_text().splitlines()) <= MAX_OBSOLETE_LINES + 2
+    journal.put("long", {"state": "done", "result": "x" * 20_000}, 60)
+    assert journal.get("long") == {"state": "unknown", "result": None}
+    journal.close()
+    assert CallJournal(path).get("a") == {"state": "sent"}
+
+
+def test_a_journal_that_cannot_be_written_is_kept_in_memory(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("")
+    journal = CallJournal(tmp_path / "file" / "calls")
+    journal.put("a", {"state": "sent"}, 60)
+    assert journal.get("a") == {"state": "sent"}
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -18,6 +18,7 @@
 from onyxpass.toolcalls.service import ToolcallService, parse
 
 ROOT = Path(__file__).parent.parent
+RECOVERY_MS = 50  # after the loss of the store's keys, and after a start
 
 
 class ToolCallTestBed:
@@ -34,6 +35,7 @@
     def config(self, **tools: int) -> dict[str, Any]:
         raw = tomllib.loads((ROOT / "deploy" / "toolcalls.toml").read_text())
         raw["listen"], raw["store"]["url"] = "127.0.0.1:0", f"redis://{self.store.address}/0"
+        raw["store"]["recovery_ms"] = RECOVERY_MS
         raw["tools"] |= {"address": self.tool_server.address, **tools}
         raw["servers"] = [
             {"id": f"{kind}-{i}", "kind": kind, "address": server.address}
@@ -69,6 +71,8 @@
         await server.start()
     bed.service = ToolcallService(parse(bed.config(**tools)))  # type: ignore[attr-defined]
     await bed.service.start()  # type: ignore[attr-defined]
+    generation = bed.service.claims.generation  # type: ignore[attr-defined]
+    await st.until(lambda: generation.is_open(bed.service.clock.now_us()))  # type: ignore[attr-defined]
     try:
         yield bed
     finally:
