End a front although the store's client loses a cancellation

Cause, from the traceback of such a run: ToolcallService.close waits for its tasks, and the claims' look at the store went on after its cancellation, which the Redis client had lost; the timer wheel had ended by then, so its sleep never ended. Ruled out: the flood of lines (all requests had been answered, the clients were closed).

Change: CallClaims.stop, called before the tasks are cancelled, ends the look and the claims that wait at their next step, as the agent does it.

--- a/onyxpass/toolcalls/call_claims.py
+++ b/onyxpass/toolcalls/call_claims.py
@@ -41,17 +41,27 @@
         self.wheel, self.generation = wheel, generation
         self._store_error = ""  # of the last look at the store; empty: it answered
         self._looking = asyncio.Lock()
+        self._stopping = False
+
+    def stop(self) -> None:
+        """Let ``run`` and the claims that wait end at their next step.
+
+        To be called before their tasks are cancelled: the store's client may lose a cancellation.
+        """
+        self._stopping = True
 
     async def run(self) -> None:
-        """Look at the store at each heartbeat, until cancelled."""
-        while True:
+        """Look at the store at each heartbeat, until cancelled or stopped."""
+        interval_us = min(HEARTBEAT_INTERVAL_US, self.generation.recovery_period_us)
+        while not self._stopping:
             try:
                 await self._look()
             except StoreUnavailableError as error:
                 if not self._store_error:
                     log.warning("store_unavailable", why=str(error))
                 self._store_error = str(error)
-            await self.wheel.sleep(min(HEARTBEAT_INTERVAL_US, self.generation.recovery_period_us))
+            if not self._stopping:
+                await self.wheel.sleep(interval_us)
 
     async def claim(
         self,
@@ -98,7 +108,7 @@
         while not self.generation.is_open(now_us := self.wheel.clock.now_us()):
             if self._store_error:
                 raise StoreUnavailableError(self._store_error)
-            if not is_wanted():
+            if self._stopping or not is_wanted():
                 raise CallNotWantedError
             if now_us >= due_us:
                 raise StoreUnavailableError("the store has lost its records: fronts are recovering")
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -327,6 +327,7 @@
 
     async def close(self) -> None:
         """Cancel all tasks, without waiting for open requests, and close the store."""
+        self.claims.stop()
         tasks = [
             *self.tasks,
             *self.replicas.actor_tasks.values(),
--- a/tests/test_store_loss.py
+++ b/tests/test_store_loss.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -281,6 +282,29 @@
     run(scenario)
 
 
+def test_a_front_ends_although_the_stores_client_loses_its_cancellation(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a front that never closes: its look at the store went on after the cancel."""
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            service = await bed.open_front("f1")
+            looking = asyncio.Event()
+
+            async def lose_cancellation(_: str) -> StoreReading:
+                looking.set()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await asyncio.Event().wait()
+                return StoreReading(service.claims.generation.current, 10**6)
+
+            monkeypatch.setattr(service.store, "read_claims", lose_cancellation)
+            await looking.wait()
+            await asyncio.wait_for(bed.kill("f1"), SLACK_S)
+
+    run(scenario)
+
+
 # The decision
 
 
