Claim a tool call by what it asks for as well, and use no other call's result

Callers were told that a call was done that no tool server ever got, when the next run of a request used a known id for another tool; and a booking ran twice when the next run gave the same call a new id.

Cause: the key of a claim was the request's name and the writer's id, and the record was used without a look at name and arguments. Ruled out: two equal calls in one stream, which stay two calls.

Change: a second key by a digest of name and arguments and the number among equal calls; the digest in the record, compared before it is used; a call that is still out is "unknown" to whoever asks again, no longer "not made". The second key also closes the loss of one claim's key alone.

--- a/onyxpass/toolcalls/call_claims.py
+++ b/onyxpass/toolcalls/call_claims.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import structlog
@@ -65,19 +65,40 @@
 
     async def claim(
         self,
-        key: str,
+        keys: Sequence[str],
         record: Mapping[str, Any],
         ttl_s: int,
         *,
         idempotent: bool,
         is_wanted: Callable[[], bool],
     ) -> dict[str, Any] | None:
-        """Claim a call; None if it is made for the first time, otherwise its record.
+        """Claim a call by all of its keys; None if it is made for the first time, else its record.
 
-        A call that may be repeated does not wait for a recovery period. Raises
+        The first key that was claimed before decides, and its record is stored under the keys before
+        it. A call that may be repeated does not wait for a recovery period. Raises
         ``StoreUnavailableError`` if it can't be told whether the call was made before, and
         ``CallNotWantedError``.
         """
+        for position, key in enumerate(keys):
+            found = await self._claim_key(
+                key, record, ttl_s, idempotent=idempotent, is_wanted=is_wanted
+            )
+            if found is not None:
+                for earlier_key in keys[:position]:
+                    self.journal.put(earlier_key, found, ttl_s)
+                    await self.store.record_call(earlier_key, found, ttl_s)
+                return found
+        return None
+
+    async def _claim_key(
+        self,
+        key: str,
+        record: Mapping[str, Any],
+        ttl_s: int,
+        *,
+        idempotent: bool,
+        is_wanted: Callable[[], bool],
+    ) -> dict[str, Any] | None:
         token = secrets.token_hex(8)
         record = {**record, CLAIM_TOKEN_KEY: token}
         due_us = self.wheel.clock.now_us() + self.generation.recovery_period_us + OPEN_MARGIN_US
--- a/onyxpass/toolcalls/replicas.py
+++ b/onyxpass/toolcalls/replicas.py
@@ -189,7 +189,7 @@
         except RpcError as problem:
             writer.write(rpc.error(id, problem))
             return None
-        call = payload.calls[id] = ToolCall(
+        call = ToolCall(
             attempt.request.id,
             id,
             name,
@@ -197,6 +197,8 @@
             is_wanted=lambda: not attempt.ended,
             idempotent=self.core.idempotency_of(attempt.request) is Idempotency.IDEMPOTENT,
         )
+        call.occurrence = sum(earlier.content == call.content for earlier in payload.calls.values())
+        payload.calls[id] = call
         self.relay.start(call)
         return call
 
--- a/onyxpass/toolcalls/tool_call_relay.py
+++ b/onyxpass/toolcalls/tool_call_relay.py
@@ -3,6 +3,8 @@
 """
 
 import asyncio
+import hashlib
+import json
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -18,6 +20,7 @@
 from onyxpass.toolcalls.call_claims import CallClaims, CallNotWantedError
 from onyxpass.toolcalls.rpc import RpcError, RpcResponse
 
+KEY_SEPARATOR = "\x1f"  # not printable, so in no request's name
 log = structlog.get_logger("tools")
 
 
@@ -46,15 +49,40 @@
     withdrawn: bool = False  # the client has disconnected or cancelled the request
     settled: asyncio.Event = field(default_factory=asyncio.Event)  # the writer can be answered
     timer: Timer | None = None
+    # how many calls with the same name and arguments the stream made before this one
+    occurrence: int = 0
 
     @property
     def key(self) -> str:
+        """The key that the tool server gets, made of the writer's id of the call."""
         return f"{self.request}:{self.call_id}"
 
+    @property
+    def content(self) -> str:
+        """A digest of the name and the arguments."""
+        text = json.dumps([self.name, self.arguments], sort_keys=True)
+        return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+
+    @property
+    def keys(self) -> tuple[str, ...]:
+        """All keys under which the call is claimed.
+
+        A writer may give its call a new id when a request is repeated. The second key finds the
+        call again by what it asks for, and also if one of the two keys alone is lost.
+        """
+        if self.idempotent:
+            return (self.key,)
+        return self.key, f"{self.request}{KEY_SEPARATOR}{self.content}:{self.occurrence}"
+
+    def summary(self) -> dict[str, Any]:
+        """Return what the error of a call tells the writer."""
+        return {"call": self.call_id, "state": self.state.value}
+
     def to_record(self) -> dict[str, Any]:
         body: dict[str, Any] = {
             "state": self.state.value,
             "name": self.name,
+            "content": self.content,
             "withdrawn": self.withdrawn,
         }
         if self.state is ToolCallState.DONE:
@@ -261,14 +289,16 @@
 
     def start(self, call: ToolCall) -> None:
         """Start a call; ``call.settled`` is set once the writer can be answered."""
-        if call.key in self.open_calls:
-            call.state = ToolCallState.NOT_MADE
+        if open_call := next(filter(None, map(self.open_calls.get, call.keys)), None):
+            is_same = open_call.content == call.content
+            call.state = ToolCallState.UNKNOWN if is_same else ToolCallState.NOT_MADE
             call.error = RpcError(
                 rpc.ALREADY_CLAIMED, "a call with this id is out", data={"call": call.call_id}
             )
             call.settled.set()
             return
-        self.open_calls[call.key] = call
+        for key in call.keys:
+            self.open_calls[key] = call
         self._start_task(self._claim(call))
 
     def withdraw(self, call: ToolCall) -> None:
@@ -283,12 +313,15 @@
     def record(self, call: ToolCall) -> None:
         """Record the present state of a call, after the records of its earlier states."""
         if call.state is not ToolCallState.SENT:
-            self.open_calls.pop(call.key, None)
+            self._close(call)
         record = call.to_record()
-        self.claims.journal.put(call.key, record, self.ttl_s)
-        self._start_task(
-            self._write_record(call.key, record, self._last_writes.get(call.key)), call.key
-        )
+        for key in call.keys:
+            self.claims.journal.put(key, record, self.ttl_s)
+            self._start_task(self._write_record(key, record, self._last_writes.get(key)), key)
+
+    def _close(self, call: ToolCall) -> None:
+        for key in call.keys:
+            self.open_calls.pop(key, None)
 
     def _start_task(self, work: Any, key: str = "") -> None:
         task = asyncio.create_task(work)
@@ -303,8 +336,12 @@
     async def _claim(self, call: ToolCall) -> None:
         try:
             record = await self.claims.claim(
-                call.key,
-                {"state": ToolCallState.CLAIMING.value, "name": call.name},
+                call.keys,
+                {
+                    "state": ToolCallState.CLAIMING.value,
+                    "name": call.name,
+                    "content": call.content,
+                },
                 self.ttl_s,
                 idempotent=call.idempotent,
                 is_wanted=lambda: call.is_wanted() and not call.withdrawn,
@@ -332,9 +369,17 @@
             self.record(call)
 
     def _use_record(self, call: ToolCall, record: Mapping[str, Any]) -> None:
-        """Settle a call that was claimed before by its record."""
+        """Settle a call that was claimed before by its record.
+
+        The record of another call under the same id tells nothing of this one, which is not made.
+        """
         state = record.get("state")
-        if state == ToolCallState.DONE.value:  # made before: the recorded result is used
+        if record.get("name") != call.name or record.get("content", call.content) != call.content:
+            call.state = ToolCallState.NOT_MADE
+            call.error = RpcError(
+                rpc.ALREADY_CLAIMED, "this id was claimed for another call", data=call.summary()
+            )
+        elif state == ToolCallState.DONE.value:  # made before: the recorded result is used
             call.result, call.state = record.get("result"), ToolCallState.DONE
         else:
             # Another process may be making the call, or may have crashed: it is not made again.
@@ -343,14 +388,13 @@
                 if state in (ToolCallState.NOT_MADE.value, ToolCallState.ERROR.value)
                 else ToolCallState.UNKNOWN
             )
-            data = {"call": call.call_id, "state": call.state.value}
-            call.error = RpcError(rpc.ALREADY_CLAIMED, "claimed before", data=data)
-        self.open_calls.pop(call.key, None)
+            call.error = RpcError(rpc.ALREADY_CLAIMED, "claimed before", data=call.summary())
+        self._close(call)
         call.settled.set()
 
     def _fail_unsent(self, call: ToolCall, error: RpcError) -> None:
         call.state, call.error = ToolCallState.NOT_MADE, error
-        self.open_calls.pop(call.key, None)
+        self._close(call)
         call.settled.set()
 
     async def _write_record(
--- a/tests/test_store_loss.py
+++ b/tests/test_store_loss.py
@@ -235,6 +235,7 @@
             bed.tool_server.release.clear()
             first = asyncio.create_task(bed.ask("f1"))
             await st.until(lambda: bed.tool_server.call_ids)
+            assert (await bed.ask("f1", "r1"))["code"] == rpc.INVALID_REQUEST, "its name is open"
             bed.store.data.clear()
             assert (await bed.ask("f2"))["state"] == "unknown"
             bed.tool_server.release.set()
@@ -246,6 +247,29 @@
     run(scenario)
 
 
+def test_a_repeat_of_a_call_that_is_still_out_is_told_that_its_outcome_is_unknown(
+    tmp_path: Path,
+) -> None:
+    """Guards against "not made" for a booking that is being made: its first client has left."""
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            service = await bed.open_front("f1")
+            bed.tool_server.release.clear()
+            client = await st.Client(service.front.port).start()
+            client.generate(1, request="r1")
+            await st.until(lambda: bed.tool_server.call_ids)
+            await client.stop()
+            await st.until(lambda: not service.core.registry.by_number)
+            assert (await bed.ask("f1"))["state"] == "unknown"
+            for writer in bed.writers:
+                writer.steps = (st.call_tool("c1", "cancel_booking"),)
+            assert (await bed.ask("f1"))["state"] == "not made", "another call"
+            bed.check_calls(1)
+
+    run(scenario)
+
+
 def test_calls_that_may_be_repeated_do_not_wait_for_a_recovery(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with fronts(tmp_path, LONG_RECOVERY_MS) as bed:
@@ -305,6 +329,84 @@
     run(scenario)
 
 
+# Another id, another call
+
+
+@pytest.mark.parametrize("front", ["f1", "f2"])
+def test_a_repeat_whose_writer_gives_a_new_id_is_not_sent_again(tmp_path: Path, front: str) -> None:
+    """Guards against a booking that runs twice since a language model made up a new id for it."""
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            for name in ("f1", "f2"):
+                await bed.open_front(name)
+            await book_and_lose(bed, lose_nothing)
+            for id in ("c2", 7):
+                for writer in bed.writers:
+                    writer.steps = (st.call_tool(id),)
+                call = await bed.ask(front)
+                assert (call["call"], call["state"]) == (id, "done")
+            bed.check_calls(1)
+
+    run(scenario)
+
+
+def test_the_same_call_made_twice_in_one_stream_is_two_calls(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            await bed.open_front("f1")
+            for ids in (("c1", "c2"), ("c3", "c4")):
+                for writer in bed.writers:
+                    writer.steps = tuple(map(st.call_tool, ids))
+                assert (await bed.ask("f1"))["state"] == "done"
+                bed.check_calls(2)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("front", ["f1", "f2"])
+def test_a_client_is_never_told_the_result_of_another_call(tmp_path: Path, front: str) -> None:
+    """Guards against "done" for a call that no tool server ever got, under an id used before."""
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            for name in ("f1", "f2"):
+                await bed.open_front(name)
+            await book_and_lose(bed, lose_nothing)
+            for writer in bed.writers:
+                writer.steps = (st.call_tool("c1", "cancel_booking"),)
+                writer.results.clear()
+            assert (await bed.ask(front))["state"] == "not made"
+            (error,) = [result["error"] for writer in bed.writers for result in writer.results]
+            assert error["code"] == rpc.ALREADY_CLAIMED
+            bed.check_calls(1)
+
+    run(scenario)
+
+
+async def lose_claim_by_id(bed: Fronts, _: dict[str, str]) -> None:
+    del bed.store.data[CALL_KEY]
+
+
+async def lose_claim_by_content(bed: Fronts, _: dict[str, str]) -> None:
+    (key,) = [k for k in bed.store.data if k.startswith(CALL_KEY_PREFIX) and k != CALL_KEY]
+    del bed.store.data[key]
+
+
+@pytest.mark.parametrize("loss", [lose_claim_by_id, lose_claim_by_content])
+def test_a_repeat_at_another_front_after_the_loss_of_one_key_is_not_sent_again(
+    tmp_path: Path, loss: Loss
+) -> None:
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            for name in ("f1", "f2"):
+                await bed.open_front(name)
+            await book_and_lose(bed, loss)
+            await check_served_again(bed, "f2")
+
+    run(scenario)
+
+
 # The decision
 
 
