Record the ends of tool calls that are out when a front is told to stop

Callers whose call was out without its client at SIGTERM were told "unknown" when they asked again, for a booking that had been made.

Cause: a front waited for open requests and for records being written, not for calls whose client had left. Ruled out: the record's write, which was waited for.

Change: the front ends once each open call has settled, at the latest with the tool server's time limit.

Measured: the new test fails without the change (sent) and passes with it.

--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -322,4 +322,4 @@
             connection.writer.close()
         while self.connections:
             await asyncio.wait(list(self.connections))
-        await self.relay.wait_for_tasks()
+        await self.relay.finish()
--- a/onyxpass/toolcalls/tool_call_relay.py
+++ b/onyxpass/toolcalls/tool_call_relay.py
@@ -411,7 +411,15 @@
                 log.warning("call_not_recorded", call=key, why=str(problem), record=record)
                 await asyncio.sleep(wait_s)
 
-    async def wait_for_tasks(self) -> None:
-        """Wait until no claim or record is being written."""
+    async def finish(self) -> None:
+        """Wait until each call that is out has ended, and no claim or record is being written.
+
+        A call ends at the latest with the time limit of the tool server. Prevents a booking that was
+        made from being unknown to whoever asks for it again.
+        """
+        while self.open_calls:
+            await asyncio.wait(
+                [asyncio.create_task(call.settled.wait()) for call in self.open_calls.values()]
+            )
         while self.tasks:
             await asyncio.wait(list(self.tasks))
--- a/tests/test_store_loss.py
+++ b/tests/test_store_loss.py
@@ -270,6 +270,30 @@
     run(scenario)
 
 
+def test_the_end_of_a_call_whose_client_has_left_is_recorded_at_shutdown(tmp_path: Path) -> None:
+    """Guards against a booking that was made and is unknown when it is asked for again."""
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            service = await bed.open_front("f1")
+            bed.tool_server.release.clear()
+            client = await st.Client(service.front.port).start()
+            client.generate(1, request="r1")
+            await st.until(lambda: bed.tool_server.call_ids)
+            await client.stop()
+            await st.until(lambda: not service.core.registry.by_number)
+            stopping = asyncio.create_task(service.stop())
+            await st.until(lambda: service.front.server and not service.front.server.is_serving())
+            bed.tool_server.release.set()
+            await stopping
+            assert bed.store.recorded_calls()["r1:c1"]["state"] == "done"
+            await bed.open_front("f2")
+            assert (await bed.ask("f2"))["state"] == "done"
+            bed.check_calls(1)
+
+    run(scenario)
+
+
 def test_calls_that_may_be_repeated_do_not_wait_for_a_recovery(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with fronts(tmp_path, LONG_RECOVERY_MS) as bed:
