Read an attempt's answer as what the attempt was sent as

Callers of the JSON-RPC front were told that a booking was done which no writer had got, when a changed list of servers gave a prefill server's id to a decode server; the other way round a written booking was refused as if nothing had run.

Cause: RpcReplica.role changed with the list and was asked again when the answer came. Ruled out: the HTTP front, where the status tells the two apart.

Change: Attempt.may_generate, which is fixed when the attempt is made, decides; a server's actor has no role any more.

--- a/onyxpass/toolcalls/replicas.py
+++ b/onyxpass/toolcalls/replicas.py
@@ -14,7 +14,7 @@
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.net.dialer import ResourceShortageError, connect
 from onyxpass.scheduling import contract
-from onyxpass.scheduling.contract import AttemptStatus, HealthCheckResult, Idempotency, Role
+from onyxpass.scheduling.contract import AttemptStatus, HealthCheckResult, Idempotency
 from onyxpass.toolcalls import rpc
 from onyxpass.toolcalls.rpc import RpcError, RpcRequest, RpcResponse
 from onyxpass.toolcalls.tool_call_relay import ToolCall, ToolCallRelay, ToolCallState
@@ -44,7 +44,6 @@
     def __init__(
         self,
         name: str,
-        role: Role,
         address: Address,
         core: RequestDispatcher,
         relay: ToolCallRelay,
@@ -52,7 +51,7 @@
         connection_slots: asyncio.Semaphore,
     ) -> None:
         super().__init__(name, core)
-        self.role, self.address, self.relay = role, address, relay
+        self.address, self.relay = address, relay
         self.connect_timeout_us, self.connection_slots = connect_timeout_us, connection_slots
 
     async def _open(
@@ -114,7 +113,7 @@
         if attempt.view_number:
             params["view"] = attempt.view_number
         writer.write(
-            rpc.request(attempt.number, "read" if self.role is Role.PREFILL else "write", params)
+            rpc.request(attempt.number, "write" if attempt.may_generate else "read", params)
         )
 
     async def _read_stream(
@@ -122,6 +121,8 @@
     ) -> tuple[AttemptStatus, int, str]:
         """Read an attempt's stream up to its response; text and tool calls are both stream events.
 
+        Whether it is a prefill was decided with the attempt: meanwhile its server's id may have been
+        given to a server of another kind.
         Returns the attempt's status, its note in the router's contract, and a reason.
         """
         result_tasks: set[asyncio.Task[None]] = set()
@@ -134,7 +135,7 @@
                 match rpc.parse(text):
                     case RpcResponse(id, result, error) if id == attempt.number:
                         return self._final_status(attempt, result, error)
-                    case RpcRequest(None, "text", params) if self.role is not Role.PREFILL:
+                    case RpcRequest(None, "text", params) if attempt.may_generate:
                         part = rpc.string_param(params, "text", reject_surrogates=False).encode(
                             "utf-8", "surrogatepass"
                         )
@@ -144,7 +145,7 @@
                         async with self.wheel.timeout(STREAM_STALL_TIMEOUT_US):
                             await attempt.request.client.forward(part)
                     case RpcRequest(int() | str() as id, "tools/call", params) if (
-                        self.role is not Role.PREFILL
+                        attempt.may_generate
                     ):
                         # Prevents a second run: the call commits the attempt before it is sent on.
                         if not self.core.outcomes.stream_event_received(attempt):
@@ -227,7 +228,7 @@
                 0,
                 error.message[:200],
             )
-        if self.role is Role.PREFILL:
+        if not attempt.may_generate:
             cached = result.get("cached_tokens") if isinstance(result, dict) else 0
             return AttemptStatus.PREFILLED, cached if type(cached) is int and cached >= 0 else 0, ""
         payload: Payload = attempt.request.payload
@@ -285,15 +286,14 @@
         self.connection_slots = asyncio.Semaphore(max_connections)
         self.departed: set[str] = set()  # left the membership, with work open
 
-    def add(self, name: str, role: Role, address: Address) -> None:
-        """Add a server of the operator's file, or update its role and address."""
+    def add(self, name: str, address: Address) -> None:
+        """Add a server of the operator's file, or update its address for later attempts."""
         if (known := self.actors.get(name)) is not None:
-            known.role, known.address = role, address
+            known.address = address
         else:
             self.add_actor(
                 RpcReplica(
                     name,
-                    role,
                     address,
                     self.core,
                     self.relay,
@@ -312,7 +312,7 @@
             self.departed.add(server.id)
         else:
             self.departed.discard(server.id)
-            self.add(server.id, self.core.endpoints.roles[server.kind], address)
+            self.add(server.id, address)
         for name in list(self.departed):
             actor = self.actors.get(name)
             if actor is None or not (
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -248,7 +248,7 @@
 
     def _apply_servers(self, config: ToolcallsConfig) -> None:
         for server, address in config.servers:
-            self.replicas.add(server.id, self.core.endpoints.roles[server.kind], address)
+            self.replicas.add(server.id, address)
         self.core.update_endpoints(
             contract.EndpointUpdate(
                 contract.EndpointUpdateForm.COMPLETE, tuple(s for s, _ in config.servers)
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -484,3 +484,51 @@
             assert client.texts == ["a", "b"]
 
     run(scenario)
+
+
+@pytest.mark.parametrize(("kind", "method"), [("reader", "read"), ("writer", "write")])
+def test_an_answer_counts_as_what_its_attempt_was_sent_as(kind: str, method: str) -> None:
+    """Guards against a prefill's answer that is told as a booking, and a booking that is written twice.
+
+    The server's id is given to a server of the other kind while an attempt is out at the old one.
+    """
+
+    async def scenario() -> None:
+        hold = asyncio.Event()
+
+        async def wait(*_: object) -> None:
+            await hold.wait()
+
+        class HeldPrefillServer(st.PrefillServer):
+            async def handle_message(self, message: dict[str, Any], *streams: Any) -> None:
+                if method == "read" and message.get("method") == "read":
+                    await hold.wait()
+                await super().handle_message(message, *streams)
+
+        async with world(st.send_text("a"), *([wait] if method == "write" else [])) as w:
+            held = [await HeldPrefillServer().start(), await HeldPrefillServer().start()]
+            raw = w.config()  # type: ignore[attr-defined]
+            readers = [s for s in raw["servers"] if s["kind"] == "reader"]
+            for entry, server in zip(readers, held, strict=True):
+                entry["address"] = server.address
+            w.service.reload(lambda: parse(raw))  # type: ignore[attr-defined]
+            client = await w.client()
+            client.generate(1, request="r1")
+            servers = held if method == "read" else w.writers
+            await st.until(lambda: sum(s.count(method) for s in servers) == 1)
+            changed = w.config()  # type: ignore[attr-defined]
+            (position,) = [i for i, s in enumerate(servers) if s.count(method)]
+            for entry in changed["servers"]:
+                if entry["id"] == f"{kind}-{position}":
+                    entry["kind"] = "writer" if kind == "reader" else "reader"
+                    entry["address"] = (w.writers if kind == "reader" else w.readers)[0].address
+            w.service.reload(lambda: parse(changed))  # type: ignore[attr-defined]
+            hold.set()
+            answer = await client.response(1)
+            assert answer["result"]["finish"] == "stop", "as a writer has answered"
+            assert client.texts == ["a"]
+            assert w.writes == 1
+            for server in held:
+                await server.stop()
+
+    run(scenario)
