--- a/onyxpass/toolcalls/call_journal.py
+++ b/onyxpass/toolcalls/call_journal.py
@@ -7,6 +7,7 @@
 
 import fcntl
 import json
+import math
 import os
 import time
 from collections.abc import Iterator, Mapping
@@ -125,15 +126,15 @@
         return os.fdopen(descriptor, "r+", encoding="utf-8", errors="replace")
 
     def _load(self, line: str) -> None:
-        """Load one line; the last one may be incomplete after a kill."""
+        """Load one line; a damaged one is left out, such as the last one after a kill."""
         try:
             key, record, expires_at_s = json.loads(line)
-            if not isinstance(json.loads(record), dict):
-                return
-        except (ValueError, TypeError, RecursionError):
+            is_valid = isinstance(json.loads(record), dict) and math.isfinite(expires_at_s)
+        except (ValueError, TypeError, RecursionError, OverflowError):
             return
-        self._entries.pop(key, None)
-        self._entries[key] = JournalEntry(record, float(expires_at_s))
+        if is_valid and isinstance(key, str):
+            self._entries.pop(key, None)
+            self._entries[key] = JournalEntry(record, expires_at_s)
 
     def _append(self, key: str, entry: JournalEntry) -> None:
         if self._file is None:
--- a/tests/test_store_loss.py
+++ b/tests/test_store_loss.py
@@ -478,6 +478,17 @@
     journal.close()
 
 
+def test_damaged_lines_of_a_journal_are_left_out(tmp_path: Path) -> None:
+    path = tmp_path / "calls"
+    lines = ("{", "[]", "7", '[[], "{}", 1]', '["a", "[]", 1]', '["b", "{}", NaN]', '["c", {}, 1]')
+    good = '["d", "{}", 99999999999]'
+    path.write_text("\n".join((*lines, '["e", "{}", "x"]', f'["f", "{{}}", 1{"0" * 400}]', good)))
+    journal = CallJournal(path)
+    assert [key for key, _ in journal.newest_first()] == ["d"]
+    journal.put("g", {"state": "sent"}, 60)
+    journal.close()
+
+
 def test_a_journal_stays_bounded(tmp_path: Path) -> None:
     path = tmp_path / "calls"
     journal = CallJournal(path)
