Tests: wait until a node has the state that the test restores

Cause: the test copies the relay's state once the hosts have the value; a host may have pulled it from another upstream while the relay had nothing yet.

Change: the test waits until each node that it restores has saved the value, which is what it means; nothing that it asserts changed.

--- a/tests/test_desired.py
+++ b/tests/test_desired.py
@@ -35,6 +35,7 @@
 from onyxpass.history_checkers.configuration import NodeEvent
 from onyxpass.testbed.configuration import ConfigurationTrial
 from onyxpass.testbed.replicas import StandinDiscovery, StandinFleet
+from onyxpass.testbed.server import until
 from onyxpass.testbed.settings import SETTINGS
 
 TRIAL_TIMEOUT_S = 60  # ends a trial that hangs; trials wait for their conditions otherwise
@@ -272,6 +273,14 @@
     run(scenario)
 
 
+def saved_value(path: Path, key: str) -> object:
+    """Return the value of a key in a state file; None if the file or the key is absent."""
+    if not path.exists():
+        return None
+    entries = json.loads(path.read_text())["entries"]
+    return next((value for name, value, *_ in entries if name == key), None)
+
+
 def test_nodes_that_were_killed_suspended_or_restored_from_an_older_disk_catch_up(
     tmp_path: Path,
 ) -> None:
@@ -279,9 +288,10 @@
         async with ConfigurationTrial(tmp_path) as t:
             await t.set_values("north-c0", a=1)
             await t.wait_until_in_force(t.host_names, has(a=1))
-            older = {
-                name: t.read_state_file(name) for name in ("north-c0", "north-relay", "north-h0")
-            }
+            restored = ("north-c0", "north-relay", "north-h0")
+            # A host may have pulled from another upstream while the relay had nothing yet.
+            await until(lambda: all(saved_value(t.state_file(name), "a") for name in restored))
+            older = {name: t.read_state_file(name) for name in restored}
             # One host is suspended; another host and the relay of the south are down.
             t.signal("south-h0", signal.SIGSTOP)
             await t.kill("north-h1")
