--- a/review/9/case.py
+++ b/review/9/case.py
@@ -78,4 +78,4 @@
     return BROKEN if lost else HELD
 
 
-run(FOLDER, scenario)
+run(FOLDER / "record.txt", scenario)  # what was sent, answered and run
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -53,10 +53,10 @@
 
 
 class Record:
-    """What was sent, answered and run; written to ``record.txt``."""
+    """What was sent, answered and run; each line is written to the case's ``record.txt`` at once."""
 
-    def __init__(self, folder):
-        self.path, self.began, self.lines = folder / "record.txt", time.monotonic(), []
+    def __init__(self, path):
+        self.path, self.began = Path(path), time.monotonic()
         self.path.write_text("")
 
     def __call__(self, text):
@@ -143,9 +143,9 @@
                     os.kill(int(entry.name), signal.SIGKILL)
 
 
-def run(folder, scenario):
+def run(record_file, scenario):
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
-    record = Record(Path(folder))
+    record = Record(record_file)
 
     async def main():
         bench = Bench(record)
