Parse input in a bounded share of each turn, cheap steps first, heads of 1,000 lines at most

Cause, three parts: - A task that found the turn of the event loop used up yielded once and then took its step whatever the turn had used (end_long_turn). So 440 waiting tasks all parsed in the next turn, and all validated in the one after it. - read_arrival went through all headers seven times and check_framing and keep-alive three times, in Python. - Nothing bounded the lines of a head, only its bytes: one parse is a step of 17 ms.

Evidence: with the turns over 0.2 s written down under cProfile, the wait was two turns, of 25.7 and 29.2 s, one of parsing and one of validating; 29 million of the iterations were the repeated passes, 32 of 62 s, against 12 s in h11. That is the half of the wait that one parse times 440 doesn't explain. Ruled out by the same profile: building the 400, the limiter of bad requests, logging and closing, which have no visible share; accepting (16 a turn) and the order of timers, which only wait for the turn.

Change: core/loop_turn.py keeps waiting steps in queues by priority, each with its own time in a turn (2.5 ms for requests that are not complete, 10 ms for all else), ordered by weighted fair queueing over the peers, and woken turn by turn. net/line_limit.py counts lines as they come and rejects a head, or trailers, of over 1,000 before h11 parses them (431; an attempt has failed). One pass over the headers. JSON-RPC lines take their turn once they are there, not before the wait for them, and a prompt is searched for surrogates in one step. A connection whose bytes wait for their turn doesn't make room for a new one. New: svc.delayed_steps and svc.longest_step_wait_us.

--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -19,6 +19,7 @@
 from onyxpass.core.context import DispatcherContext, enforce
 from onyxpass.core.endpoints import COMPLETE_FORMS, EndpointTable
 from onyxpass.core.final_answers import FinalAnswers
+from onyxpass.core.loop_turn import StepPriority, step_waits
 from onyxpass.core.metrics import Metrics
 from onyxpass.core.outcomes import AttemptOutcomes
 from onyxpass.core.reasons import Reason
@@ -162,6 +163,10 @@
         avoided = self.router.avoided(self.clock.now_us()) & self.endpoints.by_id.keys()
         rows = self.metrics.rows(len(self.endpoints.by_id), len(avoided))
         rows["svc.longest_loop_turn_us"] = event_loop.longest_turn_us()
+        for priority in StepPriority:
+            waits, name = step_waits(priority), priority.name.lower()
+            rows[f"svc.delayed_steps.{name}"] = waits.steps
+            rows[f"svc.longest_step_wait_us.{name}"] = waits.longest_us
         return rows | {"svc.violations": self.invariants.violations.total()}
 
     def receive(self, message: contract.Event) -> None:
--- a/onyxpass/net/connections.py
+++ b/onyxpass/net/connections.py
@@ -53,12 +53,14 @@
 
     @property
     def unread(self) -> bool:
-        """Whether bytes have arrived that no task has read, on a connection the client keeps open.
+        """Whether bytes have arrived that no task has parsed, on a connection the client keeps open.
 
         Such a connection may carry a request, and must not be closed unanswered for a new
         connection.
         """
-        return self.wire is not None and self.wire.unread and not self.wire.hung_up
+        if self.wire is None or self.wire.hung_up:
+            return False
+        return self.wire.is_waiting_for_step or self.wire.unread
 
     @property
     def ended(self) -> bool:
--- a/onyxpass/net/endpoint_watcher.py
+++ b/onyxpass/net/endpoint_watcher.py
@@ -300,7 +300,7 @@
         try:
             if self.seq is None:
                 await self._fetch_list(wire)
-                wire.h11.start_next_cycle()
+                wire.start_next_cycle()
             await self._run_watch(wire)
         finally:
             wire.abort()
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -353,7 +353,7 @@
                 await wire.writer.drain()
             if wire.h11.our_state is not h11.DONE or wire.h11.their_state is not h11.DONE:
                 return
-            wire.h11.start_next_cycle()
+            wire.start_next_cycle()
             # A request that has already arrived is answered before the connection closes.
             if self.closes_after_answer and not wire.stale:
                 connection.close_reason = CloseReason.SHUTTING_DOWN
@@ -463,7 +463,7 @@
             if client.done.is_set():
                 # keeps a next request that arrived together with the end of this answer
                 if watch.done():
-                    wire.h11.receive_data(watch.result())
+                    wire.receive(watch.result())
                 return
             self.core.answers.client_disconnected(request)
             if watch.result() and not client.stream_begun:
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -8,8 +8,10 @@
 import h11
 
 from onyxpass.core.event_loop import unseen_since_ns
-from onyxpass.core.loop_turn import end_long_turn
+from onyxpass.core.loop_turn import StepFlow, StepPriority, begin_step
 from onyxpass.core.timer_wheel import TimerWheel
+from onyxpass.net.line_limit import TOO_MANY_LINES_STATUS, LineLimit
+from onyxpass.net.step_cost import UnparsedInput
 from onyxpass.net.tcp import acknowledged
 
 HEAD_LIMIT = 32 * 1024
@@ -58,6 +60,13 @@
         self.reader: asyncio.StreamReader = reader
         self.writer: asyncio.StreamWriter = writer
         self.h11 = h11.Connection(role, max_incomplete_event_size=HEAD_LIMIT)
+        self._line_limit = LineLimit(self.h11)
+        self._unparsed_input = UnparsedInput()
+        self._step_flow = StepFlow()
+        self._step_priority = (
+            StepPriority.NEW_REQUEST if role is h11.SERVER else StepPriority.OPEN_REQUEST
+        )
+        self.is_waiting_for_step = False  # whether received bytes wait for their turn
         # number of the server's exclusions and inclusions when this connection was opened
         self.generation = 0
         self.read_count = 0
@@ -95,18 +104,37 @@
         Raises HttpError if the peer closes within a message or breaks the protocol.
         """
         while True:
-            await end_long_turn()
+            await self.begin_step()
             if (event := self.poll()) is not None:
                 return event
             await self.read_more()
 
+    async def begin_step(self) -> None:
+        """Wait for the turn of this connection to parse what it has received."""
+        self.is_waiting_for_step = True
+        try:
+            cost_ns = self._unparsed_input.take_cost_ns()
+            await begin_step(self._step_priority, self._step_flow, cost_ns)
+        finally:
+            self.is_waiting_for_step = False
+
     def poll(self) -> h11.Event | type[h11.PAUSED] | None:
         """Return the next event from bytes already received; None if more bytes are needed."""
+        if self._line_limit.is_exceeded():
+            raise HttpError("too many header lines", TOO_MANY_LINES_STATUS)
         try:
             event = self.h11.next_event()
         except h11.RemoteProtocolError as error:
             raise HttpError(str(error), error.error_status_hint) from error
-        return None if event is h11.NEED_DATA else event  # type: ignore[return-value]
+        if event is h11.NEED_DATA:
+            return None
+        self._line_limit.parsed(event)  # type: ignore[arg-type]
+        return event  # type: ignore[return-value]
+
+    def start_next_cycle(self) -> None:
+        """Prepare for the next message once both sides have ended the present one."""
+        self.h11.start_next_cycle()
+        self._line_limit.begin_message()
 
     async def read_more(self) -> None:
         """Read once and pass the bytes, or the end of the stream, to h11."""
@@ -119,10 +147,16 @@
             self.timed_protocol.take_since() if self.timed_protocol is not None else None
         )
         self.last_two_bytes = (self.last_two_bytes + data[-2:])[-2:]
+        self.receive(data)
+
+    def receive(self, data: bytes) -> None:
+        """Pass bytes that were read from the connection, or the end of the stream, to h11."""
         try:
             self.h11.receive_data(data)
         except (h11.RemoteProtocolError, RuntimeError) as error:
             raise HttpError(str(error)) from error
+        self._unparsed_input.received_bytes += len(data)
+        self._unparsed_input.head_lines += self._line_limit.received(data)
 
     @property
     def pending(self) -> bool:
--- a/onyxpass/net/http_client.py
+++ b/onyxpass/net/http_client.py
@@ -10,7 +10,7 @@
 import h11
 
 from onyxpass.config.platform_file import Address
-from onyxpass.core.loop_turn import end_long_turn
+from onyxpass.core.loop_turn import begin_step
 from onyxpass.net.unix import short_socket_path
 
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -101,7 +101,7 @@
 async def _read_response(wire: h11.Connection, reader: asyncio.StreamReader) -> ApiResponse:
     status, text = 0, bytearray()
     while True:
-        await end_long_turn()
+        await begin_step()
         event = wire.next_event()
         if event is h11.NEED_DATA:
             wire.receive_data(await reader.read(65_536))
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -197,7 +197,7 @@
         mark the connection as stale, and it is closed.
         """
         if wire.h11.our_state is h11.DONE and wire.h11.their_state is h11.DONE and not wire.stale:
-            wire.h11.start_next_cycle()
+            wire.start_next_cycle()
             # Connections from before a drain or an exclusion are not kept: their other end may be
             # gone.
             if (
--- a/onyxpass/net/request_parser.py
+++ b/onyxpass/net/request_parser.py
@@ -84,11 +84,12 @@
 
     ``size`` is the length of the body in bytes and bounds the prompt's tokens.
     """
-    headers = {bytes(k): bytes(v) for k, v in head.headers}
-    for name in SINGLE_VALUE_HEADERS:
+    headers: dict[bytes, bytes] = {}
+    for key, value in head.headers:
         # prevents two interpretations of one request
-        if sum(k == name for k, _ in head.headers) > 1:
-            raise BadRequest(f"{name.decode()} stands there twice")
+        if key in headers and key in SINGLE_VALUE_HEADERS:
+            raise BadRequest(f"{key.decode()} stands there twice")
+        headers[bytes(key)] = bytes(value)
     if any(len(headers.get(name, b"")) > MAX_HEADER_BYTES for name in SINGLE_VALUE_HEADERS):
         # prevents long names from filling the router's tables
         raise BadRequest("a header is too long")
--- a/onyxpass/net/response_reader.py
+++ b/onyxpass/net/response_reader.py
@@ -9,7 +9,6 @@
 
 import h11
 
-from onyxpass.core.loop_turn import end_long_turn
 from onyxpass.core.timer_wheel import Timeout, TimerWheel
 from onyxpass.net.http import BODY_LIMIT, HttpConnection, HttpError, header
 
@@ -72,7 +71,7 @@
         of its own.
         """
         while True:
-            await end_long_turn()
+            await self.wire.begin_step()
             event, self._lookahead = self._lookahead, None
             if event is None:
                 event = self.wire.poll()
--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -13,6 +13,7 @@
 
 from onyxpass.config.platform_file import Address
 from onyxpass.core.dispatcher import ANSWER_MARGIN_US, RequestDispatcher
+from onyxpass.core.loop_turn import StepFlow, StepPriority
 from onyxpass.core.requests import Request
 from onyxpass.net.http import CLIENT_CLOSE_TIMEOUT_US, TimedProtocol, hung_up
 from onyxpass.scheduling import contract
@@ -165,7 +166,8 @@
             if not has_room:
                 writer.write(rpc.error(None, RpcError(rpc.REFUSED, "too many connections")))
                 return
-            while (line := await rpc.read_line(reader)) is not None:
+            flow = StepFlow()
+            while line := await rpc.read_line(reader, StepPriority.NEW_REQUEST, flow):
                 self.connections[task] = self.connections.pop(task)
                 connection.record_arrival()
                 if connection.closed_by_server:
--- a/onyxpass/toolcalls/rpc.py
+++ b/onyxpass/toolcalls/rpc.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import json
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any, NoReturn
 
-from onyxpass.core.loop_turn import end_long_turn
+from onyxpass.core.loop_turn import StepFlow, StepPriority, begin_step
+from onyxpass.net.step_cost import step_cost_ns
 
 LINE_LIMIT = 256 * 1024  # bytes
+SURROGATE_PATTERN = re.compile("[\ud800-\udfff]")
 Id = str | int
 
 # Defined by JSON-RPC 2.0.
@@ -128,20 +131,27 @@
     return encode_line({"id": id, "error": problem.to_dict()})
 
 
-async def read_line(reader: asyncio.StreamReader) -> bytes | None:
+async def read_line(
+    reader: asyncio.StreamReader,
+    priority: StepPriority = StepPriority.OPEN_REQUEST,
+    flow: StepFlow | None = None,
+) -> bytes | None:
     """Return the next line that is not blank, or None at the end of the stream.
 
+    The line is returned when the event loop has time for a step of this ``priority``, in which the
+    caller may parse it; ``flow`` is that of its peer.
+
     A last line without a line feed is dropped. The reader must have been made with
     ``limit=LINE_LIMIT``; raises RpcError if a line is longer.
     """
     while True:
-        await end_long_turn()
         try:
             text = await reader.readuntil(b"\n")
         except asyncio.IncompleteReadError:
             return None
         except asyncio.LimitOverrunError as problem:
             raise RpcError(INVALID_REQUEST, f"a line of more than {LINE_LIMIT} bytes") from problem
+        await begin_step(priority, flow, step_cost_ns(len(text)))
         if text.strip():
             return text
 
@@ -157,7 +167,7 @@
     """
     value = params.get(name, default)
     if not isinstance(value, str) or (
-        reject_surrogates and any("\ud800" <= c <= "\udfff" for c in value)
+        reject_surrogates and SURROGATE_PATTERN.search(value) is not None
     ):
         raise RpcError(INVALID_PARAMS, f"{name} must be a string")
     return value
