--- a/onyxpass/core/loop_turn.py
+++ b/onyxpass/core/loop_turn.py
@@ -13,7 +13,6 @@
 import heapq
 import itertools
 import time
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
 from weakref import WeakKeyDictionary
@@ -47,13 +46,6 @@
     longest_us: int = 0
 
 
-@dataclass(slots=True)
-class StepFlow:
-    """The steps of one peer, which share its part of the time."""
-
-    virtual_end_ns: int = 0  # virtual time at which its latest step ends
-
-
 @dataclass(slots=True, order=True)
 class _WaitingStep:
     virtual_end_ns: int
@@ -64,125 +56,117 @@
 class _StepQueue:
     """The steps of one priority on one event loop."""
 
-    def __init__(self, share_us: int) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, share_us: int) -> None:
+        self._loop = loop
         self._share_ns = share_us * 1000
         self._turn_ns = self._first_step_ns = -1  # the turn of the latest step, and its first step
         self._waiting: list[_WaitingStep] = []
+        self._numbers = itertools.count()
+        self._wake_is_scheduled = False
         # The time that each waiting peer would have had by now, if they were all served together.
-        self._virtual_ns = 0
+        self.virtual_ns = 0
+        self.waits = StepWaits()
+
+    def try_begin(self, cost_ns: int) -> bool:
+        """Begin a step if the present turn has time left for it and no other step waits."""
+        return not self._waiting and self._has_time(cost_ns)
 
-    def __len__(self) -> int:
-        return len(self._waiting)
+    async def wait(self, virtual_end_ns: int, cost_ns: int) -> None:
+        """Wait for the turn of a step that ends at this virtual time, and begin it."""
+        began_ns, number = time.monotonic_ns(), next(self._numbers)
+        while True:
+            woken = self._loop.create_future()
+            heapq.heappush(self._waiting, _WaitingStep(virtual_end_ns, number, woken))
+            self._schedule_wake()
+            await woken
+            if self._has_time(cost_ns):
+                break
+        self.waits.steps += 1
+        waited_us = (time.monotonic_ns() - began_ns) // 1000
+        self.waits.longest_us = max(self.waits.longest_us, waited_us)
 
-    def try_begin(self) -> bool:
-        """Begin a step if the present turn has time left for it.
+    def _has_time(self, cost_ns: int) -> bool:
+        """Return whether a step begins now.
 
         The first step of a turn always begins, so that the queue makes progress.
         """
         turn_ns, now_ns = turn_began_ns(), time.monotonic_ns()
         if turn_ns != self._turn_ns:
             self._turn_ns, self._first_step_ns = turn_ns, now_ns
-            return True
-        return now_ns - self._first_step_ns < self._share_ns
-
-    def charge(self, flow: StepFlow, cost_ns: int) -> int:
-        """Add a step to a flow; return the virtual time at which the step ends."""
-        flow.virtual_end_ns = max(flow.virtual_end_ns, self._virtual_ns) + cost_ns
-        return flow.virtual_end_ns
-
-    def advance(self, cost_ns: int) -> None:
-        """Advance the virtual time by a step that has begun."""
-        self._virtual_ns += cost_ns // (len(self._waiting) + 1)
-
-    def push(self, virtual_end_ns: int, number: int) -> asyncio.Future[None]:
-        """Add a waiting step; the returned future is done when it may be tried again."""
-        woken = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiting, _WaitingStep(virtual_end_ns, number, woken))
-        return woken
-
-    def wake(self) -> None:
-        """Wake the next waiting steps."""
+        elif now_ns - self._first_step_ns >= self._share_ns:
+            return False
+        self.virtual_ns += cost_ns // (len(self._waiting) + 1)
+        return True
+
+    def _schedule_wake(self) -> None:
+        if not self._wake_is_scheduled:
+            self._wake_is_scheduled = True
+            self._loop.call_soon(self._wake)
+
+    def _wake(self) -> None:
+        self._wake_is_scheduled = False
         woken_count = 0
         while self._waiting and woken_count < MAX_WAKES:
             woken = heapq.heappop(self._waiting).woken
             if not woken.done():  # cancelled together with its task
                 woken.set_result(None)
                 woken_count += 1
+        if self._waiting:
+            self._schedule_wake()
 
 
-class _StepScheduler:
-    """Decides on one event loop which steps begin in which turn."""
+_queues: WeakKeyDictionary[asyncio.AbstractEventLoop, dict[StepPriority, _StepQueue]] = (
+    WeakKeyDictionary()
+)
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._loop = loop
-        self._queues = {
-            priority: _StepQueue(share_us) for priority, share_us in TURN_SHARES_US.items()
-        }
-        self._numbers: Iterator[int] = itertools.count()
-        self._wake_is_scheduled = False
-        self.waits = {priority: StepWaits() for priority in StepPriority}
 
-    async def begin_step(self, priority: StepPriority, flow: StepFlow, cost_ns: int) -> None:
-        queue = self._queues[priority]
-        virtual_end_ns = queue.charge(flow, cost_ns)
-        if queue or not queue.try_begin():
-            await self._wait(priority, virtual_end_ns)
-        queue.advance(cost_ns)
+def _queue_of(priority: StepPriority) -> _StepQueue:
+    loop = asyncio.get_running_loop()
+    if (queues := _queues.get(loop)) is None:
+        queues = {p: _StepQueue(loop, share_us) for p, share_us in TURN_SHARES_US.items()}
+        _queues[loop] = queues
+    return queues[priority]
 
-    async def _wait(self, priority: StepPriority, virtual_end_ns: int) -> None:
-        queue, waits = self._queues[priority], self.waits[priority]
-        began_ns, number = time.monotonic_ns(), next(self._numbers)
-        while True:
-            woken = queue.push(virtual_end_ns, number)
-            self._schedule_wake()
-            await woken
-            if queue.try_begin():
-                break
-        waits.steps += 1
-        waits.longest_us = max(waits.longest_us, (time.monotonic_ns() - began_ns) // 1000)
 
-    def _schedule_wake(self) -> None:
-        if not self._wake_is_scheduled:
-            self._wake_is_scheduled = True
-            self._loop.call_soon(self._wake)
+class StepFlow:
+    """The steps of one peer, which share its part of the time.
 
-    def _wake(self) -> None:
-        self._wake_is_scheduled = False
-        for queue in self._queues.values():
-            queue.wake()
-        if any(self._queues.values()):
-            self._schedule_wake()
+    Used on one event loop.
+    """
 
+    def __init__(self, priority: StepPriority = StepPriority.OPEN_REQUEST) -> None:
+        self.priority = priority
+        self._queue: _StepQueue | None = None
+        self._virtual_end_ns = 0  # of the latest step
 
-_schedulers: WeakKeyDictionary[asyncio.AbstractEventLoop, _StepScheduler] = WeakKeyDictionary()
+    async def begin_step(self, cost_ns: int = DEFAULT_COST_NS) -> None:
+        """Wait until the event loop has time for a step of this peer, and begin it.
 
+        To be called before each step of a loop whose input may already be buffered: such a loop
+        never waits, and without this it would keep requests, timers and other streams from being
+        served for as long as its peer sends. ``cost_ns`` is the estimated processor time of the
+        step.
+        """
+        if not self.try_begin_step(cost_ns):
+            await self.wait_for_step(cost_ns)
 
-def _scheduler() -> _StepScheduler:
-    loop = asyncio.get_running_loop()
-    if (scheduler := _schedulers.get(loop)) is None:
-        scheduler = _schedulers[loop] = _StepScheduler(loop)
-    return scheduler
-
-
-async def begin_step(
-    priority: StepPriority = StepPriority.OPEN_REQUEST,
-    flow: StepFlow | None = None,
-    cost_ns: int = DEFAULT_COST_NS,
-) -> None:
-    """Wait until the event loop has time for a step of this priority, and begin it.
-
-    To be called before each step of a loop whose input may already be buffered: such a loop never
-    waits, and without this it would keep requests, timers and other streams from being served for
-    as long as its peer sends. ``flow`` is that of the peer; the default is one of its own for this
-    step. ``cost_ns`` is the estimated processor time of the step.
-    """
-    await _scheduler().begin_step(priority, flow or StepFlow(), cost_ns)
+    def try_begin_step(self, cost_ns: int) -> bool:
+        """Begin a step if that needs no wait; otherwise ``wait_for_step`` is to be called next."""
+        if (queue := self._queue) is None:
+            queue = self._queue = _queue_of(self.priority)
+        self._virtual_end_ns = max(self._virtual_end_ns, queue.virtual_ns) + cost_ns
+        return queue.try_begin(cost_ns)
+
+    async def wait_for_step(self, cost_ns: int) -> None:
+        """Wait for the step that ``try_begin_step`` could not begin, and begin it."""
+        assert self._queue is not None
+        await self._queue.wait(self._virtual_end_ns, cost_ns)
 
 
 def step_waits(priority: StepPriority) -> StepWaits:
     """Return how long steps of a priority have waited on the running event loop, if one runs."""
     try:
-        return _scheduler().waits[priority]
+        return _queue_of(priority).waits
     except RuntimeError:
         return StepWaits()
 
@@ -193,6 +177,5 @@
     "StepFlow",
     "StepPriority",
     "StepWaits",
-    "begin_step",
     "step_waits",
 ]
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -8,7 +8,7 @@
 import h11
 
 from onyxpass.core.event_loop import unseen_since_ns
-from onyxpass.core.loop_turn import StepFlow, StepPriority, begin_step
+from onyxpass.core.loop_turn import StepFlow, StepPriority
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.net.line_limit import TOO_MANY_LINES_STATUS, LineLimit
 from onyxpass.net.step_cost import UnparsedInput
@@ -62,8 +62,7 @@
         self.h11 = h11.Connection(role, max_incomplete_event_size=HEAD_LIMIT)
         self._line_limit = LineLimit(self.h11)
         self._unparsed_input = UnparsedInput()
-        self._step_flow = StepFlow()
-        self._step_priority = (
+        self._step_flow = StepFlow(
             StepPriority.NEW_REQUEST if role is h11.SERVER else StepPriority.OPEN_REQUEST
         )
         self.is_waiting_for_step = False  # whether received bytes wait for their turn
@@ -111,10 +110,12 @@
 
     async def begin_step(self) -> None:
         """Wait for the turn of this connection to parse what it has received."""
+        cost_ns = self._unparsed_input.take_cost_ns()
+        if self._step_flow.try_begin_step(cost_ns):
+            return
         self.is_waiting_for_step = True
         try:
-            cost_ns = self._unparsed_input.take_cost_ns()
-            await begin_step(self._step_priority, self._step_flow, cost_ns)
+            await self._step_flow.wait_for_step(cost_ns)
         finally:
             self.is_waiting_for_step = False
 
--- a/onyxpass/net/http_client.py
+++ b/onyxpass/net/http_client.py
@@ -10,7 +10,7 @@
 import h11
 
 from onyxpass.config.platform_file import Address
-from onyxpass.core.loop_turn import begin_step
+from onyxpass.core.loop_turn import StepFlow
 from onyxpass.net.unix import short_socket_path
 
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -99,9 +99,9 @@
 
 
 async def _read_response(wire: h11.Connection, reader: asyncio.StreamReader) -> ApiResponse:
-    status, text = 0, bytearray()
+    status, text, flow = 0, bytearray(), StepFlow()
     while True:
-        await begin_step()
+        await flow.begin_step()
         event = wire.next_event()
         if event is h11.NEED_DATA:
             wire.receive_data(await reader.read(65_536))
--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -166,8 +166,8 @@
             if not has_room:
                 writer.write(rpc.error(None, RpcError(rpc.REFUSED, "too many connections")))
                 return
-            flow = StepFlow()
-            while line := await rpc.read_line(reader, StepPriority.NEW_REQUEST, flow):
+            flow = StepFlow(StepPriority.NEW_REQUEST)
+            while line := await rpc.read_line(reader, flow):
                 self.connections[task] = self.connections.pop(task)
                 connection.record_arrival()
                 if connection.closed_by_server:
--- a/onyxpass/toolcalls/replicas.py
+++ b/onyxpass/toolcalls/replicas.py
@@ -10,6 +10,7 @@
 from onyxpass.config.platform_file import Address
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.fleet import ActorFleet, ServerActor
+from onyxpass.core.loop_turn import StepFlow
 from onyxpass.core.release import release
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.net.dialer import ResourceShortageError, connect
@@ -126,10 +127,11 @@
         Returns the attempt's status, its note in the router's contract, and a reason.
         """
         result_tasks: set[asyncio.Task[None]] = set()
+        flow = StepFlow()
         try:
             while True:
                 async with self.wheel.timeout(STREAM_STALL_TIMEOUT_US):
-                    text = await rpc.read_line(reader)
+                    text = await rpc.read_line(reader, flow)
                 if text is None:
                     return AttemptStatus.RESET, 0, "closed without a response"
                 match rpc.parse(text):
@@ -259,7 +261,7 @@
             async with self.wheel.timeout(CALL_TIMEOUT_US):
                 reader, writer = await self._open()
                 writer.write(rpc.request(0, method, params))
-                text = await rpc.read_line(reader)
+                text = await rpc.read_line(reader, StepFlow())
                 answer = rpc.parse(text) if text is not None else None
                 return isinstance(answer, RpcResponse) and answer.id == 0 and answer.error is None
         except ResourceShortageError:
--- a/onyxpass/toolcalls/rpc.py
+++ b/onyxpass/toolcalls/rpc.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any, NoReturn
 
-from onyxpass.core.loop_turn import StepFlow, StepPriority, begin_step
+from onyxpass.core.loop_turn import StepFlow
 from onyxpass.net.step_cost import step_cost_ns
 
 LINE_LIMIT = 256 * 1024  # bytes
@@ -131,15 +131,11 @@
     return encode_line({"id": id, "error": problem.to_dict()})
 
 
-async def read_line(
-    reader: asyncio.StreamReader,
-    priority: StepPriority = StepPriority.OPEN_REQUEST,
-    flow: StepFlow | None = None,
-) -> bytes | None:
+async def read_line(reader: asyncio.StreamReader, flow: StepFlow) -> bytes | None:
     """Return the next line that is not blank, or None at the end of the stream.
 
-    The line is returned when the event loop has time for a step of this ``priority``, in which the
-    caller may parse it; ``flow`` is that of its peer.
+    ``flow`` is that of the peer: the line is returned when the event loop has time for a step of
+    it, in which the caller may parse the line.
 
     A last line without a line feed is dropped. The reader must have been made with
     ``limit=LINE_LIMIT``; raises RpcError if a line is longer.
@@ -151,7 +147,7 @@
             return None
         except asyncio.LimitOverrunError as problem:
             raise RpcError(INVALID_REQUEST, f"a line of more than {LINE_LIMIT} bytes") from problem
-        await begin_step(priority, flow, step_cost_ns(len(text)))
+        await flow.begin_step(step_cost_ns(len(text)))
         if text.strip():
             return text
 
--- a/onyxpass/toolcalls/tool_call_relay.py
+++ b/onyxpass/toolcalls/tool_call_relay.py
@@ -14,6 +14,7 @@
 
 from onyxpass.config.platform_file import Address
 from onyxpass.core.actor import Actor
+from onyxpass.core.loop_turn import StepFlow
 from onyxpass.core.timer_wheel import Timer, TimerWheel
 from onyxpass.store.redis import StoreUnavailableError
 from onyxpass.toolcalls import rpc
@@ -256,7 +257,8 @@
                     self.address.host, self.address.port, limit=rpc.LINE_LIMIT
                 )
             self.tell(Connected(writer))
-            while (text := await rpc.read_line(reader)) is not None:
+            flow = StepFlow()
+            while (text := await rpc.read_line(reader, flow)) is not None:
                 message = rpc.parse(text)
                 if isinstance(message, RpcResponse):
                     self.tell(ResponseReceived(connection_number, message))
--- a/tests/test_costly_input.py
+++ b/tests/test_costly_input.py
@@ -29,8 +29,8 @@
 from onyxpass.core.loop_turn import (
     MAX_NEW_REQUESTS_US,
     MAX_TURN_US,
+    StepFlow,
     StepPriority,
-    begin_step,
     step_waits,
 )
 from onyxpass.net.connections import ClientConnection
@@ -73,7 +73,7 @@
     """Guards against tasks that yield once and then all step in the next turn, for 8 s."""
 
     async def step() -> None:
-        await begin_step(priority)
+        await StepFlow(priority).begin_step()
         clock.advance_us(STEP_US)
 
     async def scenario() -> None:
@@ -95,7 +95,7 @@
     begun: list[StepPriority] = []
 
     async def step(priority: StepPriority) -> None:
-        await begin_step(priority)
+        await StepFlow(priority).begin_step()
         clock.advance_us(STEP_US)
         begun.append(priority)
 
@@ -114,7 +114,7 @@
 
 def test_a_cancelled_wait_for_a_turn_keeps_no_other_waiting(clock: ManualClock) -> None:
     async def step() -> None:
-        await begin_step()
+        await StepFlow().begin_step()
         clock.advance_us(MAX_TURN_US)
 
     async def scenario() -> None:
--- a/tests/test_endless_input.py
+++ b/tests/test_endless_input.py
@@ -23,7 +23,7 @@
 
 from onyxpass.core import event_loop
 from onyxpass.core.clock import Clock
-from onyxpass.core.loop_turn import MAX_TURN_US
+from onyxpass.core.loop_turn import MAX_TURN_US, StepFlow
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.net import http_client, response_reader
 from onyxpass.net.endpoint_watcher import JsonObjectSplitter
@@ -88,7 +88,7 @@
     reader = asyncio.StreamReader(rpc.LINE_LIMIT)
     reader.feed_data(b"\n" * ENDLESS_PIECES)
     reader.feed_eof()
-    assert await rpc.read_line(reader) is None
+    assert await rpc.read_line(reader, StepFlow()) is None
 
 
 async def read_lines() -> None:
@@ -96,7 +96,7 @@
     reader = asyncio.StreamReader(rpc.LINE_LIMIT)
     reader.feed_data(b"{}\n" * ENDLESS_PIECES)
     reader.feed_eof()
-    while await rpc.read_line(reader) is not None:
+    while await rpc.read_line(reader, StepFlow()) is not None:
         pass
 
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -17,6 +17,7 @@
 from onyxpass.config.platform_file import Address, ConfigError
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import RequestDispatcher
+from onyxpass.core.loop_turn import StepFlow
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.net.endpoint_watcher import EndpointListError, JsonObjectSplitter, parse_endpoint_list
 from onyxpass.net.http import HttpConnection, HttpError, read_body
@@ -245,7 +246,7 @@
             reader.feed_data(part)
         reader.feed_eof()
         lines = []
-        while (line := await rpc.read_line(reader)) is not None:
+        while (line := await rpc.read_line(reader, StepFlow())) is not None:
             lines.append(line)
         return lines
 
--- a/tests/test_stream_backlog.py
+++ b/tests/test_stream_backlog.py
@@ -23,7 +23,7 @@
 )
 
 from onyxpass.core import event_loop
-from onyxpass.core.loop_turn import MAX_TURN_US, begin_step
+from onyxpass.core.loop_turn import MAX_TURN_US, StepFlow
 from onyxpass.toolcalls.front import RpcClient
 
 BACKLOG_EVENTS = 200
@@ -112,14 +112,14 @@
         nonlocal now_ns
         others = asyncio.Event()
         await asyncio.sleep(0)
-        await begin_step()
+        await StepFlow().begin_step()
         for step, yields in enumerate((False, True, False, True)):
             asyncio.get_running_loop().call_soon(others.set)
             now_ns += MAX_TURN_US * 1000 // 2
-            await begin_step()
+            await StepFlow().begin_step()
             assert others.is_set() is yields, step
             if yields:
-                await begin_step()  # notes the start of a turn on a plain loop
+                await StepFlow().begin_step()  # notes the start of a turn on a plain loop
             others.clear()
 
     for factory in (event_loop.make, asyncio.new_event_loop):
@@ -135,7 +135,7 @@
     async def busy() -> None:
         nonlocal now_ns
         for _ in range(BUSY_STEPS):
-            await begin_step()
+            await StepFlow().begin_step()
             now_ns += BUSY_STEP_US * 1000
 
     async def scenario() -> None:
