Take less time for each step of parsing, and let an event loop be collected

The costs of a step are added up in the connection, the most frequent event is looked for first, and the queue keeps the clock of its loop's turns. Queues held their loop, so it was never collected.

--- a/onyxpass/core/event_loop.py
+++ b/onyxpass/core/event_loop.py
@@ -7,6 +7,7 @@
 import asyncio
 import selectors
 import time
+from collections.abc import Callable
 from weakref import WeakKeyDictionary
 
 BLOCKED_NS = 1_000_000  # a longer poll has blocked, so its input arrived at its end
@@ -64,18 +65,24 @@
     )
 
 
-def turn_began_ns() -> int:
-    """Return the monotonic time, in ns, at which the present turn of the loop began.
+def turn_clock(loop: asyncio.AbstractEventLoop) -> Callable[[], int]:
+    """Return a function that returns the monotonic time, in ns, at which the present turn began.
 
-    On any other loop than ``TimedEventLoop`` that is the time of the first call in a turn.
+    It does not keep the loop from being collected, and is to be called while the loop runs. On any
+    other loop than ``TimedEventLoop`` that is the time of the first call in a turn.
     """
-    loop = asyncio.get_running_loop()
     if isinstance(loop, TimedEventLoop):
-        return loop.timed_selector.turn_began_ns
-    if (began_ns := _turns_of_plain_loops.get(loop)) is None:
-        began_ns = _turns_of_plain_loops[loop] = time.monotonic_ns()
-        loop.call_soon(_turns_of_plain_loops.pop, loop, None)
-    return began_ns
+        selector = loop.timed_selector
+        return lambda: selector.turn_began_ns
+
+    def first_call_ns() -> int:
+        loop = asyncio.get_running_loop()
+        if (began_ns := _turns_of_plain_loops.get(loop)) is None:
+            began_ns = _turns_of_plain_loops[loop] = time.monotonic_ns()
+            loop.call_soon(_turns_of_plain_loops.pop, loop, None)
+        return began_ns
+
+    return first_call_ns
 
 
 def longest_turn_us() -> int:
--- a/onyxpass/core/loop_turn.py
+++ b/onyxpass/core/loop_turn.py
@@ -17,7 +17,7 @@
 from enum import IntEnum
 from weakref import WeakKeyDictionary
 
-from onyxpass.core.event_loop import turn_began_ns
+from onyxpass.core.event_loop import turn_clock
 
 MAX_TURN_US = 10_000  # time in each turn for steps of open requests
 MAX_NEW_REQUESTS_US = 2_500  # time in each turn for steps of requests that are not complete
@@ -57,61 +57,57 @@
     """The steps of one priority on one event loop."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, share_us: int) -> None:
-        self._loop = loop
         self._share_ns = share_us * 1000
+        self._turn_began_ns = turn_clock(loop)
         self._turn_ns = self._first_step_ns = -1  # the turn of the latest step, and its first step
-        self._waiting: list[_WaitingStep] = []
+        self.waiting: list[_WaitingStep] = []
         self._numbers = itertools.count()
         self._wake_is_scheduled = False
         # The time that each waiting peer would have had by now, if they were all served together.
         self.virtual_ns = 0
         self.waits = StepWaits()
 
-    def try_begin(self, cost_ns: int) -> bool:
-        """Begin a step if the present turn has time left for it and no other step waits."""
-        return not self._waiting and self._has_time(cost_ns)
-
     async def wait(self, virtual_end_ns: int, cost_ns: int) -> None:
         """Wait for the turn of a step that ends at this virtual time, and begin it."""
         began_ns, number = time.monotonic_ns(), next(self._numbers)
         while True:
-            woken = self._loop.create_future()
-            heapq.heappush(self._waiting, _WaitingStep(virtual_end_ns, number, woken))
+            woken = asyncio.get_running_loop().create_future()
+            heapq.heappush(self.waiting, _WaitingStep(virtual_end_ns, number, woken))
             self._schedule_wake()
             await woken
-            if self._has_time(cost_ns):
+            if self.try_begin(cost_ns):
                 break
         self.waits.steps += 1
         waited_us = (time.monotonic_ns() - began_ns) // 1000
         self.waits.longest_us = max(self.waits.longest_us, waited_us)
 
-    def _has_time(self, cost_ns: int) -> bool:
-        """Return whether a step begins now.
+    def try_begin(self, cost_ns: int) -> bool:
+        """Begin a step if the present turn has time left for it.
 
         The first step of a turn always begins, so that the queue makes progress.
         """
-        turn_ns, now_ns = turn_began_ns(), time.monotonic_ns()
+        turn_ns, now_ns = self._turn_began_ns(), time.monotonic_ns()
         if turn_ns != self._turn_ns:
             self._turn_ns, self._first_step_ns = turn_ns, now_ns
         elif now_ns - self._first_step_ns >= self._share_ns:
             return False
-        self.virtual_ns += cost_ns // (len(self._waiting) + 1)
+        self.virtual_ns += cost_ns // (len(self.waiting) + 1) if self.waiting else cost_ns
         return True
 
     def _schedule_wake(self) -> None:
         if not self._wake_is_scheduled:
             self._wake_is_scheduled = True
-            self._loop.call_soon(self._wake)
+            asyncio.get_running_loop().call_soon(self._wake)
 
     def _wake(self) -> None:
         self._wake_is_scheduled = False
         woken_count = 0
-        while self._waiting and woken_count < MAX_WAKES:
-            woken = heapq.heappop(self._waiting).woken
+        while self.waiting and woken_count < MAX_WAKES:
+            woken = heapq.heappop(self.waiting).woken
             if not woken.done():  # cancelled together with its task
                 woken.set_result(None)
                 woken_count += 1
-        if self._waiting:
+        if self.waiting:
             self._schedule_wake()
 
 
@@ -155,7 +151,7 @@
         if (queue := self._queue) is None:
             queue = self._queue = _queue_of(self.priority)
         self._virtual_end_ns = max(self._virtual_end_ns, queue.virtual_ns) + cost_ns
-        return queue.try_begin(cost_ns)
+        return not queue.waiting and queue.try_begin(cost_ns)
 
     async def wait_for_step(self, cost_ns: int) -> None:
         """Wait for the step that ``try_begin_step`` could not begin, and begin it."""
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -11,7 +11,7 @@
 from onyxpass.core.loop_turn import StepFlow, StepPriority
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.net.line_limit import TOO_MANY_LINES_STATUS, LineLimit
-from onyxpass.net.step_cost import UnparsedInput
+from onyxpass.net.step_cost import STEP_NS, input_cost_ns
 from onyxpass.net.tcp import acknowledged
 
 HEAD_LIMIT = 32 * 1024
@@ -61,7 +61,7 @@
         self.writer: asyncio.StreamWriter = writer
         self.h11 = h11.Connection(role, max_incomplete_event_size=HEAD_LIMIT)
         self._line_limit = LineLimit(self.h11)
-        self._unparsed_input = UnparsedInput()
+        self._next_step_cost_ns = STEP_NS
         self._step_flow = StepFlow(
             StepPriority.NEW_REQUEST if role is h11.SERVER else StepPriority.OPEN_REQUEST
         )
@@ -110,7 +110,7 @@
 
     async def begin_step(self) -> None:
         """Wait for the turn of this connection to parse what it has received."""
-        cost_ns = self._unparsed_input.take_cost_ns()
+        cost_ns, self._next_step_cost_ns = self._next_step_cost_ns, STEP_NS
         if self._step_flow.try_begin_step(cost_ns):
             return
         self.is_waiting_for_step = True
@@ -156,8 +156,8 @@
             self.h11.receive_data(data)
         except (h11.RemoteProtocolError, RuntimeError) as error:
             raise HttpError(str(error)) from error
-        self._unparsed_input.received_bytes += len(data)
-        self._unparsed_input.head_lines += self._line_limit.received(data)
+        head_lines = self._line_limit.received(data)
+        self._next_step_cost_ns += input_cost_ns(len(data), head_lines)
 
     @property
     def pending(self) -> bool:
--- a/onyxpass/net/line_limit.py
+++ b/onyxpass/net/line_limit.py
@@ -55,12 +55,12 @@
 
     def parsed(self, event: h11.Event | type[h11.PAUSED]) -> None:
         """Record what h11 has returned."""
-        if isinstance(event, h11.InformationalResponse):
+        if isinstance(event, h11.Data):
+            self._at_chunk_end = event.chunk_end
+        elif isinstance(event, h11.InformationalResponse):
             self.begin_message()
         elif isinstance(event, h11.Request | h11.Response):
             self._head, self._at_chunk_end = event, True
-        elif isinstance(event, h11.Data):
-            self._at_chunk_end = event.chunk_end
 
     def is_exceeded(self) -> bool:
         """Return whether the next head, or the next trailers, have too many lines to be parsed."""
--- a/onyxpass/toolcalls/rpc.py
+++ b/onyxpass/toolcalls/rpc.py
@@ -8,7 +8,7 @@
 from typing import Any, NoReturn
 
 from onyxpass.core.loop_turn import StepFlow
-from onyxpass.net.step_cost import step_cost_ns
+from onyxpass.net.step_cost import STEP_NS, input_cost_ns
 
 LINE_LIMIT = 256 * 1024  # bytes
 SURROGATE_PATTERN = re.compile("[\ud800-\udfff]")
@@ -147,7 +147,7 @@
             return None
         except asyncio.LimitOverrunError as problem:
             raise RpcError(INVALID_REQUEST, f"a line of more than {LINE_LIMIT} bytes") from problem
-        await flow.begin_step(step_cost_ns(len(text)))
+        await flow.begin_step(STEP_NS + input_cost_ns(len(text)))
         if text.strip():
             return text
 
--- a/tests/test_client_time.py
+++ b/tests/test_client_time.py
@@ -174,6 +174,7 @@
 
     def __init__(self, unread: bool) -> None:
         self.unread, self.hung_up, self.read_count = unread, False, 1
+        self.is_waiting_for_step = False
 
 
 def test_connections_with_unread_bytes_are_not_displaced_and_the_oldest_goes_first() -> None:
