Keep a cancellation that comes together with the end of a timed wait

Operators saw: a stop or reload of watched files that waited for ever, once, while the tests ran on a busy machine. Cause: asyncio.wait_for of Python 3.11 returns the result of its inner task and drops a cancellation that comes in the turns between the event and the result, so FileSource.follow went on and nobody ended it. Same cause on the agent's paths: the wait for an operation, the grace period of a termination, the check of an instance's port. Change: asyncio.timeout in all four; it never runs the wait in a task of its own.

--- a/onyxpass/agent/connection_check.py
+++ b/onyxpass/agent/connection_check.py
@@ -9,9 +9,9 @@
 
 async def accepts_connections(address: Address) -> bool:
     """Return whether a connection to ``address`` opens within ``CONNECT_TIMEOUT_S``."""
-    opening = asyncio.open_connection(address.host, address.port)
     try:
-        _, writer = await asyncio.wait_for(opening, CONNECT_TIMEOUT_S)
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(address.host, address.port)
     except (OSError, TimeoutError):
         return False
     writer.close()
--- a/onyxpass/agent/instance.py
+++ b/onyxpass/agent/instance.py
@@ -256,9 +256,8 @@
         try:
             process.send(signal.SIGTERM)
             try:
-                await asyncio.wait_for(
-                    self._wait_until_ended(process), self.config.termination_grace_s
-                )
+                async with asyncio.timeout(self.config.termination_grace_s):
+                    await self._wait_until_ended(process)
             except TimeoutError:
                 log.warning("instance_killed", name=self.name, pid=process.pid)
                 self.state_store.events.append(self.name, "killed", pid=process.pid)
--- a/onyxpass/agent/operations.py
+++ b/onyxpass/agent/operations.py
@@ -88,7 +88,8 @@
         ended = self._end_events.get(operation_id)
         if ended is not None and timeout_s > 0:
             try:
-                await asyncio.wait_for(ended.wait(), timeout_s)
+                async with asyncio.timeout(timeout_s):
+                    await ended.wait()
             except TimeoutError:
                 return self.find(operation_id)
         return self.find(operation_id)
--- a/onyxpass/sources/watcher.py
+++ b/onyxpass/sources/watcher.py
@@ -95,7 +95,9 @@
                 self._stamps = current
                 yield
             try:
-                await asyncio.wait_for(self.changed.wait(), self.poll_s)
+                # ``asyncio.wait_for`` would swallow a cancellation that comes with the event.
+                async with asyncio.timeout(self.poll_s):
+                    await self.changed.wait()
                 notified = True
             except TimeoutError:
                 notified = False
