Let a call that was neither made nor claimed leave its number to the next equal one

Cause: the second key of a claim counts the equal calls of the stream before it, those among them that were not made for want of the store. The writer's call, made once more, was claimed as the third; the repeat makes one call, asks for the first, and nothing is recorded of that. Change: ToolCall.take_place_among gives the first number that no claimed call has, and the claim token of the call that had it, so that a claim whose answer was lost is the next call's own. Calls that were not made and are recorded keep their numbers.

--- a/onyxpass/toolcalls/call_claims.py
+++ b/onyxpass/toolcalls/call_claims.py
@@ -68,19 +68,20 @@
         record: Mapping[str, Any],
         ttl_s: int,
         *,
+        token: str,
         idempotent: bool,
         is_wanted: Callable[[], bool],
     ) -> dict[str, Any] | None:
         """Claim a call by all of its keys; None if it is made for the first time, else its record.
 
         The first key that was claimed before decides, and its record is stored under the keys before
-        it. A call that may be repeated does not wait for a recovery period. Raises
+        it. A claim with the same ``token`` is the call's own. A call that may be repeated does not wait for a recovery period. Raises
         ``StoreUnavailableError`` if it can't be told whether the call was made before, and
         ``CallNotWantedError``.
         """
         for position, key in enumerate(keys):
             found = await self._claim_key(
-                key, record, ttl_s, idempotent=idempotent, is_wanted=is_wanted
+                key, record, ttl_s, token=token, idempotent=idempotent, is_wanted=is_wanted
             )
             if found is not None:
                 for earlier_key in keys[:position]:
@@ -95,10 +96,10 @@
         record: Mapping[str, Any],
         ttl_s: int,
         *,
+        token: str,
         idempotent: bool,
         is_wanted: Callable[[], bool],
     ) -> dict[str, Any] | None:
-        token = secrets.token_hex(8)
         record = {**record, CLAIM_TOKEN_KEY: token}
         due_us = self.wheel.clock.now_us() + self.generation.recovery_period_us + OPEN_MARGIN_US
         while True:
--- a/onyxpass/toolcalls/replicas.py
+++ b/onyxpass/toolcalls/replicas.py
@@ -200,7 +200,7 @@
             is_wanted=lambda: not attempt.ended,
             idempotent=self.core.idempotency_of(attempt.request) is Idempotency.IDEMPOTENT,
         )
-        call.occurrence = sum(earlier.content == call.content for earlier in payload.calls.values())
+        call.take_place_among(payload.calls.values())
         payload.calls[id] = call
         self.relay.start(call)
         return call
--- a/onyxpass/toolcalls/tool_call_relay.py
+++ b/onyxpass/toolcalls/tool_call_relay.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import hashlib
+import itertools
 import json
-from collections.abc import Callable, Mapping
+import secrets
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -50,8 +52,11 @@
     withdrawn: bool = False  # the client has disconnected or cancelled the request
     settled: asyncio.Event = field(default_factory=asyncio.Event)  # the writer can be answered
     timer: Timer | None = None
-    # how many calls with the same name and arguments the stream made before this one
+    # Number among the calls of the stream with the same name and arguments. A call that was not made
+    # and not claimed leaves its number, and its claim token, to the next one.
     occurrence: int = 0
+    claim_token: str = field(default_factory=lambda: secrets.token_hex(8))
+    was_claimed: bool = True  # whether a record of the call may have to be found again
 
     @property
     def key(self) -> str:
@@ -64,6 +69,15 @@
         text = json.dumps([self.name, self.arguments], sort_keys=True)
         return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
 
+    def take_place_among(self, earlier_calls: Iterable["ToolCall"]) -> None:
+        """Take the first free number among the earlier calls of the same stream."""
+        equal_calls = [call for call in earlier_calls if call.content == self.content]
+        taken = {call.occurrence for call in equal_calls if call.was_claimed}
+        self.occurrence = next(number for number in itertools.count() if number not in taken)
+        for call in equal_calls:
+            if call.occurrence == self.occurrence:
+                self.claim_token = call.claim_token
+
     @property
     def keys(self) -> tuple[str, ...]:
         """All keys under which the call is claimed.
@@ -294,6 +308,7 @@
         if open_call := next(filter(None, map(self.open_calls.get, call.keys)), None):
             is_same = open_call.content == call.content
             call.state = ToolCallState.UNKNOWN if is_same else ToolCallState.NOT_MADE
+            call.was_claimed = is_same
             call.error = RpcError(
                 rpc.ALREADY_CLAIMED, "a call with this id is out", data={"call": call.call_id}
             )
@@ -345,15 +360,18 @@
                     "content": call.content,
                 },
                 self.ttl_s,
+                token=call.claim_token,
                 idempotent=call.idempotent,
                 is_wanted=lambda: call.is_wanted() and not call.withdrawn,
             )
         except CallNotWantedError:
+            call.was_claimed = False
             self._fail_unsent(call, RpcError(rpc.CALL_NOT_MADE, "nobody waits for it any more"))
             return
         except StoreUnavailableError as problem:
             # Prevents a call from being made twice: without a claim it is not made at all.
             log.warning("store_unavailable", why=str(problem), call=call.key)
+            call.was_claimed = False
             self._fail_unsent(
                 call, RpcError(rpc.STORE_UNAVAILABLE, "the store is down: the call was not made")
             )
@@ -377,7 +395,7 @@
         """
         state = record.get("state")
         if record.get("name") != call.name or record.get("content", call.content) != call.content:
-            call.state = ToolCallState.NOT_MADE
+            call.state, call.was_claimed = ToolCallState.NOT_MADE, False
             call.error = RpcError(
                 rpc.ALREADY_CLAIMED, "this id was claimed for another call", data=call.summary()
             )
