Give requests that are not complete 5 ms of each turn in place of 2.5

Where the process gets a small part of a core, a step lasts longer, and 2.5 ms let too few requests be read in a turn.

--- a/onyxpass/core/loop_turn.py
+++ b/onyxpass/core/loop_turn.py
@@ -20,7 +20,7 @@
 from onyxpass.core.event_loop import turn_clock
 
 MAX_TURN_US = 10_000  # time in each turn for steps of open requests
-MAX_NEW_REQUESTS_US = 2_500  # time in each turn for steps of requests that are not complete
+MAX_NEW_REQUESTS_US = 5_000  # time in each turn for steps of requests that are not complete
 MAX_WAKES = 16  # waiting steps of each priority that are woken in one turn
 DEFAULT_COST_NS = 20_000
 
