Count the lines of an adopted stream's head where the head is restored

A stream taken over from the process before has its head put into h11 directly, so its lines counted as those of a head: an event of over 1,000 lines without a blank one would have been cut off with 431. The new test failed before ("too many header lines") and passes now.

--- a/onyxpass/net/stream_migration.py
+++ b/onyxpass/net/stream_migration.py
@@ -292,13 +292,13 @@
     """Bring two new h11 state machines to the state within a chunked body."""
     wire.h11.send(h11.Request(method=b"GET", target=b"/", headers=[(b"host", b"x")]))
     wire.h11.send(h11.EndOfMessage())
-    wire.h11.receive_data(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-    wire.h11.next_event()
-    client_wire.h11.receive_data(
+    wire.receive(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    wire.poll()
+    client_wire.receive(
         b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n%b\r\n"
         % (b"" if keep_alive else b"Connection: close\r\n")
     )
-    client_wire.h11.next_event()
-    client_wire.h11.next_event()
+    client_wire.poll()
+    client_wire.poll()
     chunked = [(b"transfer-encoding", b"chunked")]
     client_wire.h11.send(h11.Response(status_code=200, headers=chunked))
--- a/onyxpass/toolcalls/call_claims.py
+++ b/onyxpass/toolcalls/call_claims.py
@@ -75,9 +75,9 @@
         """Claim a call by all of its keys; None if it is made for the first time, else its record.
 
         The first key that was claimed before decides, and its record is stored under the keys before
-        it. A claim with the same ``token`` is the call's own. A call that may be repeated does not wait for a recovery period. Raises
-        ``StoreUnavailableError`` if it can't be told whether the call was made before, and
-        ``CallNotWantedError``.
+        it. A claim with the same ``token`` is the call's own. A call that may be repeated does not
+        wait for a recovery period. Raises ``StoreUnavailableError`` if it can't be told whether the
+        call was made before, and ``CallNotWantedError``.
         """
         for position, key in enumerate(keys):
             found = await self._claim_key(
--- a/tests/test_stream_migration.py
+++ b/tests/test_stream_migration.py
@@ -16,6 +16,7 @@
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.net import stream_migration
 from onyxpass.net.http import HttpConnection
+from onyxpass.net.line_limit import MAX_LINES
 from onyxpass.net.response_reader import ResponseReader
 from onyxpass.scheduling import contract
 from onyxpass.scheduling.contract import AttemptStatus
@@ -168,6 +169,20 @@
     assert last.h11.our_state is h11.MUST_CLOSE
 
 
+def test_an_adopted_stream_may_have_an_event_of_any_number_of_lines() -> None:
+    """Guards against a stream whose lines count as those of a head, since its head came elsewhere."""
+    content = b"data: 1\n" * 2 * MAX_LINES
+
+    async def scenario() -> None:
+        wires = [HttpConnection(role, None, None) for role in (h11.CLIENT, h11.SERVER)]
+        stream_migration.restore_http_state(*wires, True)
+        wires[0].receive(b"%x\r\n%b\r\n" % (len(content), content))
+        event = wires[0].poll()
+        assert isinstance(event, h11.Data) and event.data == content
+
+    asyncio.run(scenario())
+
+
 def test_the_router_counts_the_tokens_of_an_adopted_stream() -> None:
     d = RouterDriver(make_endpoints(2, 2))
     d.deliver(contract.StreamAdopted(77, "w0", 100_000))
