Testbed: draw each port once, and say so if a site does not serve

Cause: two servers of a site drew the same port (free_port looks whether somebody listens, and nobody does before the first server has started). The second one never serves, the start of the trial waits its whole 60 s for it without a word, and the test runs into its time-out.

Change: free_port draws each port once in a process; a trial whose instances do not serve raises SiteNotServingError with the states and ports.

--- a/onyxpass/testbed/process_trial.py
+++ b/onyxpass/testbed/process_trial.py
@@ -35,6 +35,11 @@
 )
 HOSTS = (("h1", "derby", ("d1", "d2")), ("h2", "derby", ("d3", "d4")))
 ROLLOUT_COMMAND = ("fleet", "rollout", "run", "--method", "restart", "--json", "--fleet")
+START_TIMEOUT_S = 60.0  # for all instances of a site to serve
+
+
+class SiteNotServingError(Exception):
+    """An instance of the site does not serve, so that no trial can be made."""
 
 
 class ProcessTrial:
@@ -134,7 +139,10 @@
     try:
         for host in site.hosts:
             await site.start(host)
-        await wait_until_serving(FleetController(fleet_config.load(folder / "fleet.toml")), 60.0)
+        controller = FleetController(fleet_config.load(folder / "fleet.toml"))
+        report = await wait_until_serving(controller, START_TIMEOUT_S)
+        if not all(view.serving for view in report.views.values()):
+            raise SiteNotServingError(f"{report.views}; ports {site.ports}")
         yield trial
     finally:
         await trial.close()
--- a/onyxpass/testbed/site.py
+++ b/onyxpass/testbed/site.py
@@ -22,20 +22,27 @@
 # The fewest ports between ``FIRST_PORT`` and the outgoing ports to draw from; if there are fewer,
 # the kernel chooses a port.
 MIN_PORT_COUNT = 1_000
+_chosen_ports: set[int] = set()  # returned by ``free_port`` in this process
 
 
 def free_port() -> int:
     """Return a port that nobody listens on, outside the range of outgoing ports if possible.
 
-    Prevents a server that is stopped and started again from finding its port in use.
+    Prevents a server that is stopped and started again from finding its port in use. A drawn port
+    is returned only once, because its server may not listen yet when the next one is drawn.
     """
     first_outgoing = int(OUTGOING_PORT_RANGE.read_text().split()[0])
     draws = first_outgoing - FIRST_PORT >= MIN_PORT_COUNT
     generator = random.SystemRandom()
     while True:
         port = generator.randrange(FIRST_PORT, first_outgoing) if draws else 0
+        if port in _chosen_ports:
+            continue
         with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)) as sock:
-            return int(sock.getsockname()[1])
+            port = int(sock.getsockname()[1])
+            if draws:
+                _chosen_ports.add(port)
+            return port
 
 
 @dataclass(slots=True)
