Block signals as the last step of a program, before its event loop closes

Cause: asyncio removes its signal handlers when the loop is closed, and the interpreter ends only some milliseconds later. Ruled out: a failing handler (none runs any more by then).

Change: program_runner.run_program runs serve, toolcalls, agent run and desired run, and blocks SIGHUP, SIGTERM and SIGINT inside the loop once the program has returned. The JSON-RPC front sets its SIGHUP handler before its start.

--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -143,6 +143,7 @@
 ) -> None:
     """Run the JSON-RPC front in the foreground until SIGTERM; SIGHUP reloads its servers."""
     from onyxpass.core import event_loop
+    from onyxpass.program_runner import run_program
     from onyxpass.toolcalls import service
 
     loaded = load_toml(service.load, config)
@@ -151,8 +152,7 @@
         typer.echo(f"servers: {', '.join(server.id for server, _ in loaded.servers)}")
         return
     logs.configure(log_level)
-    with asyncio.Runner(loop_factory=event_loop.make) as runner:
-        runner.run(service.serve(loaded, lambda: service.load(config)))
+    run_program(service.serve(loaded, lambda: service.load(config)), event_loop.make)
 
 
 @agent_app.command("run")
@@ -167,6 +167,7 @@
     from onyxpass.agent import config as agent_config
     from onyxpass.agent import main
     from onyxpass.agent.state_store import StateStoreError
+    from onyxpass.program_runner import run_program
 
     loaded = load_toml(agent_config.load, config)
     if check:
@@ -177,7 +178,7 @@
         return
     logs.configure(log_level)
     try:
-        asyncio.run(main.run(loaded))
+        run_program(main.run(loaded))
     except configuration.ConfigError as problem:
         typer.echo(f"onyxpass: {problem}", err=True)
         raise typer.Exit(2) from problem
--- a/onyxpass/desired/cli.py
+++ b/onyxpass/desired/cli.py
@@ -50,10 +50,11 @@
     from onyxpass import logs
     from onyxpass.desired import config as node_config
     from onyxpass.desired import node
+    from onyxpass.program_runner import run_program
 
     logs.configure(log_level)
     try:
-        asyncio.run(node.run(node_config.load(config)))
+        run_program(node.run(node_config.load(config)))
     except ConfigError as error:
         raise error_exit(str(error)) from error
 
--- a/onyxpass/start.py
+++ b/onyxpass/start.py
@@ -41,19 +41,16 @@
     """
     gc.disable()  # the imports leave no garbage; serve() enables it again
     with blocked_imports(*UNUSED_MODULES):
-        import asyncio
-
         from onyxpass import logs, serve
         from onyxpass.config import platform_file
         from onyxpass.core import event_loop
+        from onyxpass.program_runner import run_program
     try:
         logs.configure(level)
-        with asyncio.Runner(loop_factory=event_loop.make) as runner:
-            runner.run(
-                serve.serve(
-                    platform_file.load(path), lambda: platform_file.load(path, reloading=True)
-                )
-            )
+        config = platform_file.load(path)
+        run_program(
+            serve.serve(config, lambda: platform_file.load(path, reloading=True)), event_loop.make
+        )
     except platform_file.ConfigError as problem:
         print(f"onyxpass: {problem}", file=sys.stderr)
         return 2
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -354,9 +354,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     service = ToolcallService(config, load_config, journal_path(config))
+    # Without a handler SIGHUP would end the process, also while it starts.
+    loop.add_signal_handler(signal.SIGHUP, service.reload, load_config)
     await service.start()
     event_loop.restart_longest_turn()
-    loop.add_signal_handler(signal.SIGHUP, service.reload, load_config)
     ended = asyncio.create_task(stopping.wait())
     await asyncio.wait([ended, *service.tasks], return_when=asyncio.FIRST_COMPLETED)
     for task in service.tasks:
