Bound the bytes held for requests of all clients by the memory limit

Cause: limits per request and per connection, none for the process, and memory_mb was read nowhere. Bytes are held before anybody reads them (up to 256 KiB a receive, hundreds of connections in one turn), so a bound in read_body alone would come too late; a failed body stayed until its answer was sent. Ruled out: a leak (memory falls once the clients go).

Change: core/memory_budget.py has an account for each client connection, charged as bytes arrive, at both fronts. Over the limit, which is told from memory_mb and the number of places, input is dropped: connections without a valid request first, the largest, the oldest; they get 503 or an error line, or a close. 8 KiB of each account are free.

--- a/onyxpass/admin/serve_configuration.py
+++ b/onyxpass/admin/serve_configuration.py
@@ -8,12 +8,16 @@
 
 from onyxpass.admin.running_configuration import is_reloadable_setting, settings_values
 from onyxpass.config.platform_file import Config
+from onyxpass.core.memory_budget import DEFAULT_MEMORY_MIB
 
 RELOADABLE_SERVE_KEYS = frozenset(("discovery", "sockets", "connect_timeout_us", "conn_idle_us"))
 
 
 def serve_values(config: Config) -> dict[str, Any]:
+    # A limit that is not set is left out: the configuration digest stays that of earlier versions.
+    memory = {} if config.memory_mib == DEFAULT_MEMORY_MIB else {"memory_mb": config.memory_mib}
     return {
+        **memory,
         "name": config.name,
         "listen": str(config.listen),
         "discovery": str(config.discovery),
--- a/onyxpass/config/platform_file.py
+++ b/onyxpass/config/platform_file.py
@@ -13,6 +13,7 @@
 
 from onyxpass.config.settings import read_settings
 from onyxpass.config.settings_validation import SettingsFault, find_faults
+from onyxpass.core.memory_budget import DEFAULT_MEMORY_MIB
 from onyxpass.scheduling import contract
 
 # Environment variables: the platform's prefix, the path of the sources file, and three that an
@@ -32,6 +33,7 @@
 DEFAULT_CONNECT_TIMEOUT_US = 250_000
 DEFAULT_CONNECTION_IDLE_US = 15_000_000
 MAX_PORT = 65535
+MAX_MEMORY_MIB = 1024 * 1024
 
 
 def managed() -> bool:
@@ -82,6 +84,7 @@
     settings: contract.Settings
     known_endpoints: Mapping[str, Any]
     sockets: int = DEFAULT_SOCKETS
+    memory_mib: int = DEFAULT_MEMORY_MIB  # over which the process is killed
     connect_timeout_us: int = DEFAULT_CONNECT_TIMEOUT_US
     conn_idle_us: int = DEFAULT_CONNECTION_IDLE_US
     control: Address | None = None  # where the dispatcher listens for operators
@@ -130,7 +133,8 @@
     reloading: bool,
     strict: bool,
 ) -> Config:
-    sockets = (raw.get("limits") or {}).get("sockets")
+    process_limits = raw.get("limits") or {}
+    sockets = process_limits.get("sockets")
     faults = tuple(find_faults(settings, sockets))
     if rejected := next((fault for fault in faults if strict or fault.fatal), None):
         raise ConfigError(str(rejected))
@@ -144,6 +148,7 @@
         settings=contract_settings,
         known_endpoints=raw.get("known") or {},
         sockets=int(sockets or DEFAULT_SOCKETS),
+        memory_mib=read_memory_mib(process_limits.get("memory_mb"), "limits.memory_mb"),
         connect_timeout_us=int(limits.get("connectTimeoutUs") or DEFAULT_CONNECT_TIMEOUT_US),
         conn_idle_us=int(limits.get("connIdleUs") or DEFAULT_CONNECTION_IDLE_US),
         control=_control(raw, environ),
@@ -154,6 +159,15 @@
     )
 
 
+def read_memory_mib(value: object, key: str) -> int:
+    """Return a memory limit; the default if it is absent. Raises ConfigError with the key."""
+    if value is None:
+        return DEFAULT_MEMORY_MIB
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 1:
+        raise ConfigError(f"{key}: must be a number, 1 at least, not {value!r}")
+    return int(min(value, MAX_MEMORY_MIB))
+
+
 def _listen_descriptor(environ: Mapping[str, str]) -> int | None:
     """Return the descriptor of the inherited listening socket, or None."""
     number = environ.get(VARIABLE_PREFIX + "PASSED_SOCKET") or ""
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -20,6 +20,7 @@
 from onyxpass.core.endpoints import COMPLETE_FORMS, EndpointTable
 from onyxpass.core.final_answers import FinalAnswers
 from onyxpass.core.loop_turn import StepPriority, step_waits
+from onyxpass.core.memory_budget import MemoryBudget
 from onyxpass.core.metrics import Metrics
 from onyxpass.core.outcomes import AttemptOutcomes
 from onyxpass.core.reasons import Reason
@@ -58,6 +59,7 @@
         self.invariants = InvariantChecker(settings)
         self.endpoints = EndpointTable(settings.kinds, clock)
         self.registry = RequestRegistry(clock, self.invariants)
+        self.memory_budget = MemoryBudget()
         self._context = DispatcherContext(
             settings,
             clock,
@@ -167,6 +169,9 @@
             waits, name = step_waits(priority), priority.name.lower()
             rows[f"svc.delayed_steps.{name}"] = waits.steps
             rows[f"svc.longest_step_wait_us.{name}"] = waits.longest_us
+        rows["svc.client_bytes"] = self.memory_budget.charged_bytes
+        rows["svc.client_bytes_limit"] = self.memory_budget.limit_bytes
+        rows["svc.memory_evictions"] = self.memory_budget.evictions
         return rows | {"svc.violations": self.invariants.violations.total()}
 
     def receive(self, message: contract.Event) -> None:
--- /dev/null
+++ b/onyxpass/core/memory_budget.py
@@ -0,0 +1,131 @@
+"""Bounds the bytes that the process holds for requests of its clients, without I/O.
+
+Each connection has an account, which is charged with what arrives on it and is not done with. What
+exceeds the budget is taken from one connection after the other: first from those without a valid
+request, among them from the one that holds most, among equals from the oldest. A small part of each
+account is free of charge, so that usual requests are served however full the budget is.
+"""
+
+from collections.abc import Callable
+from enum import IntEnum
+
+MIB = 1024 * 1024
+DEFAULT_MEMORY_MIB = 192
+PROGRAM_MIB = 24  # for all that is not held for a client
+CONNECTION_BYTES = 48 * 1024  # for each connection: its objects, its parser's buffer, free bytes
+# The remaining memory is divided by this: bytes are held twice while they are passed on, and the
+# allocator doesn't return all that was freed.
+BUDGET_DIVISOR = 3
+MIN_BUDGET_BYTES = MIB
+FREE_BYTES = 8 * 1024  # of each account
+
+
+class Standing(IntEnum):
+    """What the client of an account has sent so far; the lowest is evicted first."""
+
+    NO_REQUEST = 0  # no valid request that is open
+    OPEN_REQUEST = 1
+    PROTECTED = 2  # the bytes belong to an open request; never evicted
+
+
+class MemoryAccount:
+    """Bytes that are held for one connection."""
+
+    def __init__(
+        self,
+        budget: "MemoryBudget",
+        number: int,
+        evict: Callable[[], None],
+        standing: Callable[[], Standing],
+    ) -> None:
+        self._budget = budget
+        self.number = number
+        self.standing = standing
+        self.held_bytes = 0
+        self.is_evicted = False
+        self.evict = evict
+
+    @property
+    def charged_bytes(self) -> int:
+        """Bytes that count against the budget."""
+        return max(0, self.held_bytes - FREE_BYTES)
+
+    def charge(self, count: int) -> bool:
+        """Charge ``count`` bytes that have arrived; return whether they may be kept.
+
+        May evict this account or others, by calling their ``evict``.
+        """
+        if self.is_evicted:
+            return False
+        self._budget.set_held(self, self.held_bytes + count)
+        self._budget.enforce()
+        return not self.is_evicted
+
+    def settle(self, held_bytes: int) -> None:
+        """Set what is still held, once a part of it has been passed on or dropped."""
+        self._budget.set_held(self, 0 if self.is_evicted else held_bytes)
+
+    def close(self) -> None:
+        """End the account; nothing is held any more."""
+        self._budget.remove(self)
+
+
+class MemoryBudget:
+    """The accounts of all client connections of a process, and their common limit."""
+
+    def __init__(self, memory_mib: int = DEFAULT_MEMORY_MIB, connections: int = 0) -> None:
+        """``memory_mib`` is what the process may use in all, with so many connections at once."""
+        self.memory_mib = memory_mib
+        self.limit_bytes = 0
+        self.set_connection_limit(connections)
+        self.charged_bytes = 0
+        self.evictions = 0
+        self._accounts: set[MemoryAccount] = set()
+        self._last_number = 0
+
+    def set_connection_limit(self, connections: int) -> None:
+        """Set the limit that remains beside so many connections."""
+        remaining = (self.memory_mib - PROGRAM_MIB) * MIB - connections * CONNECTION_BYTES
+        self.limit_bytes = max(MIN_BUDGET_BYTES, remaining // BUDGET_DIVISOR)
+
+    def open(self, evict: Callable[[], None], standing: Callable[[], Standing]) -> MemoryAccount:
+        """Return the account of a new connection.
+
+        ``evict`` is called at most once, and must drop what is held for the connection.
+        ``standing`` returns its present standing.
+        """
+        self._last_number += 1
+        account = MemoryAccount(self, self._last_number, evict, standing)
+        self._accounts.add(account)
+        return account
+
+    def remove(self, account: MemoryAccount) -> None:
+        """Remove an account with all that it holds; an unknown one is ignored."""
+        self.set_held(account, 0)
+        self._accounts.discard(account)
+
+    def set_held(self, account: MemoryAccount, held_bytes: int) -> None:
+        """Change what an account holds."""
+        self.charged_bytes -= account.charged_bytes
+        account.held_bytes = held_bytes
+        self.charged_bytes += account.charged_bytes
+
+    def enforce(self) -> None:
+        """Evict accounts until the charged bytes are within the limit, as far as some may be."""
+        while self.charged_bytes > self.limit_bytes:
+            victim = self._next_victim()
+            if victim is None:
+                return
+            self.evictions += 1
+            victim.is_evicted = True
+            self.set_held(victim, 0)
+            victim.evict()
+
+    def _next_victim(self) -> MemoryAccount | None:
+        candidates = (
+            (account.standing(), -account.charged_bytes, account.number, account)
+            for account in self._accounts
+            if account.charged_bytes
+        )
+        first = min(candidates, default=None)
+        return None if first is None or first[0] is Standing.PROTECTED else first[-1]
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -230,7 +230,9 @@
 
     async def _open_connection(self, sock: socket.socket, connection: ClientConnection) -> None:
         try:
-            wire = connection.wire = await HttpConnection.from_socket(sock, h11.SERVER)
+            wire = connection.wire = await HttpConnection.from_socket(
+                sock, h11.SERVER, self.core.memory_budget
+            )
             connection.watched_since_us = self.clock.now_us()
         except OSError as error:
             connection.close_reason = CloseReason.CONNECTION_BROKE
@@ -270,6 +272,8 @@
             log.exception("client_connection_failed")
         finally:
             await self._close_connection(connection, wire)
+            if wire.memory is not None:
+                wire.memory.close()
 
     async def _close_connection(self, connection: ClientConnection, wire: HttpConnection) -> None:
         """Close a connection: this side first, then read until the client closes its side.
@@ -329,6 +333,7 @@
                 status = error_status(error)
                 if status == INTERNAL_ERROR_STATUS:
                     log.exception("client_connection_failed")
+                wire.settle_memory()
                 if status and not client.done.is_set():
                     self._enter_stage(connection, Stage.LEAVING)
                     connection.close_reason = (
@@ -336,11 +341,8 @@
                         if status == REQUEST_TIMEOUT_STATUS
                         else CloseReason.BAD_REQUEST
                     )
-                    delay_us = min(
-                        self.bad_request_limiter.delay_us(), connection.due_us - self.clock.now_us()
-                    )
-                    if delay_us > 0:  # not beyond the time limit of the request
-                        await self.wheel.sleep(delay_us)
+                    if not wire.out_of_memory:
+                        await self._delay_rejection(connection)
                     self._answer_error(wire, status, str(error) or "too slow")
                     await drain_input(wire, self.wheel)
                 return
@@ -361,6 +363,12 @@
             self._enter_stage(connection, Stage.IDLE)
             connection.due_us = self.clock.now_us() + IDLE_TIMEOUT_US + REQUEST_TIMEOUT_US
 
+    async def _delay_rejection(self, connection: ClientConnection) -> None:
+        """Wait as long as the limiter demands, but not beyond the time limit of the request."""
+        delay_us = min(self.bad_request_limiter.delay_us(), connection.due_us - self.clock.now_us())
+        if delay_us > 0:
+            await self.wheel.sleep(delay_us)
+
     async def _wait_for_bytes(self, connection: ClientConnection, wire: HttpConnection) -> None:
         """Wait for bytes or the end of the stream; TimeoutError if neither comes in time."""
         limit_us = (
@@ -426,6 +434,7 @@
         if wire.pending:
             raise HttpError("bytes behind the request", 400)
         self._enter_stage(connection, Stage.OPEN)
+        wire.protect_memory()
         client.keep_alive = b"close" not in (header(head, b"connection") or b"").lower()
         path = bytes(head.target).partition(b"?")[0]
         if path in (b"/health/ready", b"/health/live"):
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -9,6 +9,7 @@
 
 from onyxpass.core.event_loop import unseen_since_ns
 from onyxpass.core.loop_turn import StepFlow, StepPriority
+from onyxpass.core.memory_budget import MemoryAccount, MemoryBudget, Standing
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.net.line_limit import TOO_MANY_LINES_STATUS, LineLimit
 from onyxpass.net.step_cost import STEP_NS, input_cost_ns
@@ -27,6 +28,10 @@
 )
 
 
+OUT_OF_MEMORY_STATUS = 503
+WAKE_UP_BYTE = b"\0"  # wakes a task that waits for input; never parsed
+
+
 class HttpError(Exception):
     """The peer closed the connection or broke the protocol, or a message can't be accepted.
 
@@ -39,11 +44,17 @@
 
 
 class TimedProtocol(asyncio.StreamReaderProtocol):
-    """Records a lower bound of when received bytes entered the kernel's buffer."""
+    """Records a lower bound of when received bytes entered the kernel's buffer.
+
+    Charges received bytes to the connection's memory account, and drops those that exceed it.
+    """
 
     unseen_since_ns: int | None = None  # for the first bytes received since ``take_since``
+    memory: MemoryAccount | None = None
 
     def data_received(self, data: bytes) -> None:
+        if self.memory is not None and not self.memory.charge(len(data)):
+            return
         if self.unseen_since_ns is None:
             self.unseen_since_ns = unseen_since_ns()
         super().data_received(data)
@@ -71,15 +82,21 @@
         self.read_count = 0
         self.last_two_bytes = b""
         self.timed_protocol: TimedProtocol | None = None  # set if arrival times are recorded
+        self.memory: MemoryAccount | None = None  # set if the process bounds what it holds
+        self.partial_body = bytearray()  # of the message that is being read
+        self._memory_standing = Standing.NO_REQUEST
         # lower bound of when the bytes of the last read arrived
         self.received_since_ns: int | None = None
         self.idle_us = -1  # idle time before the current request; -1: a new connection
 
     @classmethod
     async def from_socket(
-        cls, sock: socket.socket, role: type[h11.CLIENT] | type[h11.SERVER]
+        cls,
+        sock: socket.socket,
+        role: type[h11.CLIENT] | type[h11.SERVER],
+        budget: MemoryBudget | None = None,
     ) -> "HttpConnection":
-        """Wrap a connected socket."""
+        """Wrap a connected socket; what arrives on it is charged to ``budget``."""
         loop = asyncio.get_running_loop()
         reader = asyncio.StreamReader(READ_BYTES, loop)
         protocol = TimedProtocol(reader)
@@ -95,15 +112,44 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         wire = cls(role, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
         wire.timed_protocol = protocol
+        if budget is not None:
+            wire.memory = protocol.memory = budget.open(
+                wire._drop_input, lambda: wire._memory_standing
+            )
         return wire
 
+    def _drop_input(self) -> None:
+        """Drop what was received; the message that is being read fails."""
+        clear_buffer(self.reader)
+        self.partial_body.clear()
+        if not self.reader.at_eof():
+            self.reader.feed_data(WAKE_UP_BYTE)
+
+    @property
+    def out_of_memory(self) -> bool:
+        """Whether the connection's input was dropped because the process holds too much."""
+        return self.memory is not None and self.memory.is_evicted
+
+    def protect_memory(self) -> None:
+        """Keep what is held, which belongs to an open request now."""
+        self._memory_standing = Standing.PROTECTED
+
+    def settle_memory(self) -> None:
+        """Hold no more than what is still to be parsed: the message has been answered or failed."""
+        self._memory_standing = Standing.NO_REQUEST
+        if self.memory is not None:
+            self.memory.settle(len(self.h11.trailing_data[0]) + buffered_bytes(self.reader))
+
     async def next_event(self) -> h11.Event | type[h11.PAUSED]:
         """Return the next event.
 
         Raises HttpError if the peer closes within a message or breaks the protocol.
         """
         while True:
-            await self.begin_step()
+            if not self.out_of_memory:
+                await self.begin_step()
+            if self.out_of_memory:
+                raise HttpError("too much is held for other requests", OUT_OF_MEMORY_STATUS)
             if (event := self.poll()) is not None:
                 return event
             await self.read_more()
@@ -136,6 +182,7 @@
         """Prepare for the next message once both sides have ended the present one."""
         self.h11.start_next_cycle()
         self._line_limit.begin_message()
+        self.settle_memory()
 
     async def read_more(self) -> None:
         """Read once and pass the bytes, or the end of the stream, to h11."""
@@ -214,8 +261,7 @@
     @property
     def unread(self) -> bool:
         """Whether bytes, or the end of the stream, wait in the stream's buffer or in the kernel."""
-        held = len(getattr(self.reader, "_buffer", b"")) > 0
-        return held or bool(poll_socket(self.writer, select.POLLIN))
+        return buffered_bytes(self.reader) > 0 or bool(poll_socket(self.writer, select.POLLIN))
 
     @property
     def hung_up(self) -> bool:
@@ -229,6 +275,16 @@
         self.writer.close()
 
 
+def buffered_bytes(reader: asyncio.StreamReader) -> int:
+    """Return the number of bytes that a stream has received and nobody has read."""
+    return len(getattr(reader, "_buffer", b""))
+
+
+def clear_buffer(reader: asyncio.StreamReader) -> None:
+    """Drop what a stream has received and nobody has read."""
+    getattr(reader, "_buffer", bytearray()).clear()
+
+
 def hung_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
     """Return whether the peer has ended its side or reset, by asyncio's or the kernel's knowledge."""
     return has_ended(reader, writer) or bool(poll_socket(writer, select.POLLRDHUP))
@@ -274,19 +330,20 @@
 
 async def read_body(wire: HttpConnection, max_bytes: int = BODY_LIMIT) -> bytes:
     """Return the rest of the message's body; HttpError with 413 if it exceeds ``max_bytes``."""
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        event = await wire.next_event()
-        if isinstance(event, h11.Data):
-            size += len(event.data)
-            if size > max_bytes:
-                raise HttpError("body too large", 413)
-            parts.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            return b"".join(parts)
-        else:
-            raise HttpError("ended within a body", 400)
+    body = wire.partial_body
+    try:
+        while True:
+            event = await wire.next_event()
+            if isinstance(event, h11.Data):
+                if len(body) + len(event.data) > max_bytes:
+                    raise HttpError("body too large", 413)
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            else:
+                raise HttpError("ended within a body", 400)
+    finally:
+        body.clear()
 
 
 def header(
--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -14,8 +14,15 @@
 from onyxpass.config.platform_file import Address
 from onyxpass.core.dispatcher import ANSWER_MARGIN_US, RequestDispatcher
 from onyxpass.core.loop_turn import StepFlow, StepPriority
+from onyxpass.core.memory_budget import MemoryAccount, Standing
 from onyxpass.core.requests import Request
-from onyxpass.net.http import CLIENT_CLOSE_TIMEOUT_US, TimedProtocol, hung_up
+from onyxpass.net.http import (
+    CLIENT_CLOSE_TIMEOUT_US,
+    TimedProtocol,
+    buffered_bytes,
+    clear_buffer,
+    hung_up,
+)
 from onyxpass.scheduling import contract
 from onyxpass.toolcalls import rpc
 from onyxpass.toolcalls.replicas import Payload
@@ -103,13 +110,17 @@
         self.send_incomplete(rpc.DEADLINE_EXCEEDED if late else rpc.FAILED, reason)
 
 
+RpcClients = dict[rpc.Id, RpcClient]
+
+
 @dataclass(slots=True)
 class Connection:
     """One client connection and its requests, by JSON-RPC id."""
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
-    clients: dict[rpc.Id, RpcClient]
+    clients: RpcClients
+    memory: MemoryAccount
     closed_by_server: bool = False
     # The earliest monotonic time at which the line read last may have arrived.
     arrived_since_ns: int | None = None
@@ -140,11 +151,26 @@
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
 
-        def protocol() -> TimedProtocol:
-            reader = asyncio.StreamReader(rpc.LINE_LIMIT, loop)
-            return TimedProtocol(reader, self._accept, loop)
+        def make_protocol() -> TimedProtocol:
+            reader, clients = asyncio.StreamReader(rpc.LINE_LIMIT, loop), RpcClients()
+
+            def drop_input() -> None:
+                clear_buffer(reader)
+                reader.feed_eof()
+
+            def standing() -> Standing:
+                return Standing.OPEN_REQUEST if clients else Standing.NO_REQUEST
+
+            memory = self.core.memory_budget.open(drop_input, standing)
+
+            async def serve(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await self._serve_client(Connection(reader, writer, clients, memory))
+
+            protocol = TimedProtocol(reader, serve, loop)
+            protocol.memory = memory
+            return protocol
 
-        self.server = await loop.create_server(protocol, self.listen.host, self.listen.port)
+        self.server = await loop.create_server(make_protocol, self.listen.host, self.listen.port)
 
     @property
     def port(self) -> int:
@@ -156,18 +182,19 @@
         writers = (connection.writer for connection in self.connections.values())
         return sum(not w.is_closing() and w.transport.get_write_buffer_size() > 0 for w in writers)
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve_client(self, connection: Connection) -> None:
+        reader, writer, memory = connection.reader, connection.writer, connection.memory
         task = asyncio.current_task()
         assert task is not None
-        clients: dict[rpc.Id, RpcClient] = {}
         has_room = len(self.connections) < self.max_connections or self._close_idle_connection()
-        connection = self.connections[task] = Connection(reader, writer, clients)
+        self.connections[task] = connection
         try:
             if not has_room:
                 writer.write(rpc.error(None, RpcError(rpc.REFUSED, "too many connections")))
                 return
             flow = StepFlow(StepPriority.NEW_REQUEST)
             while line := await rpc.read_line(reader, flow):
+                memory.settle(buffered_bytes(reader))
                 self.connections[task] = self.connections.pop(task)
                 connection.record_arrival()
                 if connection.closed_by_server:
@@ -181,6 +208,9 @@
                 except RpcError as problem:
                     writer.write(rpc.error(problem.id, problem))
                 await writer.drain()
+            if memory.is_evicted:
+                reason = "too much is held for other requests"
+                writer.write(rpc.error(None, RpcError(rpc.REFUSED, reason)))
         except RpcError as problem:  # the line is too long, so the start of the next is unknown
             writer.write(rpc.error(None, problem))
         except (OSError, asyncio.CancelledError):  # cancelled when the program ends
@@ -188,9 +218,10 @@
         except Exception:
             log.exception("client_connection_failed")
         finally:
-            for client in clients.values():
+            for client in connection.clients.values():
                 self._cancel_request(client)
             self.connections.pop(task, None)
+            memory.close()
             writer.close()
 
     def _close_idle_connection(self) -> bool:
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -23,11 +23,12 @@
     settings_values,
     with_reloaded_keys,
 )
-from onyxpass.config.platform_file import Address, ConfigError, managed
+from onyxpass.config.platform_file import Address, ConfigError, managed, read_memory_mib
 from onyxpass.config.settings import read_settings
 from onyxpass.core import event_loop
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import RequestDispatcher
+from onyxpass.core.memory_budget import DEFAULT_MEMORY_MIB, MemoryBudget
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.scheduling import contract
 from onyxpass.store.claim_generation import RECOVERY_PERIOD_US, StoreGeneration
@@ -60,6 +61,7 @@
     recovery_us: int = RECOVERY_PERIOD_US  # without claims, after the store has lost its keys
     journal: Path | None = None  # None: ``journal_path`` chooses
     connections: int = 256
+    memory_mib: int = DEFAULT_MEMORY_MIB  # that the process may use
     sources: Path | None = None  # the file that names the watched files, in place of ``servers``
 
 
@@ -72,6 +74,8 @@
     optional_values: dict[str, Any] = {}
     if config.recovery_us != RECOVERY_PERIOD_US:
         optional_values["recovery_us"] = config.recovery_us
+    if config.memory_mib != DEFAULT_MEMORY_MIB:
+        optional_values["memory_mb"] = config.memory_mib
     if config.journal is not None:
         optional_values["journal"] = str(config.journal)
     return {
@@ -141,6 +145,7 @@
             recovery_us=int(store.get("recovery_ms", RECOVERY_PERIOD_US // 1000)) * 1000,
             journal=base / str(store["journal"]) if "journal" in store else None,
             connections=int(raw.get("connections", 256)),
+            memory_mib=read_memory_mib(raw.get("memory_mb"), "memory_mb"),
             sources=base / str(raw["sources"]) if "sources" in raw else None,
         )
     except ConfigError:
@@ -191,6 +196,7 @@
         self.clock = Clock()
         self.wheel = TimerWheel(self.clock)
         self.core = RequestDispatcher(config.settings, config.seed, self.clock, self.wheel)
+        self.core.memory_budget = MemoryBudget(config.memory_mib, config.connections)
         self.store = RedisStore(config.store_url, config.store_timeout_ms)
         self.journal = CallJournal(journal)
         self.claims = CallClaims(
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -226,7 +226,7 @@
     front = RpcFront(core, None, Address("127.0.0.1", 0), 9)  # type: ignore[arg-type]
     call_params = {**params, "class": "light", "prompt": "x"} if valid else params
     try:
-        client = front._generate(1, call_params, Connection(None, None, {}))  # type: ignore[arg-type]
+        client = front._generate(1, call_params, Connection(None, None, {}, None))  # type: ignore[arg-type]
     except rpc.RpcError as error:
         assert error.code in (rpc.INVALID_PARAMS, rpc.INVALID_REQUEST)
     else:
