Tell concurrent changes of a key by version vectors, and merge a state as a whole

Cause: that the newer change replaced a version above the older change's was taken for a proof that it had seen that change. Versions are ordered by number and name, which says nothing of who had seen what. Ruled out: a conflict that is recorded and lost on the way.

Change: entries are concurrent if neither state's version vector includes the other's version; both vectors are there at each merge, and no form changes. It takes states that know all that their changes' makers knew, so a node merges all pages of a backlog at once (PageCollector). A pull that waited is answered with the state after the wait.

--- a/onyxpass/desired/node.py
+++ b/onyxpass/desired/node.py
@@ -26,7 +26,10 @@
 from onyxpass.desired.state import (
     FORMAT_VERSION,
     DesiredState,
+    Page,
+    PageCollector,
     StateError,
+    VersionVector,
     covers,
     page_to_json,
     parse_page,
@@ -157,13 +160,26 @@
                 selector.record_success()
 
     async def _pull(self, upstream: Address) -> None:
+        """Merge all that an upstream has beyond this node's state, of any number of pages."""
+        collector = PageCollector(self.state.seen)
+        while (
+            complete := collector.add(await self._request_page(upstream, collector.seen))
+        ) is None:
+            continue
+        state = self.state.copy()
+        if state.merge(complete):
+            self.replace_state(state)
+            self.log_state("merged")
+        if not self.caught_up:
+            self.replace_state(self.state)  # wakes ``apply_forever``
+            self.caught_up = True
+
+    async def _request_page(self, upstream: Address, seen: VersionVector) -> Page:
         request = {
             "format": FORMAT_VERSION,
-            "seen": self.state.seen,
-            "wait_ms": round(LONG_POLL_S * 1000),
+            "seen": dict(seen),
+            "wait_ms": round(LONG_POLL_S * 1000) if self.caught_up else 0,
         }
-        if not self.caught_up:
-            request["wait_ms"] = 0
         answer = await call_api(
             tcp_opener(upstream),
             "POST",
@@ -174,14 +190,7 @@
         )
         if answer.status != 200:
             raise ResponseLostError(answer.reason)
-        page = parse_page(answer.body)
-        state = self.state.copy()
-        if state.merge(page):
-            self.replace_state(state)
-            self.log_state("merged")
-        if not page.more and not self.caught_up:
-            self.replace_state(self.state)  # wakes ``apply_forever``
-            self.caught_up = True
+        return parse_page(answer.body)
 
     # Applying the state
 
@@ -328,7 +337,7 @@
                     await changed.wait()
             except TimeoutError:
                 pass
-        return 200, json.dumps(page_to_json(state.page_since(seen))).encode()
+        return 200, json.dumps(page_to_json(self.node.state.page_since(seen))).encode()
 
     def _change(self, call: dict[str, Any]) -> Reply:
         reject_unknown_fields(call, "values")
--- a/onyxpass/desired/state.py
+++ b/onyxpass/desired/state.py
@@ -5,6 +5,9 @@
 version vector: for each origin the number up to which its changes are known, so that a pull states
 what it lacks in a few numbers. An origin is one run of one control node's process, so that a node
 that returns with an older disk never issues a version a second time.
+
+Two states are merged as a whole, never by halves: a state then knows all that the makers of its
+changes knew, and two entries of a key whose states don't know each other's are concurrent.
 """
 
 import hashlib
@@ -45,7 +48,10 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionedEntry:
-    """A key's value and version; ``replaces`` is the version that the change replaced."""
+    """A key's value and version; ``replaces`` is the version that the change replaced.
+
+    That the change had seen the replaced version is certain; of lower ones it says nothing.
+    """
 
     key: str
     value: Any
@@ -80,6 +86,33 @@
     return all(known.get(origin, 0) >= number for origin, number in other.items())
 
 
+def includes(known: VersionVector, version: Version) -> bool:
+    """Return whether ``known`` includes the change of this version."""
+    return known.get(version.origin, 0) >= version.number
+
+
+class PageCollector:
+    """Collects the pages of one state, which may change meanwhile, into a single one."""
+
+    def __init__(self, seen: VersionVector) -> None:
+        """``seen`` is what the receiver knows."""
+        self.seen = seen  # what is known with the pages so far
+        self._entries: dict[str, VersionedEntry] = {}
+
+    def add(self, page: Page) -> Page | None:
+        """Add the next page; return all of them as one after the last.
+
+        Raises StateError if another page is to follow one that had nothing new.
+        """
+        if page.more and covers(self.seen, page.seen):
+            raise StateError("more", "a page brings nothing new, and another is to follow")
+        self._entries.update((entry.key, entry) for entry in page.entries)
+        self.seen = page.seen
+        if page.more:
+            return None
+        return Page(tuple(self._entries.values()), page.seen, page.conflicts)
+
+
 @dataclass(slots=True)
 class DesiredState:
     """The entries by key, the version vector, and the recorded conflicts."""
@@ -111,10 +144,13 @@
         )
 
     def merge(self, page: Page) -> bool:
-        """Merge a page; return whether anything was new.
+        """Merge all that another state has beyond this one; return whether anything was new.
 
-        Raises StateError, with nothing changed, if the page has another value for a known version.
+        The page must be the only one, or collected from all by ``PageCollector``. Raises
+        StateError, with nothing changed, if it has another value for a known version.
         """
+        if page.more:
+            raise StateError("more", "a part of a state can't be merged")
         for entry in page.entries:
             known = self.entries.get(entry.key)
             if known is not None and known.version == entry.version and known != entry:
@@ -122,17 +158,16 @@
         known_conflicts = len(self.conflicts)
         is_new = False
         for entry in page.entries:
-            is_new = self._merge_entry(entry) or is_new
+            is_new = self._merge_entry(entry, page.seen) or is_new
         for origin, number in page.seen.items():
             is_new = is_new or number > self.seen.get(origin, 0)
             self.seen[origin] = max(number, self.seen.get(origin, 0))
         self.conflicts.update(page.conflicts)
-        self.conflicts = set(
-            sorted(self.conflicts, key=lambda conflict: conflict.kept)[-MAX_CONFLICTS:]
-        )
+        by_version = sorted(self.conflicts, key=lambda each: (each.kept, each.key, each.dropped))
+        self.conflicts = set(by_version[-MAX_CONFLICTS:])
         return is_new or len(self.conflicts) > known_conflicts
 
-    def _merge_entry(self, entry: VersionedEntry) -> bool:
+    def _merge_entry(self, entry: VersionedEntry, seen_there: VersionVector) -> bool:
         known = self.entries.get(entry.key)
         if known is None:
             self.entries[entry.key] = entry
@@ -140,9 +175,10 @@
         if known.version == entry.version:
             return False
         older, newer = sorted((known, entry), key=lambda candidate: candidate.version)
-        # The newer change had seen the key only up to the version that it replaces. If there is no
-        # such version, or a version lower than the older entry's, the changes are concurrent.
-        if newer.replaces is None or newer.replaces < older.version:
+        is_concurrent = not includes(self.seen, entry.version) and not includes(
+            seen_there, known.version
+        )
+        if is_concurrent and newer.replaces != older.version:
             self.conflicts.add(Conflict(entry.key, newer.version, older.version))
         self.entries[entry.key] = newer
         return newer is entry
--- a/tests/test_desired.py
+++ b/tests/test_desired.py
@@ -3,30 +3,37 @@
 """
 
 import asyncio
+import itertools
 import json
 import random
 import signal
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Mapping
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from typer.testing import CliRunner
 
-from onyxpass.config.platform_file import ConfigError
+from onyxpass.agent.credentials import make_key
+from onyxpass.config.platform_file import Address, ConfigError
 from onyxpass.desired import state_file
 from onyxpass.desired.cli import desired_app
 from onyxpass.desired.config import load
 from onyxpass.desired.config_rendering import render_config
+from onyxpass.desired.node import Node
 from onyxpass.desired.state import (
     Conflict,
     DesiredState,
     Page,
+    PageCollector,
     StateError,
+    Version,
     covers,
+    includes,
     page_to_json,
     parse_page,
 )
@@ -42,13 +49,14 @@
 
 
 def pull(receiver: DesiredState, sender: DesiredState, max_bytes: int = 32_768) -> None:
-    """Merge the sender's state page by page, with JSON as on the wire."""
+    """Merge the sender's state from all its pages, with JSON as on the wire."""
+    collector = PageCollector(receiver.seen)
     for _ in range(1_000):
         page = parse_page(
-            json.loads(json.dumps(page_to_json(sender.page_since(receiver.seen, max_bytes))))
+            json.loads(json.dumps(page_to_json(sender.page_since(collector.seen, max_bytes))))
         )
-        receiver.merge(page)
-        if not page.more:
+        if (complete := collector.add(page)) is not None:
+            receiver.merge(complete)
             return
     raise AssertionError("pages without an end")
 
@@ -83,6 +91,123 @@
     )
 
 
+@dataclass(frozen=True)
+class Change:
+    """An accepted change of a key, and what its node knew when it was made."""
+
+    key: str
+    version: Version
+    past: dict[str, int]
+
+
+class History:
+    """Nodes that change keys, pull, are restarted, and go back to an older disk."""
+
+    def __init__(self, node_count: int) -> None:
+        self.nodes = [DesiredState() for _ in range(node_count)]
+        self.disks = [node.copy() for node in self.nodes]
+        self._starts = itertools.count()
+        self.origins = [self._next_origin(number) for number in range(node_count)]
+        self.changes: list[Change] = []
+
+    def _next_origin(self, node: int) -> str:
+        return f"o{node}.{next(self._starts)}"
+
+    def change(self, node: int, key: str) -> None:
+        past = dict(self.nodes[node].seen)
+        value = len(self.changes)
+        version = self.nodes[node].change(self.origins[node], {key: value})
+        self.changes.append(Change(key, version, past))
+
+    def restart(self, node: int, from_older_disk: bool) -> None:
+        self.origins[node] = self._next_origin(node)
+        if from_older_disk:
+            self.nodes[node] = self.disks[node].copy()
+        self.disks[node] = self.nodes[node].copy()
+
+    def are_concurrent(self, one: Version, other: Version, key: str) -> bool:
+        past_of = {change.version: change.past for change in self.changes if change.key == key}
+        return not includes(past_of[one], other) and not includes(past_of[other], one)
+
+    def newest_changes(self, seen: Mapping[str, int]) -> list[Change]:
+        """Return the known changes that no known change of their key had seen."""
+        known = [change for change in self.changes if includes(seen, change.version)]
+        return [
+            change
+            for change in known
+            if not any(
+                other.key == change.key and includes(other.past, change.version) for other in known
+            )
+        ]
+
+
+NODE_COUNT = 4
+EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("change"), st.integers(0, NODE_COUNT - 1), st.sampled_from("ab")),
+        st.tuples(st.just("pull"), st.integers(0, NODE_COUNT - 1), st.integers(0, NODE_COUNT - 1)),
+        st.tuples(st.just("restart"), st.integers(0, NODE_COUNT - 1), st.booleans()),
+    ),
+    max_size=40,
+)
+
+
+@settings(max_examples=400, deadline=None)
+@example(
+    [
+        ("change", 0, "a"),
+        ("pull", 1, 0),
+        ("change", 0, "a"),
+        ("change", 1, "a"),
+        ("change", 1, "a"),
+    ],
+    32_768,
+)
+@given(events=EVENTS, max_bytes=st.sampled_from([60, 32_768]))
+def test_each_accepted_change_is_in_force_or_seen_by_its_successor_or_named_in_a_conflict(
+    events: list[tuple[str, int, Any]], max_bytes: int
+) -> None:
+    """Guards against a change that is lost without a word: its key was changed more than once on
+    the other side meanwhile.
+    """
+    history = History(NODE_COUNT)
+    for kind, node, argument in events:
+        match kind:
+            case "change":
+                history.change(node, argument)
+            case "pull":
+                pull(history.nodes[node], history.nodes[argument], max_bytes)
+            case "restart":
+                history.restart(node, argument)
+    for _ in range(NODE_COUNT):
+        for one in history.nodes:
+            for other in history.nodes:
+                pull(one, other, max_bytes)
+    for state in history.nodes:
+        assert state.conflicts == history.nodes[0].conflicts, "alike everywhere"
+        named = {(c.key, version) for c in state.conflicts for version in (c.kept, c.dropped)}
+        for change in history.newest_changes(state.seen):
+            in_force = state.entries[change.key].version == change.version
+            assert in_force or (change.key, change.version) in named, change
+        for conflict in state.conflicts:
+            assert history.are_concurrent(conflict.kept, conflict.dropped, conflict.key), conflict
+
+
+def test_a_part_of_a_state_is_not_merged_and_pages_without_progress_are_rejected() -> None:
+    sender, receiver = DesiredState(), DesiredState()
+    for number in range(3):
+        sender.change("n", {f"k{number}": "x" * 50})
+    first = sender.page_since({}, max_bytes=60)
+    assert first.more
+    with pytest.raises(StateError, match="part"):
+        receiver.merge(first)
+    assert not receiver.entries and not receiver.seen
+    collector = PageCollector(receiver.seen)
+    assert collector.add(first) is None
+    with pytest.raises(StateError, match="nothing new"):
+        collector.add(first)
+
+
 def test_concurrent_changes_conflict_and_sequential_changes_do_not() -> None:
     north, south = DesiredState(), DesiredState()
     first = north.change("n", {"k": 1})
@@ -407,3 +532,32 @@
     assert isinstance(sender.page_since({}), Page) and sender.page_since({}).more
     pull(receiver, sender)
     assert receiver.digest() == sender.digest()
+
+
+def test_a_backlog_of_several_pages_comes_into_force_as_a_whole(tmp_path: Path) -> None:
+    """Guards against a node that passes on a part of a state, whose changes look concurrent."""
+    (tmp_path / "node.toml").write_text(
+        'name = "n1"\nrole = "relay"\nlisten = "127.0.0.1:0"\nkey = "key"\nfolder = "n1"\n'
+        'upstreams = ["127.0.0.1:1"]\n'
+    )
+    make_key(tmp_path / "key")
+    node, sender = Node(load(tmp_path / "node.toml")), DesiredState()
+    for number in range(5):
+        sender.change("n", {f"k{number}": "x" * 50})
+    digests: list[str] = []
+    replace_state = node.replace_state
+
+    def record_state(state: DesiredState) -> None:
+        digests.append(state.digest())
+        replace_state(state)
+
+    async def request_page(_: Address, seen: Mapping[str, int]) -> Page:
+        if covers(seen, {"n": 3}) and not covers(sender.seen, {"late": 1}):
+            sender.change("late", {"k0": "changed while the pages were sent"})
+        return sender.page_since(seen, max_bytes=60)
+
+    node._request_page = request_page  # type: ignore[method-assign]
+    node.replace_state = record_state  # type: ignore[method-assign]
+    asyncio.run(node._pull(Address("127.0.0.1", 1)))
+    assert set(digests) == {sender.digest()} and node.caught_up
+    assert node.state.values() == sender.values() and not node.state.conflicts
