--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,6 @@
 """Expected failures: ``KNOWN-RED.txt`` at the root has a line ``test | cause | issue`` for each.
 
-Only these tests are expected to fail, at most five, and each is printed. A listed test that passes
+Only these tests are expected to fail, at most three, and each is printed. A listed test that passes
 fails the run, and a line that names no existing test stops it.
 """
 
@@ -8,7 +8,7 @@
 
 import pytest
 
-MAX_KNOWN_RED = 5
+MAX_KNOWN_RED = 3
 
 
 def read_known_red(path: Path) -> dict[str, tuple[str, str]]:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -49,7 +49,7 @@
             "no test test_planted",
         ),
         ([f"{FAILING} | no issue"], 4, "KNOWN-RED.txt:1: not 'test | cause | issue'"),
-        ([f"{FAILING}{n} | x | 7" for n in range(6)], 4, "6 tests, 5 at most"),
+        ([f"{FAILING}{n} | x | 7" for n in range(4)], 4, "4 tests, 3 at most"),
     ],
 )
 def test_only_listed_tests_are_expected_to_fail(
