Carry an order from the store out once, also by the next agent

Operators saw: an instance that was stopped by `agent stop` and brought back by `fleet restart` is ended again as soon as its agent was killed and started: by the old entry in Redis.

Cause: which entries were carried out was known in memory only, and an entry had no identity. Ruled out: the instance's own record (the restart had stored "wanted").

Change: an order has an id (store/desired_running.py); the agent keeps the ids that it carried out in store-orders.json of its state folder, written once the instance has taken the order over. A file of its own, since the database keeps its schema (tests/proofs). Entries without an id, of older tools, count as carried out if they equal the latest. The stand-in store of test_agent.py returns an order where it returned True.

Measured: test_an_order_from_the_store_is_carried_out_once_also_by_the_next_agent fails with the earlier rule planted (two of two kinds) and passes now.

--- a/onyxpass/agent/instance.py
+++ b/onyxpass/agent/instance.py
@@ -38,6 +38,7 @@
 )
 from onyxpass.agent.process import Process, ProcessIdentity, find_by_environment, rotate_log
 from onyxpass.agent.state_store import StateStore, StateStoreWriteError
+from onyxpass.agent.store_orders import StoreOrders
 from onyxpass.config.platform_file import ADMIN_VARIABLE, GENERATION_VARIABLE, LAUNCH_VARIABLE
 from onyxpass.core.actor import Actor
 from onyxpass.invariants import ProcessStartChecker
@@ -58,14 +59,16 @@
         state_store: StateStore,
         folder: Path,
         start_checker: ProcessStartChecker,
+        store_orders: StoreOrders,
     ) -> None:
-        """Load the stored record. All instances of the agent share ``start_checker``."""
+        """Load the stored record. All instances of the agent share the last two."""
         super().__init__(spec.name)
         self.spec = spec
         self.config = config
         self.state_store = state_store
         self.folder = folder
         self.start_checker = start_checker
+        self.store_orders = store_orders
         self.record = state_store.instances.load().get(spec.name) or InstanceRecord(spec.name)
         self.lifecycle = Lifecycle(
             config.restart, wanted=self.record.wanted, restarts=self.record.restarts
@@ -112,10 +115,12 @@
                 return self._start_or_adopt(now_s)
             case BackoffElapsed(state_sequence):
                 return self.lifecycle.backoff_elapsed(now_s, state_sequence)
-            case SetWanted(wanted, persist):
+            case SetWanted(wanted, persist, order):
                 actions = self.lifecycle.set_wanted(now_s, wanted)
                 if persist:
                     self._record_wanted(wanted)
+                if order is not None:
+                    self.store_orders.record(self.name, order)
                 return actions
             case RestartInstance():
                 actions = self.lifecycle.restart(now_s)
--- a/onyxpass/agent/instance_messages.py
+++ b/onyxpass/agent/instance_messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from onyxpass.store.desired_running import DesiredRunning
+
 
 @dataclass(frozen=True, slots=True)
 class StartOrAdopt:
@@ -25,6 +27,7 @@
 
     wanted: bool
     persist: bool = True
+    order: DesiredRunning | None = None  # the order from the store that is carried out
 
 
 @dataclass(frozen=True, slots=True)
--- a/onyxpass/agent/supervisor.py
+++ b/onyxpass/agent/supervisor.py
@@ -19,9 +19,11 @@
 from onyxpass.agent.instance_records import InstanceRecord
 from onyxpass.agent.process import identify
 from onyxpass.agent.state_store import StateStore
+from onyxpass.agent.store_orders import StoreOrders
 from onyxpass.core.clock import Clock
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.invariants import ProcessStartChecker
+from onyxpass.store.desired_running import DesiredRunning
 
 if TYPE_CHECKING:
     from onyxpass.store.redis import RedisStore
@@ -47,16 +49,17 @@
         self.state_store = StateStore(config.state)
         (self.folder / "run").mkdir(mode=0o700, parents=True, exist_ok=True)
         self.wheel = TimerWheel(Clock())
+        self.store_orders = StoreOrders(config.state)
         start_checker = ProcessStartChecker()
         self.instances = [
-            Instance(spec, config, self.state_store, self.folder, start_checker)
+            Instance(spec, config, self.state_store, self.folder, start_checker, self.store_orders)
             for spec in config.instances
         ]
         self.by_name = {instance.name: instance for instance in self.instances}
         self.store_unavailable = False
         self._tasks: list[asyncio.Task[None]] = []
         self._poll_task: asyncio.Task[None] | None = None
-        self._wanted_in_store: dict[str, bool | None] = {}  # as last read, by instance
+        self._order_in_store: dict[str, DesiredRunning] = {}  # as last read, by instance
         self._stopping = False
 
     async def start(self) -> None:
@@ -112,15 +115,22 @@
             self.store_unavailable = True
 
     async def _sync_instance(self, store: "RedisStore", instance: Instance) -> None:
-        wanted = await store.desired_running(instance.name)
-        # Prevents an entry that was already read from undoing a newer operation of the agent's API.
-        is_new = self._wanted_in_store.get(instance.name) != wanted
-        self._wanted_in_store[instance.name] = wanted
-        if is_new and wanted is not None and not self._stopping:
-            instance.tell(SetWanted(wanted))
+        order = await store.desired_running(instance.name)
+        if order is not None and not self._stopping and self._is_new(instance.name, order):
+            self._order_in_store[instance.name] = order
+            instance.tell(SetWanted(order.running, order=order))
         ttl_s = max(MIN_STORE_TTL_S, round(self.config.poll_interval_s * STORE_TTL_POLLS))
         await store.publish_instance(instance.name, instance.to_dict(), ttl_s)
 
+    def _is_new(self, name: str, order: DesiredRunning) -> bool:
+        """Return whether an order in the store has not been carried out yet.
+
+        Prevents an order that was carried out, also by an earlier agent of this host, from undoing
+        a newer operation of the agent's API.
+        """
+        is_repeated = self._order_in_store.get(name) == order
+        return not is_repeated and self.store_orders.is_new(name, order)
+
     async def stop(self) -> None:
         """Stop all instances, remove them from the store and close the state.
 
--- a/onyxpass/store/redis.py
+++ b/onyxpass/store/redis.py
@@ -16,6 +16,7 @@
 from redis.exceptions import RedisError
 
 from onyxpass.store.claim_generation import StoreReading
+from onyxpass.store.desired_running import DesiredRunning
 
 CALL_KEY_PREFIX = "onyxpass:call:"
 CLAIM_GENERATION_KEY = "onyxpass:claims:generation"
@@ -140,13 +141,13 @@
 
     async def set_desired_running(self, name: str, running: bool) -> None:
         """Store whether an operator wants the instance to run; the instance's agent reads this."""
-        command = self._redis.set(DESIRED_KEY_PREFIX + name, json.dumps({"running": running}))
-        await _result_of(command)
+        order = json.dumps(DesiredRunning.new(running).to_dict())
+        await _result_of(self._redis.set(DESIRED_KEY_PREFIX + name, order))
 
-    async def desired_running(self, name: str) -> bool | None:
-        """Return whether an operator wants the instance to run; None if none has set it."""
-        running = (await self._get(DESIRED_KEY_PREFIX + name) or {}).get("running")
-        return running if isinstance(running, bool) else None
+    async def desired_running(self, name: str) -> DesiredRunning | None:
+        """Return the latest order to run or stop the instance; None if there is none."""
+        entry = await self._get(DESIRED_KEY_PREFIX + name)
+        return None if entry is None else DesiredRunning.from_dict(entry)
 
     async def _get(self, key: str) -> dict[str, Any] | None:
         text = await _result_of(self._redis.get(key))
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -22,11 +22,14 @@
 from onyxpass.agent.config import AgentConfig, InstanceSpec
 from onyxpass.agent.expected_config import expected_digest
 from onyxpass.agent.instance import Instance
+from onyxpass.agent.instance_messages import RestartInstance
 from onyxpass.agent.lifecycle import Lifecycle, RestartPolicy, ScheduleLaunch
+from onyxpass.agent.store_orders import FILE_NAME, MAX_ORDERS, StoreOrders
 from onyxpass.agent.supervisor import Agent
 from onyxpass.cli import app
 from onyxpass.config.platform_file import Address, ConfigError
-from onyxpass.store.redis import RedisStore
+from onyxpass.store.desired_running import DesiredRunning
+from onyxpass.store.redis import DESIRED_KEY_PREFIX, RedisStore
 
 ROOT = Path(__file__).parent.parent
 SLEEPER = (sys.executable, "-c", "import time; time.sleep(600)")
@@ -41,6 +44,7 @@
 )
 TERMINATION_GRACE_S = 30.0
 POLL_INTERVAL_S = 0.02
+START_ORDER = DesiredRunning.new(True)
 
 
 def make_config(
@@ -183,13 +187,13 @@
     """
 
     class LateStore(RedisStore):
-        async def desired_running(self, name: str) -> bool:
+        async def desired_running(self, name: str) -> DesiredRunning:
             desired_state_requested.set()
             try:
                 await asyncio.sleep(600)
             except asyncio.CancelledError:
-                return True  # the cancellation is lost, as in a client's own time-out
-            return True
+                return START_ORDER  # the cancellation is lost, as in a client's own time-out
+            return START_ORDER
 
     desired_state_requested = asyncio.Event()
 
@@ -204,6 +208,94 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("is_legacy", [False, True])
+def test_an_order_from_the_store_is_carried_out_once_also_by_the_next_agent(
+    tmp_path: Path, is_legacy: bool
+) -> None:
+    """Guards against an old stop order that ends a serving instance again: its agent was killed,
+    and the next one took the entry that still stood in the store for a new order.
+    """
+
+    async def scenario() -> None:
+        store = await RespStore().start()
+        url = f"redis://{store.address}/0"
+        config = replace(make_config(url, InstanceSpec("d1", SLEEPER)), state=tmp_path / "state")
+        operator = RedisStore(url)
+
+        async def order(running: bool) -> None:
+            await operator.set_desired_running("d1", running)
+            if is_legacy:
+                store.data[f"{DESIRED_KEY_PREFIX}d1"] = json.dumps({"running": running})
+
+        async def start_agent() -> Agent:
+            agent = Agent(config, RedisStore(url))
+            await agent.start()
+            return agent
+
+        agent = await start_agent()
+        await until(lambda: is_running(agent.instances[0]), 30)
+        await order(False)
+        await until(lambda: agent.instances[0].state == "stopped", 30)
+        copy = store.snapshot()
+        agent.instances[0].tell(RestartInstance())  # as `fleet restart d1` does
+        await until(lambda: is_running(agent.instances[0]), 30)
+        process = agent.instances[0].process
+        assert process is not None
+        await end_without_stopping(agent)
+
+        agent = await start_agent()
+        await until(lambda: agent.instances[0].adopted, 30)
+        await until_polled(store, 3)
+        assert is_running(agent.instances[0]) and is_alive(process.pid)
+        await order(True)
+        await until_polled(store, 3)
+        await order(False)
+        await until(lambda: agent.instances[0].state == "stopped", 30)
+        await order(True)
+        await until(lambda: is_running(agent.instances[0]), 30)
+        if not is_legacy:
+            store.data = copy
+            await until_polled(store, 3)
+            assert is_running(agent.instances[0]), "the store went back to an older order"
+        await agent.stop()
+        await operator.close()
+        await store.stop()
+
+    run(scenario)
+
+
+def test_recorded_orders_survive_a_damaged_file_and_are_bounded(tmp_path: Path) -> None:
+    (tmp_path / FILE_NAME).write_text('[["d1", "x"], ["d1"')
+    orders = StoreOrders(tmp_path)
+    last = [DesiredRunning.new(number % 2 == 0) for number in range(MAX_ORDERS + 1)]
+    for order in last:
+        assert orders.is_new("d1", order)
+        orders.record("d1", order)
+    for kept in (orders, StoreOrders(tmp_path)):
+        assert not any(kept.is_new("d1", order) for order in last[1:])
+        assert kept.is_new("d1", last[0]) and kept.is_new("d2", last[1])
+        assert kept.is_new("d1", DesiredRunning(True)), "an order of an older tool"
+
+
+async def end_without_stopping(agent: Agent) -> None:
+    """End an agent as a kill does: its instances go on."""
+    await agent._stop_polling()
+    for task in agent._tasks:
+        task.cancel()
+    await asyncio.gather(*agent._tasks, return_exceptions=True)
+    agent.close()
+
+
+async def until_polled(store: RespStore, times: int) -> None:
+    """Wait until an agent has read its orders and handled them so many times."""
+    before = len(store.commands)
+
+    def polls() -> int:
+        return sum(words[0] == "GET" for words in store.commands[before:])
+
+    await until(lambda: polls() > times, 30)
+
+
 def test_an_instance_that_ignores_sigterm_is_killed(tmp_path: Path) -> None:
     async def scenario() -> None:
         ready_file = tmp_path / "up"
