Break off clients of the JSON-RPC front that read nothing at its stop

Cause: a writer that is closed waits until its rest is written, and the stop waits for the connection's task, without a limit. Ruled out: open requests (they had their answers).

Change: 2 s after the close, as at the HTTP front, what is left is broken off and named in the log (clients_broken_off).

Measured: test_a_front_stops_beside_a_client_that_reads_nothing timed out after 10 s before and passes now.

--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -35,6 +35,7 @@
 ACCEPT_QUEUE_DELAY_US = 50_000
 # Turns of the event loop after ``ACCEPT_QUEUE_DELAY_US``; some turns do not poll the sockets.
 ACCEPT_TURNS = 8
+FLUSH_TIMEOUT_US = 2_000_000  # at shutdown, for clients to receive the rest of their responses
 MAX_OPEN_REQUESTS = 256  # per connection
 log = structlog.get_logger("rpc")
 
@@ -351,8 +352,20 @@
             with contextlib.suppress(TimeoutError):
                 async with self.core.wheel.timeout(CLIENT_CLOSE_TIMEOUT_US):
                     await asyncio.wait(list(self.connections))
+        await self._close_connections()
+        await self.relay.finish()
+
+    async def _close_connections(self) -> None:
+        """Close all connections; those whose clients don't read the rest are broken off in the end."""
         for connection in list(self.connections.values()):
             connection.writer.close()
+        if self.connections:
+            with contextlib.suppress(TimeoutError):
+                async with self.core.wheel.timeout(FLUSH_TIMEOUT_US):
+                    await asyncio.wait(list(self.connections))
+        if self.connections:
+            log.warning("clients_broken_off", clients=len(self.connections))
+        for connection in list(self.connections.values()):
+            connection.writer.transport.abort()
         while self.connections:
             await asyncio.wait(list(self.connections))
-        await self.relay.finish()
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -19,6 +19,7 @@
 
 ROOT = Path(__file__).parent.parent
 RECOVERY_MS = 50  # after the loss of the store's keys, and after a start
+STOP_TIMEOUT_S = 10.0
 
 
 class ToolCallTestBed:
@@ -532,3 +533,21 @@
                 await server.stop()
 
     run(scenario)
+
+
+def test_a_front_stops_beside_a_client_that_reads_nothing() -> None:
+    """Guards against a SIGTERM that waits for ever for such a client's connection to close."""
+
+    async def scenario() -> None:
+        async with world(st.send_text("a")) as w:
+            front = w.service.front  # type: ignore[attr-defined]
+            _reader, writer = await asyncio.open_connection("127.0.0.1", front.port, limit=1)
+            ping = b'{"jsonrpc":"2.0","id":1,"method":"ping"}\n'
+            while not front.count_unsent():
+                writer.write(ping * 1000)
+                await asyncio.sleep(0.01)
+            await asyncio.wait_for(front.stop(), STOP_TIMEOUT_S)
+            assert not front.connections
+            writer.transport.abort()
+
+    run(scenario)
