Let nothing start an instance again once its agent ends

Cause: the agent stops instances by the message by which operators stop them, so a restart that comes later sets the instance's wanted state again, and the agent waits for it to be unwanted. Ruled out: a late answer of the store (its poll has ended before).

Change: EndInstance, a message of its own, after which starts, restarts and other orders are ignored with a log line (order_ignored). The stored state is unchanged: the next agent starts the instance again.

Measured: test_an_agent_stops_although_a_restart_is_ordered_meanwhile times out with the guard taken out (two of two orders) and passes now.

--- a/onyxpass/agent/instance.py
+++ b/onyxpass/agent/instance.py
@@ -21,6 +21,7 @@
 from onyxpass.agent.instance_messages import (
     BackoffElapsed,
     CheckCompleted,
+    EndInstance,
     InstanceMessage,
     ProcessExited,
     RestartInstance,
@@ -76,6 +77,7 @@
         self.process: Process | None = None
         self.state_since_unix_s = time.time()  # for display only
         self.adopted = False
+        self._ending = False  # nothing starts the instance any more
         self.no_process = asyncio.Event()  # set while no process runs and none is being started
         self.no_process.set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -115,10 +117,15 @@
                 return self._start_or_adopt(now_s)
             case BackoffElapsed(state_sequence):
                 return self.lifecycle.backoff_elapsed(now_s, state_sequence)
-            case SetWanted(wanted, persist, order):
+            case EndInstance():
+                self._ending = True
+                return self.lifecycle.set_wanted(now_s, False)
+            case SetWanted() | RestartInstance() | StartOrAdopt() if self._ending:
+                log.warning("order_ignored", name=self.name, reason="the agent ends")
+                return []
+            case SetWanted(wanted, order):
                 actions = self.lifecycle.set_wanted(now_s, wanted)
-                if persist:
-                    self._record_wanted(wanted)
+                self._record_wanted(wanted)
                 if order is not None:
                     self.store_orders.record(self.name, order)
                 return actions
--- a/onyxpass/agent/instance_messages.py
+++ b/onyxpass/agent/instance_messages.py
@@ -19,17 +19,20 @@
 
 @dataclass(frozen=True, slots=True)
 class SetWanted:
-    """Run or stop the instance.
-
-    With ``persist`` False the stored desired state does not change: an agent that ends stops its
-    instances, and the next agent starts them again.
-    """
+    """Run or stop the instance."""
 
     wanted: bool
-    persist: bool = True
     order: DesiredRunning | None = None  # the order from the store that is carried out
 
 
+@dataclass(frozen=True, slots=True)
+class EndInstance:
+    """Stop the process for good, because the agent ends; nothing starts it again.
+
+    The stored desired state does not change: the next agent starts the instance again.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class RestartInstance:
     """Stop the process and start another at once."""
@@ -51,5 +54,11 @@
 
 
 InstanceMessage = (
-    StartOrAdopt | BackoffElapsed | SetWanted | RestartInstance | ProcessExited | CheckCompleted
+    StartOrAdopt
+    | BackoffElapsed
+    | SetWanted
+    | EndInstance
+    | RestartInstance
+    | ProcessExited
+    | CheckCompleted
 )
--- a/onyxpass/agent/supervisor.py
+++ b/onyxpass/agent/supervisor.py
@@ -15,7 +15,7 @@
 
 from onyxpass.agent.config import AgentConfig
 from onyxpass.agent.instance import Instance
-from onyxpass.agent.instance_messages import SetWanted, StartOrAdopt
+from onyxpass.agent.instance_messages import EndInstance, SetWanted, StartOrAdopt
 from onyxpass.agent.instance_records import InstanceRecord
 from onyxpass.agent.process import identify
 from onyxpass.agent.state_store import StateStore
@@ -138,7 +138,7 @@
         """
         await self._stop_polling()
         for instance in self.instances:
-            instance.tell(SetWanted(False, persist=False))
+            instance.tell(EndInstance())
         await asyncio.sleep(0)
         for instance in self.instances:
             while instance.lifecycle.wanted:  # noqa: ASYNC110 - waits for the mailbox to be read
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -22,7 +22,7 @@
 from onyxpass.agent.config import AgentConfig, InstanceSpec
 from onyxpass.agent.expected_config import expected_digest
 from onyxpass.agent.instance import Instance
-from onyxpass.agent.instance_messages import RestartInstance
+from onyxpass.agent.instance_messages import RestartInstance, SetWanted
 from onyxpass.agent.lifecycle import Lifecycle, RestartPolicy, ScheduleLaunch
 from onyxpass.agent.store_orders import FILE_NAME, MAX_ORDERS, StoreOrders
 from onyxpass.agent.supervisor import Agent
@@ -264,6 +264,33 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("order", [RestartInstance(), SetWanted(True)])
+def test_an_agent_stops_although_a_restart_is_ordered_meanwhile(
+    tmp_path: Path, order: RestartInstance | SetWanted
+) -> None:
+    """Guards against a SIGTERM that waits for ever: while another instance was still stopping, an
+    order that had waited for a drain started an instance again.
+    """
+
+    async def scenario() -> None:
+        ready_file = tmp_path / "up"
+        slow = InstanceSpec("slow", (*STUBBORN, str(ready_file)))
+        specs = (slow, InstanceSpec("d1", SLEEPER))
+        config = make_config("redis://127.0.0.1:1/0", *specs, termination_grace_s=2.0)
+        agent = Agent(config)
+        await agent.start()
+        instance = agent.by_name["d1"]
+        await until(lambda: is_running(instance) and ready_file.exists(), 30)
+        stopping = asyncio.create_task(agent.stop())
+        await until(lambda: instance.state == "stopped", 30)
+        instance.tell(order)
+        await asyncio.wait_for(stopping, 30)
+        assert instance.process is None
+        assert instance.record.wanted, "the next agent starts it again"
+
+    run(scenario)
+
+
 def test_recorded_orders_survive_a_damaged_file_and_are_bounded(tmp_path: Path) -> None:
     (tmp_path / FILE_NAME).write_text('[["d1", "x"], ["d1"')
     orders = StoreOrders(tmp_path)
