Keep nothing for a connection whose memory account is closed

Found on rereading: bytes that come after an account is closed would be charged for ever. No path to it is known (a closed transport reads nothing), so this is a safeguard; the test closes an account and charges it.

Measured: tests/test_memory_bound.py passes; its new assertion fails without the change.

--- a/onyxpass/core/memory_budget.py
+++ b/onyxpass/core/memory_budget.py
@@ -43,6 +43,7 @@
         self.standing = standing
         self.held_bytes = 0
         self.is_evicted = False
+        self.is_closed = False
         self.evict = evict
 
     @property
@@ -55,7 +56,7 @@
 
         May evict this account or others, by calling their ``evict``.
         """
-        if self.is_evicted:
+        if self.is_evicted or self.is_closed:
             return False
         self._budget.set_held(self, self.held_bytes + count)
         self._budget.enforce()
@@ -66,7 +67,8 @@
         self._budget.set_held(self, 0 if self.is_evicted else held_bytes)
 
     def close(self) -> None:
-        """End the account; nothing is held any more."""
+        """End the account; nothing is held any more, nor kept."""
+        self.is_closed = True
         self._budget.remove(self)
 
 
--- a/tests/test_memory_bound.py
+++ b/tests/test_memory_bound.py
@@ -89,12 +89,14 @@
 
 def test_what_is_settled_or_closed_is_charged_no_more() -> None:
     accounts = Accounts(10 * FREE_BYTES)
-    first, second = accounts.open("first"), accounts.open("second")
+    first = accounts.open("first")
     for _ in range(100):
         assert first.charge(6 * FREE_BYTES)
         first.settle(0)
+        second = accounts.open("second")
         assert second.charge(6 * FREE_BYTES)
         second.close()
+        assert not second.charge(6 * FREE_BYTES), "it came after the close"
         assert accounts.budget.charged_bytes == 0
     assert not accounts.evicted
 
