Let a claim count only if its front is open when the answer is read

Callers would see a booking that runs twice: the store is emptied while a claim is out, and the front joins the new generation before it reads the answer; the repeat came under a new call id.

Cause: the front waits until it is open, and after the answer it compared only the generation, which may have become the answer's own meanwhile. Ruled out: a repeat under the same id (trial: its second claim waits, and finds the record).

Change: _proves_first_call asks for both. A claim of the call's own token is made again once open.

Measured: test_a_claim_made_while_the_front_joins_a_new_generation_does_not_count fails with the earlier line (the ledger got r1:c1 and r1:c2) and passes now; tests/test_store_loss.py 59 passed.

--- a/onyxpass/toolcalls/call_claims.py
+++ b/onyxpass/toolcalls/call_claims.py
@@ -8,7 +8,12 @@
 import structlog
 
 from onyxpass.core.timer_wheel import TimerWheel
-from onyxpass.store.claim_generation import HEARTBEAT_INTERVAL_US, StoreChange, StoreGeneration
+from onyxpass.store.claim_generation import (
+    HEARTBEAT_INTERVAL_US,
+    StoreChange,
+    StoreGeneration,
+    StoreReading,
+)
 from onyxpass.store.redis import RedisStore, StoreUnavailableError
 from onyxpass.toolcalls.call_journal import CallJournal
 
@@ -110,7 +115,7 @@
             if not idempotent:
                 await self._wait_until_open(due_us, is_wanted)
             is_first, reading = await self.store.claim_call(key, record, ttl_s, self.front)
-            if self.generation.compare(reading) is not StoreChange.NONE and not idempotent:
+            if not idempotent and not self._proves_first_call(reading):
                 await self._look()
                 continue
             if not is_first:
@@ -122,6 +127,13 @@
             self.journal.put(key, record, ttl_s)
             return None
 
+    def _proves_first_call(self, reading: StoreReading) -> bool:
+        """Return whether a claim with this reading counts.
+
+        The front may have noticed a loss, and joined a new generation, while the claim was made.
+        """
+        return self.generation.is_open and self.generation.compare(reading) is StoreChange.NONE
+
     async def _wait_until_open(self, due_us: int, is_wanted: Callable[[], bool]) -> None:
         """Wait for the end of a recovery period.
 
--- a/tests/test_store_loss.py
+++ b/tests/test_store_loss.py
@@ -627,6 +627,41 @@
     run(scenario)
 
 
+def test_a_claim_made_while_the_front_joins_a_new_generation_does_not_count(tmp_path: Path) -> None:
+    """Guards against a booking that runs twice under a new id: the store was emptied while its claim
+    was out, which counted, since the front had joined the new generation before it read the answer.
+    """
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            for name in ("f1", "f2"):
+                await bed.open_front(name)
+            await book_and_lose(bed, lose_nothing)
+            first, second = bed.services["f1"].claims, bed.services["f2"].claims
+            claimed, look, claim_call = asyncio.Event(), first._look, second.store.claim_call
+
+            async def look_late() -> None:
+                await claimed.wait()
+                await look()
+
+            async def claim_late(key: str, *call: Any) -> tuple[bool, StoreReading]:
+                if key == "r1:c2" or claimed.is_set():
+                    return await claim_call(key, *call)
+                bed.store.data.clear()
+                await second._look()
+                answer = await claim_call(key, *call)
+                claimed.set()
+                return answer
+
+            first._look = look_late  # type: ignore[method-assign]
+            second.store.claim_call = claim_late  # type: ignore[method-assign]
+            for writer in bed.writers:
+                writer.steps = (st.call_tool("c2"),)
+            await check_served_again(bed, "f2")
+
+    run(scenario)
+
+
 def test_bookings_are_served_within_4_s_of_a_loss_of_10_000_claims(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with fronts(tmp_path, LONG_RECOVERY_MS) as bed:
