Wait after a loss of the store for every front that is known to have claims

Cause: a recovery period asked whether a front writes its claims, not whether one has yet to. Ruled out: copying each claim to a second front (no help while one runs, a round trip a booking); a list in the store alone (it goes with the claims).

--- a/onyxpass/cli.py
+++ b/onyxpass/cli.py
@@ -139,6 +139,13 @@
     check: Annotated[
         bool, typer.Option("--check", help="Only check the file and print a summary.")
     ] = False,
+    forget_front: Annotated[
+        str,
+        typer.Option(
+            "--forget-front",
+            help="Only let the fronts of the store expect no claims of this front any more.",
+        ),
+    ] = "",
     log_level: Level = "info",
 ) -> None:
     """Run the JSON-RPC front in the foreground until SIGTERM; SIGHUP reloads its servers."""
@@ -151,6 +158,10 @@
         typer.echo(f"{loaded.name}: listens on {loaded.listen}, tool server at {loaded.tools}")
         typer.echo(f"servers: {', '.join(server.id for server, _ in loaded.servers)}")
         return
+    if forget_front:
+        from onyxpass.toolcalls.front_removal import run_forget_front
+
+        raise typer.Exit(run_forget_front(loaded, forget_front))
     logs.configure(log_level)
     run_program(service.serve(loaded, lambda: service.load(config)), event_loop.make)
 
--- a/onyxpass/store/claim_generation.py
+++ b/onyxpass/store/claim_generation.py
@@ -9,9 +9,11 @@
 running front notices the new generation and begins to write the claims that it remembers to the
 store again, as clients reclaim locks after a restart of an NFSv4 server. While a front does so it
 keeps a *reclaim mark* in the store, which expires by itself; the period lasts until a front that
-looks after its end finds no mark.
+looks after its end finds no mark, and no front missing that is known to have claims
+(``front_registry``).
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -27,12 +29,14 @@
 class StoreReading:
     """What the store holds of the shared generation and of this front's heartbeat.
 
-    ``is_reclaiming`` tells whether a front is writing its claims again.
+    ``is_reclaiming`` tells whether a front is writing its claims again; ``fronts`` is the text of
+    the registry of fronts.
     """
 
     generation: str | None
     heartbeat: int | None
     is_reclaiming: bool = False
+    fronts: str | None = None
 
 
 class StoreChange(Enum):
@@ -54,6 +58,8 @@
         self.is_open = False  # whether a claim proves that a call is made for the first time
         # earliest time at which claims may count; None: this front has not written its own again
         self._earliest_open_us: int | None = None
+        # names of the fronts for which a recovery period is longer than its shortest time
+        self.missing_fronts: tuple[str, ...] = ()
 
     @property
     def look_interval_us(self) -> int:
@@ -83,6 +89,7 @@
         """Let no claim count until a generation is joined: the store has lost something."""
         self.current = self._earliest_open_us = None
         self.is_open = False
+        self.missing_fronts = ()
 
     def join(self, generation: str, heartbeat: int, noticed_us: int) -> None:
         """Take part in a generation; the store has all claims that this front remembers.
@@ -93,13 +100,16 @@
         self.current, self.heartbeat = generation, heartbeat
         self._earliest_open_us = noticed_us + self.recovery_period_us
 
-    def confirm(self, reading: StoreReading, read_from_us: int) -> None:
+    def confirm(
+        self, reading: StoreReading, read_from_us: int, missing_fronts: Sequence[str] = ()
+    ) -> None:
         """Take over a reading that shows no change; ``read_from_us`` is when it was requested.
 
         The recovery period ends with the first one that was requested after its shortest time and
-        shows no front that is still writing its claims.
+        shows no front that is still writing its claims, and none that has yet to do so.
         """
         if self._earliest_open_us is None or read_from_us < self._earliest_open_us:
             return
-        if not reading.is_reclaiming:
-            self.is_open = True
+        if not self.is_open:
+            self.missing_fronts = tuple(missing_fronts)
+            self.is_open = not reading.is_reclaiming and not missing_fronts
--- a/onyxpass/store/redis.py
+++ b/onyxpass/store/redis.py
@@ -22,6 +22,7 @@
 CLAIM_GENERATION_KEY = "onyxpass:claims:generation"
 CLAIM_HEARTBEAT_KEY_PREFIX = "onyxpass:claims:heartbeat:"
 CLAIM_RECLAIM_KEY = "onyxpass:claims:reclaiming"
+CLAIM_FRONTS_KEY = "onyxpass:claims:fronts"
 CLAIM_HEARTBEAT_TTL_S = 3_600  # so that the keys of fronts that have ended go
 INSTANCE_KEY_PREFIX = "onyxpass:instance:"
 DESIRED_KEY_PREFIX = "onyxpass:wanted:"
@@ -75,11 +76,17 @@
         return bool(claimed), StoreReading(generation, heartbeat)
 
     async def read_claims(self, front: str) -> StoreReading:
-        """Return the generation of the claims, this front's heartbeat, and the reclaim mark."""
+        """Return the shared state of all claims, and this front's heartbeat.
+
+        The reclaim mark is read before the registry, as a front that reclaims writes them.
+        """
         pipeline = self._redis.pipeline(transaction=False)
         pipeline.get(CLAIM_RECLAIM_KEY)
-        mark, generation, heartbeat = await self._read_claims(pipeline, front)
-        return StoreReading(generation, heartbeat, is_reclaiming=mark is not None)
+        pipeline.get(CLAIM_FRONTS_KEY)
+        mark, fronts, generation, heartbeat = await self._read_claims(pipeline, front)
+        return StoreReading(
+            generation, heartbeat, is_reclaiming=mark is not None, fronts=_text(fronts)
+        )
 
     async def _read_claims(self, pipeline: Pipeline, front: str) -> list[Any]:
         """Execute the commands of a pipeline, and read generation and heartbeat as the last two."""
@@ -99,6 +106,14 @@
         key = CLAIM_HEARTBEAT_KEY_PREFIX + front
         await _result_of(self._redis.set(key, str(heartbeat), ex=CLAIM_HEARTBEAT_TTL_S))
 
+    async def read_fronts(self) -> str | None:
+        """Return the text of the registry of fronts; None if there is none."""
+        return _text(await _result_of(self._redis.get(CLAIM_FRONTS_KEY)))
+
+    async def write_fronts(self, text: str, ttl_s: int) -> None:
+        """Store the registry of fronts for ``ttl_s``, whatever is stored of it."""
+        await _result_of(self._redis.set(CLAIM_FRONTS_KEY, text, ex=ttl_s))
+
     async def restore_calls(
         self, calls: Sequence[tuple[str, str, int]], front: str, mark_ttl_ms: int
     ) -> None:
--- a/onyxpass/toolcalls/call_claims.py
+++ b/onyxpass/toolcalls/call_claims.py
@@ -1,7 +1,9 @@
 """Claims on tool calls: which calls are made for the first time, also after the store lost its keys."""
 
 import asyncio
+import math
 import secrets
+import time
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any
 
@@ -14,6 +16,7 @@
     StoreGeneration,
     StoreReading,
 )
+from onyxpass.store.front_registry import FrontRegistry
 from onyxpass.store.redis import RedisStore, StoreUnavailableError
 from onyxpass.toolcalls.call_journal import CallJournal
 
@@ -23,6 +26,7 @@
 OPEN_POLL_US = 20_000  # between two looks whether claims count again
 # beyond the recovery period, until a call that waits for it is given up
 OPEN_MARGIN_US = 2 * HEARTBEAT_INTERVAL_US
+REGISTRATION_S = 3_600  # for which a front registers its later claims in advance
 CLAIM_TOKEN_KEY = "claim"  # of a record: which claim has written it
 log = structlog.get_logger("tools")
 
@@ -41,10 +45,20 @@
         front: str,
         wheel: TimerWheel,
         generation: StoreGeneration,
+        front_name: str = "",
     ) -> None:
-        """``front`` names this process among all that share the store."""
+        """``front`` names this process among all that share the store.
+
+        ``front_name`` is the name by which operators know it; by default it is the same.
+        """
         self.store, self.journal, self.front = store, journal, front
         self.wheel, self.generation = wheel, generation
+        self._front_name = front_name or front
+        self._fronts = FrontRegistry.from_text(journal.fronts)
+        # until when claims of this front are to be registered (Unix time, s), and are in the store
+        self._claims_until_s = math.ceil(journal.latest_expiry_s())
+        self._registered_until_s = 0
+        self._logged_missing_fronts: tuple[str, ...] = ()
         self._store_error = ""  # of the last look at the store; empty: it answered
         self._looking = asyncio.Lock()
         self._stopping = False
@@ -78,17 +92,25 @@
         token: str,
         idempotent: bool,
         is_wanted: Callable[[], bool],
+        is_new_request: bool = False,
     ) -> dict[str, Any] | None:
         """Claim a call by all of its keys; None if it is made for the first time, else its record.
 
         The first key that was claimed before decides, and its record is stored under the keys before
         it. A claim with the same ``token`` is the call's own. A call that may be repeated does not
-        wait for a recovery period. Raises ``StoreUnavailableError`` if it can't be told whether the
+        wait for a recovery period, nor does one of a request that this front has named itself, of
+        which no other front can know. Raises ``StoreUnavailableError`` if it can't be told whether the
         call was made before, and ``CallNotWantedError``.
         """
         for position, key in enumerate(keys):
             found = await self._claim_key(
-                key, record, ttl_s, token=token, idempotent=idempotent, is_wanted=is_wanted
+                key,
+                record,
+                ttl_s,
+                token=token,
+                idempotent=idempotent,
+                is_wanted=is_wanted,
+                is_new_request=is_new_request,
             )
             if found is not None:
                 for earlier_key in keys[:position]:
@@ -106,6 +128,7 @@
         token: str,
         idempotent: bool,
         is_wanted: Callable[[], bool],
+        is_new_request: bool = False,
     ) -> dict[str, Any] | None:
         record = {**record, CLAIM_TOKEN_KEY: token}
         due_us = self.wheel.clock.now_us() + self.generation.recovery_period_us + OPEN_MARGIN_US
@@ -113,9 +136,11 @@
             if (known := self.journal.get(key)) is not None:
                 return known
             if not idempotent:
-                await self._wait_until_open(due_us, is_wanted)
+                if not is_new_request:
+                    await self._wait_until_open(due_us, is_wanted)
+                await self.register(ttl_s)
             is_first, reading = await self.store.claim_call(key, record, ttl_s, self.front)
-            if not idempotent and not self._proves_first_call(reading):
+            if not idempotent and not self._proves_first_call(reading, is_new_request):
                 await self._look()
                 continue
             if not is_first:
@@ -127,12 +152,13 @@
             self.journal.put(key, record, ttl_s)
             return None
 
-    def _proves_first_call(self, reading: StoreReading) -> bool:
+    def _proves_first_call(self, reading: StoreReading, is_new_request: bool) -> bool:
         """Return whether a claim with this reading counts.
 
         The front may have noticed a loss, and joined a new generation, while the claim was made.
         """
-        return self.generation.is_open and self.generation.compare(reading) is StoreChange.NONE
+        is_open = self.generation.is_open or is_new_request
+        return is_open and self.generation.compare(reading) is StoreChange.NONE
 
     async def _wait_until_open(self, due_us: int, is_wanted: Callable[[], bool]) -> None:
         """Wait for the end of a recovery period.
@@ -146,9 +172,24 @@
             if self._stopping or not is_wanted():
                 raise CallNotWantedError
             if self.wheel.clock.now_us() >= due_us:
-                raise StoreUnavailableError("the store has lost its records: fronts are recovering")
+                missing = ", ".join(self.generation.missing_fronts) or "none"
+                raise StoreUnavailableError(
+                    f"the store has lost its records: fronts are recovering (missing: {missing})"
+                )
             await self.wheel.sleep(OPEN_POLL_US)
 
+    async def register(self, ttl_s: int) -> None:
+        """Let all fronts know of the claims of this one before it makes one that lasts ``ttl_s``.
+
+        Raises ``StoreUnavailableError``.
+        """
+        needed_until_s = math.ceil(time.time()) + ttl_s
+        if self._registered_until_s < needed_until_s:
+            self._claims_until_s = needed_until_s + REGISTRATION_S
+            await self._look()
+        if self._registered_until_s < needed_until_s:
+            raise StoreUnavailableError("other fronts can't be told of the claims of this one")
+
     async def _look(self) -> None:
         """Compare the store with what this front knows, and write its claims again after a loss."""
         async with self._looking:
@@ -157,9 +198,12 @@
                 reading = await self.store.read_claims(self.front)
                 change = self.generation.compare(reading)
                 if change is StoreChange.NONE:
-                    self.generation.confirm(reading, read_from_us)
+                    missing_fronts = await self._synchronize_fronts(reading)
+                    self.generation.confirm(reading, read_from_us, missing_fronts)
+                    self._log_missing_fronts()
                     break
                 self.generation.close()
+                self._registered_until_s = 0
                 if change is StoreChange.REPLACED and reading.generation is not None:
                     await self._join(reading.generation, reading.heartbeat or 0)
                 else:
@@ -172,6 +216,30 @@
             self.generation.heartbeat = heartbeat
             self._store_error = ""
 
+    async def _synchronize_fronts(self, reading: StoreReading) -> list[str]:
+        """Merge the registry of fronts with the store's; return the fronts whose claims miss."""
+        assert reading.generation is not None
+        now_s = time.time()
+        stored = FrontRegistry.from_text(reading.fronts)
+        self._fronts.merge(stored)
+        journal_id = self.journal.journal_id
+        if self._claims_until_s > now_s or journal_id in self._fronts.entries:
+            self._fronts.register(
+                journal_id, self._front_name, reading.generation, self._claims_until_s
+            )
+        self._fronts.drop_expired(now_s)
+        if self._fronts.entries != stored.entries:
+            await self.store.write_fronts(self._fronts.to_text(), self._fronts.remaining_s(now_s))
+        self.journal.save_fronts(self._fronts.to_text())
+        self._registered_until_s = self._claims_until_s
+        return self._fronts.missing_fronts(reading.generation)
+
+    def _log_missing_fronts(self) -> None:
+        missing_fronts = self.generation.missing_fronts
+        if missing_fronts and missing_fronts != self._logged_missing_fronts:
+            log.warning("claims_wait_for_fronts", fronts=list(missing_fronts))
+        self._logged_missing_fronts = missing_fronts
+
     async def _join(self, generation: str, heartbeat: int) -> None:
         """Write all claims of this front to the store, and take part in its generation."""
         noticed_us = self.wheel.clock.now_us()
--- a/onyxpass/toolcalls/call_journal.py
+++ b/onyxpass/toolcalls/call_journal.py
@@ -3,14 +3,18 @@
 A call is entered before it is sent (write-ahead). The journal answers for a call whose record the
 store has lost. Entries are kept for as long as claims are. A file outlives the process, not a crash
 of the machine: it is written, and not synced. Only one process writes it at a time.
+
+The file has an id of its own, by which a front that comes back without its file is told from one
+that remembers its calls, and a copy of the registry of fronts.
 """
 
 import fcntl
 import json
 import math
 import os
+import secrets
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TextIO
@@ -23,6 +27,7 @@
 MAX_RECORD_CHARACTERS = 16 * 1024  # a longer record is kept without its result, as unknown
 # lines of the file that are not needed any more, beside as many as are needed, until it is rewritten
 MAX_OBSOLETE_LINES = 1_000
+JOURNAL_ID_KEY, FRONTS_KEY = "journal", "fronts"  # of the lines that are JSON objects
 log = structlog.get_logger("tools")
 
 
@@ -51,6 +56,8 @@
         self._path = path
         self._file: TextIO | None = None
         self._line_count = 0
+        self.journal_id = secrets.token_hex(8)
+        self.fronts = ""  # the text of the registry of fronts, as this front knows it
         if path is not None:
             try:
                 self._open(path)
@@ -77,7 +84,7 @@
         self._entries.pop(key, None)
         self._entries[key] = entry
         self._drop_expired()
-        self._append(key, entry)
+        self._append_row([key, entry.record, entry.expires_at_s])
 
     def newest_first(self) -> Iterator[tuple[str, JournalEntry]]:
         """Iterate over the entries whose claims have not expired."""
@@ -85,6 +92,16 @@
         entries = reversed(list(self._entries.items()))
         return ((key, entry) for key, entry in entries if entry.expires_at_s > now_s)
 
+    def save_fronts(self, text: str) -> None:
+        """Keep the registry of fronts, as this front knows it now."""
+        if text != self.fronts:
+            self.fronts = text
+            self._append_row({FRONTS_KEY: text})
+
+    def latest_expiry_s(self) -> float:
+        """Return when the last claim expires (Unix time, s); 0 if there is none."""
+        return max((entry.expires_at_s for entry in self._entries.values()), default=0.0)
+
     def close(self) -> None:
         """Close the file, which another process may use then."""
         if self._file is not None:
@@ -99,12 +116,13 @@
                 return
             del self._entries[key]
 
-    # The file: a JSON array ``[key, record, expires_at_s]`` a line
+    # The file: a JSON array ``[key, record, expires_at_s]`` a line, or a JSON object with the
+    # journal's id or the registry of fronts
 
     def _open(self, path: Path) -> None:
         path.parent.mkdir(parents=True, exist_ok=True)
         file = self._locked(path)
-        line = "\n"
+        line, created_id = "\n", self.journal_id
         for line in file:
             self._line_count += 1
             self._load(line)
@@ -112,6 +130,8 @@
         if not line.endswith("\n"):  # a kill has cut it off
             file.write("\n")
         self._file = file
+        if self.journal_id == created_id:
+            self._append_row({JOURNAL_ID_KEY: created_id})
         self._drop_expired()
         self._rewrite_if_long()
 
@@ -128,7 +148,11 @@
     def _load(self, line: str) -> None:
         """Load one line; a damaged one is left out, such as the last one after a kill."""
         try:
-            key, record, expires_at_s = json.loads(line)
+            row = json.loads(line)
+            if isinstance(row, dict):
+                self._load_property(row)
+                return
+            key, record, expires_at_s = row
             is_valid = isinstance(json.loads(record), dict) and math.isfinite(expires_at_s)
         except (ValueError, TypeError, RecursionError, OverflowError):
             return
@@ -136,23 +160,32 @@
             self._entries.pop(key, None)
             self._entries[key] = JournalEntry(record, expires_at_s)
 
-    def _append(self, key: str, entry: JournalEntry) -> None:
+    def _load_property(self, row: Mapping[str, Any]) -> None:
+        if isinstance(journal_id := row.get(JOURNAL_ID_KEY), str):
+            self.journal_id = journal_id
+        if isinstance(fronts := row.get(FRONTS_KEY), str):
+            self.fronts = fronts
+
+    def _append_row(self, row: Mapping[str, Any] | Sequence[Any]) -> None:
         if self._file is None:
             return
         try:
-            self._file.write(json.dumps([key, entry.record, entry.expires_at_s]) + "\n")
+            self._file.write(json.dumps(row) + "\n")
             self._file.flush()
             self._line_count += 1
             self._rewrite_if_long()
         except OSError as error:
-            log.warning("call_not_journaled", call=key, error=str(error))
+            call = row[0] if isinstance(row, Sequence) else None
+            log.warning("call_not_journaled", call=call, error=str(error))
 
     def _rewrite_if_long(self) -> None:
         if self._path is None or self._line_count <= 2 * len(self._entries) + MAX_OBSOLETE_LINES:
             return
-        rows = (json.dumps([k, e.record, e.expires_at_s]) for k, e in self._entries.items())
-        atomic_file.replace(self._path, "".join(f"{row}\n" for row in rows).encode())
+        properties = [{JOURNAL_ID_KEY: self.journal_id}, {FRONTS_KEY: self.fronts}]
+        claims = [[k, e.record, e.expires_at_s] for k, e in self._entries.items()]
+        text = "".join(json.dumps(row) + "\n" for row in (*properties, *claims))
+        atomic_file.replace(self._path, text.encode())
         new_file = self._locked(self._path)
         new_file.seek(0, os.SEEK_END)
         self.close()
-        self._file, self._line_count = new_file, len(self._entries)
+        self._file, self._line_count = new_file, len(properties) + len(claims)
--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -322,7 +322,7 @@
             prefix=rpc.string_param(params, "prefix", "") or None,
             prefix_tokens=rpc.integer_param(params, "prefix_tokens", 0),
         )
-        payload = Payload(prompt, max_tokens, traffic_class)
+        payload = Payload(prompt, max_tokens, traffic_class, is_new_request="request" not in params)
         client = RpcClient(connection.reader, connection.writer, id, payload)
         client.request = self.core.submit(request_id, arrival, client, payload)
         return client
--- a/onyxpass/toolcalls/replicas.py
+++ b/onyxpass/toolcalls/replicas.py
@@ -34,6 +34,7 @@
     prompt: str
     max_tokens: int
     traffic_class: str
+    is_new_request: bool = False  # whether the client left it to the front to name the request
     result: dict[str, Any] = field(default_factory=dict)  # of the writer's final response
     # By call id, in the order of their arrival.
     calls: dict[rpc.Id, ToolCall] = field(default_factory=dict)
@@ -199,6 +200,7 @@
             arguments,
             is_wanted=lambda: not attempt.ended,
             idempotent=self.core.idempotency_of(attempt.request) is Idempotency.IDEMPOTENT,
+            is_new_request=payload.is_new_request,
         )
         call.take_place_among(payload.calls.values())
         payload.calls[id] = call
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -205,6 +205,7 @@
             f"{config.name}:{secrets.token_hex(4)}",
             self.wheel,
             StoreGeneration(config.recovery_us),
+            config.name,
         )
         self.relay = ToolCallRelay(self.claims, config.claim_ttl_s)
         self.tool_server = ToolServer(
--- a/onyxpass/toolcalls/tool_call_relay.py
+++ b/onyxpass/toolcalls/tool_call_relay.py
@@ -46,6 +46,7 @@
     arguments: Mapping[str, Any]
     is_wanted: Callable[[], bool]  # whether the stream that made the call is still open
     idempotent: bool = False  # whether its request may be repeated without harm
+    is_new_request: bool = False  # whether this front has given the request its name
     state: ToolCallState = ToolCallState.CLAIMING
     result: Any = None
     error: RpcError | None = None
@@ -362,6 +363,7 @@
                 self.ttl_s,
                 token=call.claim_token,
                 idempotent=call.idempotent,
+                is_new_request=call.is_new_request,
                 is_wanted=lambda: call.is_wanted() and not call.withdrawn,
             )
         except CallNotWantedError:
--- a/tests/test_store_loss.py
+++ b/tests/test_store_loss.py
@@ -14,13 +14,17 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+import hypothesis.strategies as st_
 import pytest
 import standins as st
+from hypothesis import assume, given
 from test_toolcalls import ToolCallTestBed, run
 
 from onyxpass.store.claim_generation import StoreChange, StoreGeneration, StoreReading
+from onyxpass.store.front_registry import FrontRegistry, RegistryEntry
 from onyxpass.store.redis import (
     CALL_KEY_PREFIX,
+    CLAIM_FRONTS_KEY,
     CLAIM_GENERATION_KEY,
     CLAIM_HEARTBEAT_KEY_PREFIX,
     CLAIM_RECLAIM_KEY,
@@ -30,6 +34,7 @@
 from onyxpass.toolcalls import rpc
 from onyxpass.toolcalls.call_claims import CallClaims
 from onyxpass.toolcalls.call_journal import MAX_OBSOLETE_LINES, CallJournal
+from onyxpass.toolcalls.front_removal import forget_front, run_forget_front
 from onyxpass.toolcalls.service import ToolcallService, journal_path, parse
 
 RECOVERY_MS = 200
@@ -375,7 +380,8 @@
 def test_a_claim_whose_answer_is_lost_is_not_sent(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with fronts(tmp_path, LONG_RECOVERY_MS) as bed:
-            await bed.open_front("f1")
+            front = await bed.open_front("f1")
+            await front.claims.register(front.config.claim_ttl_s)
             await until_heartbeat(bed)
             bed.store.faults = [StoreFault.LOST]
             client = await st.Client(bed.services["f1"].front.port).start()
@@ -391,6 +397,22 @@
     run(scenario)
 
 
+def test_a_booking_is_not_made_before_other_fronts_can_know_of_its_front(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with fronts(tmp_path, LONG_RECOVERY_MS) as bed:
+            await bed.open_front("f1")
+            await until_heartbeat(bed)
+            bed.store.faults = [StoreFault.REFUSED]
+            assert (await bed.ask("f1"))["state"] == "not made"
+            assert CLAIM_FRONTS_KEY not in bed.store.data
+            bed.check_calls(0)
+            assert (await bed.ask("f1"))["state"] == "done"
+            assert CLAIM_FRONTS_KEY in bed.store.data
+            bed.check_calls(1)
+
+    run(scenario)
+
+
 def test_a_front_ends_although_the_stores_client_loses_its_cancellation(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -662,6 +684,215 @@
     run(scenario)
 
 
+# A front that knows of a booking, and does not run
+
+
+def fronts_known_to(bed: Fronts, name: str) -> set[str]:
+    entries = FrontRegistry.from_text(bed.services[name].journal.fronts).entries.values()
+    return {entry.front for entry in entries}
+
+
+async def book_at_a_front_that_goes(bed: Fronts) -> None:
+    """Book at the first of two fronts, which is killed once the other one knows of it."""
+    for name in ("f1", "f2"):
+        await bed.open_front(name)
+    await book_and_lose(bed, lose_nothing)
+    await st.until(lambda: "f1" in fronts_known_to(bed, "f2"))
+    await bed.kill("f1")
+
+
+async def check_refused(bed: Fronts, name: str) -> None:
+    """Assert that the repeat is not sent, nor another booking, which could be a repeat as well."""
+    for request in ("r1", "r2"):
+        assert (await bed.ask(name, request))["state"] == "not made"
+    assert bed.tool_server.call_ids == ["r1:c1"]
+
+
+@pytest.mark.parametrize("loss", [restart_empty, go_back_to_copy])
+def test_a_repeat_is_not_sent_while_the_only_front_that_knows_the_booking_is_down(
+    tmp_path: Path, loss: Loss
+) -> None:
+    """Guards against a booking that runs twice: nobody knew that a front with claims was missing."""
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            copy = bed.store.snapshot()
+            await book_at_a_front_that_goes(bed)
+            await loss(bed, copy)
+            await check_refused(bed, "f2")
+            await bed.start_front("f1")
+            await check_served_again(bed, "f2")
+
+    run(scenario)
+
+
+def test_a_front_that_comes_back_without_its_journal_lets_nobody_repeat_its_bookings(
+    tmp_path: Path,
+) -> None:
+    """Guards against the same, while a front of that name runs and remembers nothing."""
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            await book_at_a_front_that_goes(bed)
+            (tmp_path / "f1").unlink()
+            await bed.store.restart()
+            await bed.start_front("f1")
+            for name in ("f1", "f2"):
+                await check_refused(bed, name)
+            assert await forget_front(bed.services["f2"].claims.store, "f1", 0.1)
+            assert (await bed.ask("f2", "r2"))["state"] == "done"
+            bed.check_calls(2)
+
+    run(scenario)
+
+
+def test_a_front_that_was_down_during_the_loss_knows_whom_it_has_to_wait_for(
+    tmp_path: Path,
+) -> None:
+    """Guards against the same after a loss that no front saw: the registry went with the store."""
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            await book_at_a_front_that_goes(bed)
+            await bed.kill("f2")
+            await bed.store.restart()
+            await bed.start_front("f2")
+            await check_refused(bed, "f2")
+
+    run(scenario)
+
+
+def test_a_request_that_the_front_names_itself_waits_for_no_other_front(tmp_path: Path) -> None:
+    """It can be no repeat, so a front that is down for good need not keep it from its booking."""
+
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            await book_at_a_front_that_goes(bed)
+            await bed.store.restart()
+            client = await st.Client(bed.services["f2"].front.port).start()
+            for number in (1, 2):
+                client.generate(number)
+                result = (await client.response(number))["result"]
+                assert [call["state"] for call in result["calls"]] == ["done"]
+            await client.stop()
+            bed.check_calls(3)
+            repeat = await bed.ask("f2", result["request"])
+            assert repeat["state"] == "done", "answered by the journal"
+            bed.check_calls(3)
+
+    run(scenario)
+
+
+def test_a_registry_that_was_overwritten_is_repaired(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            await book_at_a_front_that_goes(bed)
+            bed.store.data[CLAIM_FRONTS_KEY] = "{}"
+            await st.until(lambda: '"f1"' in bed.store.data[CLAIM_FRONTS_KEY])
+
+    run(scenario)
+
+
+def test_bookings_are_made_again_once_the_claims_of_a_missing_front_have_expired() -> None:
+    registry = FrontRegistry()
+    registry.register("j1", "f1", "g1", 1_000)
+    assert registry.missing_fronts("g1") == []
+    assert registry.missing_fronts("g2") == ["f1"]
+    assert registry.remaining_s(400) > 599
+    registry.drop_expired(999)
+    assert registry.missing_fronts("g2") == ["f1"]
+    registry.drop_expired(1_000)
+    assert registry.missing_fronts("g2") == []
+
+
+def test_a_period_lasts_until_no_front_is_missing() -> None:
+    generation = StoreGeneration(recovery_period_us=100)
+    generation.join("g2", 0, noticed_us=0)
+    generation.confirm(StoreReading("g2", 0), 99, ["f1"])
+    assert generation.missing_fronts == (), "it has its time to reclaim"
+    generation.confirm(StoreReading("g2", 0), 100, ["f1"])
+    assert not generation.is_open
+    assert generation.missing_fronts == ("f1",)
+    generation.confirm(StoreReading("g2", 0), 200)
+    assert generation.is_open
+    assert generation.missing_fronts == ()
+    generation.confirm(StoreReading("g2", 0), 300, ["f1"])
+    assert generation.is_open, "a front that starts later closes no other one"
+
+
+registries = st_.dictionaries(
+    st_.sampled_from("abc"),
+    st_.builds(
+        RegistryEntry,
+        front=st_.sampled_from(("f1", "f2")),
+        generation=st_.sampled_from(("g1", "g2")),
+        claims_until_s=st_.integers(0, 3),
+        version=st_.integers(1, 3),
+        is_forgotten=st_.booleans(),
+    ),
+    max_size=3,
+)
+
+
+@given(registries, registries, registries)
+def test_copies_of_the_registry_agree_in_whatever_order_they_are_merged(
+    a: dict[str, RegistryEntry], b: dict[str, RegistryEntry], c: dict[str, RegistryEntry]
+) -> None:
+    def merged(*copies: dict[str, RegistryEntry]) -> FrontRegistry:
+        registry = FrontRegistry()
+        for copy in copies:
+            registry.merge(FrontRegistry.from_text(FrontRegistry(copy).to_text()))
+        return registry
+
+    versions = {(k, e.version): e.front for copy in (a, b, c) for k, e in copy.items()}
+    assume(all(versions[k, e.version] == e.front for copy in (a, b, c) for k, e in copy.items()))
+    assert merged(a, b, c).entries == merged(c, b, a).entries == merged(b, a, c, b).entries
+    assert all(merged(a, b).includes(FrontRegistry(copy)) for copy in (a, b))
+
+
+@pytest.mark.parametrize(
+    "text", ["", "7", "[", '{"a":7}', '{"a":{"front":"f1","generation":"g","claims_until":"x"}}']
+)
+def test_a_damaged_registry_counts_as_empty(text: str) -> None:
+    assert FrontRegistry.from_text(text).entries == {}
+
+
+def test_a_forgotten_front_is_expected_again_once_it_runs() -> None:
+    registry, other = FrontRegistry(), FrontRegistry()
+    assert not registry.forget("f1")
+    registry.register("j1", "f1", "g1", 1_000)
+    other.merge(registry)
+    assert registry.forget("f1")
+    assert registry.missing_fronts("g2") == []
+    other.merge(registry)
+    assert other.missing_fronts("g2") == []
+    other.register("j1", "f1", "g2", 500)
+    registry.merge(other)
+    assert registry.missing_fronts("g3") == ["f1"]
+    assert registry.entries["j1"].claims_until_s == 1_000
+
+
+def test_a_front_is_forgotten_by_the_command_line(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def scenario() -> None:
+        async with fronts(tmp_path) as bed:
+            await book_at_a_front_that_goes(bed)
+            config = bed.services["f2"].config
+            assert await asyncio.to_thread(run_forget_front, config, "unknown") == 2
+            bed.store.data.clear()
+            await st.until(lambda: CLAIM_FRONTS_KEY in bed.store.data)
+            assert await asyncio.to_thread(run_forget_front, config, "f1") == 0
+            assert (await bed.ask("f2", "r2"))["state"] == "done"
+            bed.store.silent = True
+            assert await asyncio.to_thread(run_forget_front, config, "f1") == 1
+
+    run(scenario)
+    output = capsys.readouterr()
+    assert "f1: its claims are not expected any more" in output.out.splitlines()
+    assert len(output.err.splitlines()) == 2
+
+
 def test_bookings_are_served_within_4_s_of_a_loss_of_10_000_claims(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with fronts(tmp_path, LONG_RECOVERY_MS) as bed:
