Refuse orders under a lease that has passed on, also where nobody told the agent

Operators saw: a tool that was cut off sends its order again once it is back; its lease has passed on, and the agent, which the next holder does not change, carries the order out beside that holder's. More instances of a hall are out than its limits allow.

Cause: the tool proved its lease once for all sends; an agent knew only tokens of orders that it got; and nothing told it how old an order is (a closed connection still delivers what was written).

Change: the tool asks for its lease before each send; a rollout announces its token to all agents of its halls (POST /v1/fence); orders, holds and announcements state the end of the lease by the agent's own clock, which the tool reads first. Agents without a clock get the earlier form. Ruled out: wall clocks (hosts need not agree); the agent asking the store (it may have none).

Measured: three plays with processes, each guard alone.

--- a/onyxpass/agent/api.py
+++ b/onyxpass/agent/api.py
@@ -9,11 +9,14 @@
 | ``GET /v1/operations/ID?wait_ms=N`` | the operation, once it has ended or N ms have passed |
 | ``GET /v1/events?since=N`` | the events after number N, oldest first, at most 500 |
 | ``POST /v1/hold``, ``POST /v1/release`` | acquires or releases the agent's rollout lock |
-
-An operation or a hold may carry a lease: ``{"lease": {"name": N, "token": T, "holder": H}}``. It is
-rejected with 409 and ``stale`` in the answer if a higher token of that lease, or the same token of
-another holder, has been admitted here. It is rejected with 409 and ``under_way`` while an effect of
-an older token is in progress.
+| ``POST /v1/fence`` | announces the holder of a lease, so that earlier ones are rejected here |
+
+An operation or a hold may carry a lease: ``{"lease": {"name": N, "token": T, "holder": H}}``; an
+announcement must. It is rejected with 409 and ``stale`` in the answer if a higher token of that
+lease, or the same token of another holder, has been admitted here. It is rejected with 409 and
+``under_way`` while an effect of an older token is in progress. With ``"until": {"clock": ID, "ms":
+MS}`` in the lease it is rejected with 409 and ``expired`` once the agent's clock, whose time
+``GET /v1/agent`` returns, has reached that time or is another one.
 """
 
 import asyncio
@@ -26,10 +29,12 @@
 import h11
 import structlog
 
+from onyxpass.agent.agent_clock import AgentClock
 from onyxpass.agent.api_requests import (
     Body,
     LeaseClaim,
     RolloutLockRequest,
+    parse_fence,
     parse_lock,
     parse_operation,
     parse_release,
@@ -55,7 +60,7 @@
 MAX_WAIT_MS = 10_000
 MAX_EVENT_NUMBER = 2**53
 MAX_NAME_SHOWN = 80
-RESOURCES = ("agent", "instances", "operations", "events", "hold", "release")
+RESOURCES = ("agent", "instances", "operations", "events", "hold", "release", "fence")
 log = structlog.get_logger("api")
 
 
@@ -74,7 +79,8 @@
         self._address = address
         self._key = key
         self._operations = Operations(agent.state_store, agent.by_name)
-        self._admission = LeaseAdmission(agent.state_store, agent.config.name)
+        self._clock = AgentClock()
+        self._admission = LeaseAdmission(agent.state_store, agent.config.name, self._clock)
         self._locks = RolloutLockManager()
         if (saved := agent.state_store.locks.rollout_lock()) is not None:
             # The full TTL starts again: the time of expiry is not stored, because monotonic times
@@ -104,8 +110,7 @@
             reason = f"the agent's record takes nothing at present: {error}"
             raise ApiError(503, reason) from error
         except LeaseRejectedError as error:
-            kind = "under_way" if error.under_way else "stale"
-            raise ApiError(409, error.reason, **{kind: True}) from error
+            raise ApiError(409, error.reason, **{error.kind.value: True}) from error
 
     async def _route(
         self, method: str, parts: list[str], query: dict[str, str], body: Body
@@ -123,14 +128,20 @@
                 return await self._get_operation(operation_id, query)
             case "GET", ["v1", "events"]:
                 return self._get_events(query)
-            case "POST", ["v1", "hold"]:
-                return self._acquire_lock(parse_lock(body))
-            case "POST", ["v1", "release"]:
-                return self._release_lock(parse_release(body))
+            case "POST", ["v1", ("hold" | "release" | "fence") as call]:
+                return self._change_holder(call, body)
             case _, ["v1", resource, *_] if resource in RESOURCES:
                 raise ApiError(405 if method not in ("GET", "POST") else 404, "no such call")
         raise ApiError(404, "no such path")
 
+    def _change_holder(self, call: str, body: Body) -> Reply:
+        match call:
+            case "hold":
+                return self._acquire_lock(parse_lock(body))
+            case "release":
+                return self._release_lock(parse_release(body))
+        return self._announce_holder(parse_fence(body))
+
     def _find_instance(self, name: str) -> Instance:
         if (instance := self._agent.by_name.get(name)) is None:
             raise ApiError(404, f"no instance {name[:MAX_NAME_SHOWN]!r} here")
@@ -140,8 +151,9 @@
         now_s = time.monotonic()
         names = list(self._agent.by_name)
         lock = self._locks.current(now_s)
-        fences = self._admission.to_dict()
-        return _json_reply(200, agent_view(self._agent.config.name, names, lock, fences, now_s))
+        fences, clock = self._admission.to_dict(), self._clock.now()
+        name = self._agent.config.name
+        return _json_reply(200, agent_view(name, names, lock, fences, now_s, clock))
 
     async def _instance_view(self, instance: Instance) -> dict[str, Any]:
         view = await instance_view(instance)
@@ -221,6 +233,10 @@
             self._record_lock(request)
         return _json_reply(200, {"hold": lock_view(lock, now_s)})
 
+    def _announce_holder(self, lease: LeaseClaim) -> Reply:
+        self._admission.admit(lease, "fence")
+        return _json_reply(200, {"fences": self._admission.to_dict()})
+
     def _record_lock(self, request: RolloutLockRequest) -> None:
         """Store a lock that has a new owner, or release it if that fails.
 
--- a/onyxpass/agent/api_requests.py
+++ b/onyxpass/agent/api_requests.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from onyxpass.agent.agent_clock import ClockReading
 from onyxpass.agent.operation_options import OperationOptions
 from onyxpass.agent.rollout_locks import MAX_TTL_S
 from onyxpass.net.http_server import ApiError, boolean_field, integer_field, reject_unknown_fields
@@ -13,6 +14,7 @@
 MAX_DURATION_MS = 24 * 3600 * 1000
 MAX_TOKEN = 2**53  # the largest integer that every reader of JSON represents exactly
 MAX_NUMBER_DIGITS = 16
+MAX_CLOCK_MS = 2**53
 DEFAULT_DEADLINE_MS = 60_000
 DEFAULT_NOTICE_MS = 1_000
 DEFAULT_LOCK_TTL_MS = 30_000
@@ -23,11 +25,12 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseClaim:
-    """The lease under which a call is made."""
+    """The lease under which a call is made, and when it ends at the latest, if that is stated."""
 
     name: str
     token: int
     holder: str
+    until: ClockReading | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +84,14 @@
     return RolloutLockRequest(rollout, holder, ttl_ms / 1000, _lease(body))
 
 
+def parse_fence(body: Body) -> LeaseClaim:
+    """Parse the body of an announcement of a lease's holder."""
+    reject_unknown_fields(body, "lease")
+    if (lease := _lease(body)) is None:
+        raise ApiError(400, "lease must be an object")
+    return lease
+
+
 def parse_release(body: Body) -> str:
     """Parse the rollout whose lock is to be released."""
     reject_unknown_fields(body, "rollout")
@@ -134,7 +145,16 @@
         return None
     if not isinstance(lease, dict):
         raise ApiError(400, "lease must be an object")
-    reject_unknown_fields(lease, "name", "token", "holder")
+    reject_unknown_fields(lease, "name", "token", "holder", "until")
     name = _id(lease, "name")
     token = integer_field(lease, "token", 0, MAX_TOKEN, minimum=1)
-    return LeaseClaim(name, token, _id(lease, "holder"))
+    return LeaseClaim(name, token, _id(lease, "holder"), _clock_reading(lease.get("until")))
+
+
+def _clock_reading(value: object) -> ClockReading | None:
+    if value is None:
+        return None
+    if not isinstance(value, dict):
+        raise ApiError(400, "until must be an object")
+    reject_unknown_fields(value, "clock", "ms")
+    return ClockReading(_id(value, "clock"), integer_field(value, "ms", 0, MAX_CLOCK_MS))
--- a/onyxpass/agent/api_views.py
+++ b/onyxpass/agent/api_views.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from onyxpass import __version__
+from onyxpass.agent.agent_clock import ClockReading
 from onyxpass.agent.expected_config import expected_digest
 from onyxpass.agent.instance import Instance
 from onyxpass.agent.rollout_locks import GrantedRolloutLock
@@ -19,14 +20,16 @@
     lock: GrantedRolloutLock | None,
     fences: Mapping[str, object],
     now_s: float,
+    clock: ClockReading,
 ) -> dict[str, Any]:
-    """Return the JSON form of the agent, with its rollout lock and fences."""
+    """Return the JSON form of the agent, with its rollout lock, its fences and its clock's time."""
     return {
         "agent": name,
         "version": __version__,
         "instances": instances,
         "hold": lock_view(lock, now_s) if lock else None,
         "fences": dict(fences),
+        "clock": {"id": clock.clock_id, "ms": clock.at_ms},
     }
 
 
--- a/onyxpass/agent/lease_admission.py
+++ b/onyxpass/agent/lease_admission.py
@@ -5,8 +5,10 @@
 """
 
 from collections.abc import Callable, Mapping
+from enum import StrEnum
 from typing import Any
 
+from onyxpass.agent.agent_clock import AgentClock
 from onyxpass.agent.api_requests import LeaseClaim
 from onyxpass.agent.lock_records import FenceRecord
 from onyxpass.agent.operation_records import Operation
@@ -15,25 +17,30 @@
 from onyxpass.leases.fence import AdmittedToken, Fence
 
 
-class LeaseRejectedError(Exception):
-    """The holder of a lease may not act on this agent.
+class LeaseRejection(StrEnum):
+    """Why the holder of a lease may not act; the values are fields of the API's answers."""
+
+    STALE = "stale"
+    UNDER_WAY = "under_way"  # the token is newer, but effects of the admitted one have not finished
+    EXPIRED = "expired"  # the call came after the end of the lease that it states
 
-    ``under_way``: the token is newer than the admitted one, whose effects have not finished yet.
-    Otherwise the lease is stale.
-    """
 
-    def __init__(self, reason: str, *, under_way: bool) -> None:
+class LeaseRejectedError(Exception):
+    """The holder of a lease may not act on this agent."""
+
+    def __init__(self, reason: str, kind: LeaseRejection) -> None:
         super().__init__(reason)
         self.reason = reason
-        self.under_way = under_way
+        self.kind = kind
 
 
 class LeaseAdmission:
     """Decides which lease holders may act on the agent of the name ``resource``."""
 
-    def __init__(self, state_store: StateStore, resource: str) -> None:
+    def __init__(self, state_store: StateStore, resource: str, clock: AgentClock) -> None:
         """Load the stored fences."""
         self._state_store = state_store
+        self._clock = clock
         self._resource = resource
         saved = state_store.locks.fences()
         self._fence = Fence({name: AdmittedToken(f.token, f.holder) for name, f in saved.items()})
@@ -55,16 +62,25 @@
             "resource": self._resource,
             "effect": effect,
         }
-        if reason := self._fence.rejection_reason(lease.name, lease.token, lease.holder):
-            record_event("refused", **fields, why=reason)
+        if (rejection := self._rejection(lease)) is not None:
+            record_event("refused", **fields, why=rejection.reason)
             self._state_store.events.append(
                 "", "stale", lease=lease.name, token=lease.token, holder=lease.holder
             )
-            under_way = self._fence.supersedes_admitted(lease.name, lease.token)
-            raise LeaseRejectedError(reason, under_way=under_way)
+            raise rejection
         self._record_admission(lease)
         return fields
 
+    def _rejection(self, lease: LeaseClaim) -> LeaseRejectedError | None:
+        if reason := self._fence.rejection_reason(lease.name, lease.token, lease.holder):
+            under_way = self._fence.supersedes_admitted(lease.name, lease.token)
+            kind = LeaseRejection.UNDER_WAY if under_way else LeaseRejection.STALE
+            return LeaseRejectedError(reason, kind)
+        if lease.until is not None and self._clock.has_passed(lease.until):
+            reason = f"the call came after the end of {lease.name} that it states"
+            return LeaseRejectedError(reason, LeaseRejection.EXPIRED)
+        return None
+
     def _record_admission(self, lease: LeaseClaim) -> None:
         previous = self._fence.admitted.get(lease.name)
         if not self._fence.admit(lease.name, lease.token, lease.holder):
--- a/onyxpass/fleet/agent_client.py
+++ b/onyxpass/fleet/agent_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import resource
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 from onyxpass.agent.credentials import read_key
@@ -36,6 +36,13 @@
 """Called with the body of each answer."""
 
 
+LeaseProver = Callable[[float], Awaitable[Mapping[str, Any] | None]]
+"""Returns the proof of a lease, within a timeout in s; None once the lease is lost.
+
+Raises ``RequestNotSentError`` or ``ResponseLostError``.
+"""
+
+
 def max_connections() -> int:
     """Return how many connections this process may have open at once."""
     descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
@@ -108,10 +115,13 @@
         message: Mapping[str, Any],
         deadline_s: float,
         on_answer: OperationListener = _ignore_answer,
+        prove_lease: LeaseProver | None = None,
     ) -> InstanceOutcome:
         """Send an order to an instance's agent and poll it until its outcome is known or overdue.
 
         ``deadline_s`` is the order's own limit; ``on_answer`` is called with each answer's body.
+        With ``prove_lease`` the order carries a proof, which is asked for before each send; without
+        one it is not sent.
         """
         loop = asyncio.get_running_loop()
         exchange = OrderExchange(loop.time(), deadline_s)
@@ -124,6 +134,15 @@
                     await asyncio.sleep(delay_s)
                     continue
                 case SendOrder(timeout_s):
+                    if prove_lease is not None:
+                        try:
+                            lease = await prove_lease(timeout_s)
+                        except (RequestNotSentError, ResponseLostError) as error:
+                            exchange.on_not_sent(str(error))
+                            continue
+                        if lease is None:
+                            return exchange.on_lease_lost()
+                        body["lease"] = lease
                     call_kind = CallKind.ORDER
                     target = f"/v1/instances/{member.name}/{kind}"
                     call = self.call(member.agent, "POST", target, body, timeout_s)
--- a/onyxpass/fleet/leases.py
+++ b/onyxpass/fleet/leases.py
@@ -15,7 +15,7 @@
 from onyxpass.fleet.config import AgentRef, FleetConfig, Member
 from onyxpass.fleet.rollout_lock import RolloutLockedError
 from onyxpass.leases.event_log import boottime_ms, record_event
-from onyxpass.leases.holder import LeaseHolder
+from onyxpass.leases.holder import MAX_CLOCK_DRIFT, LeaseHolder
 from onyxpass.leases.lease_client import ChangeListener, LeaseChange, LeaseClient, RequestSender
 from onyxpass.leases.messages import LeaseGranted, LeaseReply, LeaseRequest, LeaseUnavailable
 from onyxpass.net.http_client import RequestNotSentError, ResponseLostError
@@ -74,6 +74,29 @@
             return None
         return {"name": self.name(agent.hall), "token": token, "holder": client.holder.name}
 
+    async def dated_proof_for(self, agent: AgentRef, timeout_s: float) -> Mapping[str, Any] | None:
+        """Return the proof together with the end of the lease by the agent's clock.
+
+        The agent rejects what arrives later, however long it was on its way. The clock is read
+        within ``timeout_s``; an agent of an older build has none. Raises ``RequestNotSentError`` or
+        ``ResponseLostError``.
+        """
+        if self.proof_for(agent) is None:
+            return None
+        answer = await self._agents.call(agent, "GET", "/v1/agent", None, timeout_s)
+        client, proof = self._clients.get(agent.hall), self.proof_for(agent)
+        clock = answer.body.get("clock")
+        if client is None or proof is None or not isinstance(clock, Mapping):
+            return proof
+        remaining_ms = client.holder.valid_until_ms - boottime_ms()
+        until_ms = int(clock["ms"]) + int(remaining_ms * (1 - MAX_CLOCK_DRIFT))
+        return {**proof, "until": {"clock": clock["id"], "ms": until_ms}}
+
+    def agents(self) -> list[AgentRef]:
+        """Return the agents of the halls whose leases are held."""
+        agents = {m.agent.host: m.agent for m in self._fleet.members if m.hall in self._clients}
+        return list(agents.values())
+
     async def release(self) -> None:
         """Release all leases that are held."""
         for client in self._clients.values():
--- a/onyxpass/fleet/order_exchange.py
+++ b/onyxpass/fleet/order_exchange.py
@@ -95,6 +95,10 @@
         self.may_have_arrived = True
         self._fail_call(reason)
 
+    def on_lease_lost(self) -> InstanceOutcome:
+        """Return the outcome of an order that is not sent, since its lease is lost."""
+        return failed("nothing was sent: the lease of its hall is lost")
+
     def on_answer(
         self, call: CallKind, status: int, body: Mapping[str, Any]
     ) -> InstanceOutcome | None:
@@ -115,8 +119,8 @@
             "stale"
         ):  # an agent that had admitted the operation would report it instead
             return failed(f"refused: {reason}")
-        is_busy = status == 409 and ("operation" in body or body.get("under_way"))
-        if is_busy:  # another operation is in progress; the order is sent again later
+        may_be_sent_again = "operation" in body or body.get("under_way") or body.get("expired")
+        if status == 409 and may_be_sent_again:  # for example another operation is in progress
             self._fail_call(reason)
             return None
         if status >= 500:
--- a/onyxpass/fleet/runner.py
+++ b/onyxpass/fleet/runner.py
@@ -4,6 +4,7 @@
 import secrets
 from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from onyxpass.fleet.agent_client import AgentClient
@@ -129,11 +130,11 @@
     async def acquire_agents(self) -> None:
         """Lock all agents of the instances to change for this rollout.
 
-        Raises RolloutLockedError, and releases all of them, if another rollout holds one or a lease
-        is lost or rejected. An agent that does not answer, or reports another error, is ignored.
+        All other agents of the leased halls learn who holds the lease now. Raises
+        RolloutLockedError, and releases all agents, if another rollout holds one or a lease is lost
+        or rejected. An agent that does not answer, or reports another error, is ignored.
         """
-        agents = self._agents()
-        answers = await asyncio.gather(*(self._acquire_agent(agent) for agent in agents))
+        answers = await self._claim_agents()
         if reasons := [reason for reason in answers if reason]:
             await self.release_agents()
             raise RolloutLockedError(reasons[0])
@@ -145,38 +146,59 @@
             }.values()
         )
 
+    async def _claim_agents(self) -> list[str]:
+        """Lock agents and announce the lease, or renew that; return the reasons of refusals."""
+        locked = self._agents()
+        hosts = {agent.host for agent in locked}
+        others = self.leases.agents() if self.leases is not None else ()
+        return await asyncio.gather(
+            *(self._acquire_agent(agent) for agent in locked),
+            *(
+                self._claim_agent(agent, "/v1/fence", {})
+                for agent in others
+                if agent.host not in hosts
+            ),
+        )
+
     async def _acquire_agent(self, agent: AgentRef) -> str:
-        """Lock an agent, or renew its lock; return why it is refused, else an empty text.
+        """Lock an agent, or renew its lock; see ``_claim_agent``."""
+        body = {"rollout": self.id, "holder": process_identity(), "ttl_ms": HOLD_TTL_MS}
+        return await self._claim_agent(agent, "/v1/hold", body)
+
+    async def _claim_agent(self, agent: AgentRef, target: str, body: Mapping[str, Any]) -> str:
+        """Call an agent under its lease; return why it is refused, else an empty text.
 
         The text is also empty if the agent does not answer or its error is not a conflict.
         """
-        body: dict[str, Any] = {
-            "rollout": self.id,
-            "holder": process_identity(),
-            "ttl_ms": HOLD_TTL_MS,
-        }
-        if self.leases is not None:
-            if (proof := self.leases.proof_for(agent)) is None:
-                return f"{agent.host}: the lease of its hall is lost"
-            body["lease"] = proof
         due_s = self.now_s + self.order.deadline_s
-        try:
-            answer = await self.agent_client.call(agent, "POST", "/v1/hold", body, CALL_TIMEOUT_S)
-            # Waits for an operation that the previous holder of the lease ordered.
-            while answer.body.get("under_way") and self.now_s < due_s:
-                await asyncio.sleep(IN_PROGRESS_POLL_S)
+        while True:
+            try:
+                proof = await self._prove_lease(agent, CALL_TIMEOUT_S)
+                if self.leases is not None and proof is None:
+                    return f"{agent.host}: the lease of its hall is lost"
+                request = {**body, "lease": proof} if proof is not None else body
                 answer = await self.agent_client.call(
-                    agent, "POST", "/v1/hold", body, CALL_TIMEOUT_S
+                    agent, "POST", target, request, CALL_TIMEOUT_S
                 )
-        except (RequestNotSentError, ResponseLostError):
-            return ""
+            except (RequestNotSentError, ResponseLostError):
+                return ""
+            # Waits for an operation that the previous holder of the lease ordered.
+            must_wait = answer.body.get("under_way") or answer.body.get("expired")
+            if not must_wait or self.now_s >= due_s:
+                break
+            await asyncio.sleep(IN_PROGRESS_POLL_S)
         if answer.status != 409:
             return ""
-        if answer.body.get("stale") or answer.body.get("under_way"):
+        if must_wait or answer.body.get("stale"):
             return f"{agent.host}: {answer.reason}"
         hold = answer.body.get("hold") or {}
         return f"{agent.host}: rollout {hold.get('rollout')} is held by {hold.get('holder')}"
 
+    async def _prove_lease(self, agent: AgentRef, timeout_s: float) -> Mapping[str, Any] | None:
+        if self.leases is None:
+            return None
+        return await self.leases.dated_proof_for(agent, timeout_s)
+
     async def release_agents(self) -> None:
         """Release all agents; a failure is passed to ``on_step``."""
 
@@ -189,7 +211,7 @@
     async def _renew_agents(self) -> None:
         while True:
             await asyncio.sleep(HOLD_RENEWAL_S)
-            await asyncio.gather(*(self._acquire_agent(agent) for agent in self._agents()))
+            await self._claim_agents()
 
     # The run
 
@@ -272,8 +294,8 @@
         self._perform(self.rollout.on_timer(self.now_s))
 
     async def _apply(self, name: str) -> None:
-        lease = self.leases.proof_for(self.members[name].agent) if self.leases is not None else None
-        if self.leases is not None and lease is None:
+        agent = self.members[name].agent
+        if self.leases is not None and self.leases.proof_for(agent) is None:
             # Prevents an order by a process that was suspended while another took over its lease.
             self.abort(reason := "the lease of its hall is lost")
             self._perform(
@@ -284,10 +306,14 @@
         self.record.record_order(self.id, name, operation)
         self.operations[name] = operation
         kind, body = self.order.request(self.rollout.targets[name], self.id)
-        body |= {"lease": lease} if lease is not None else {}
         self.on_step("ordered", {"instance": name, "kind": kind, "operation": operation})
         outcome = await self.agent_client.order(
-            self.members[name], kind, operation, body, self.order.deadline_s
+            self.members[name],
+            kind,
+            operation,
+            body,
+            self.order.deadline_s,
+            prove_lease=partial(self._prove_lease, agent) if self.leases is not None else None,
         )
         view = await fetch_view(self.agent_client, self.members[name], CALL_TIMEOUT_S)
         self._perform(self.rollout.on_change_ended(name, outcome, view.observation(), self.now_s))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -445,6 +445,11 @@
     run(scenario)
 
 
+def lease_until(until: str) -> str:
+    """Return the body of an announcement whose lease states this end."""
+    return f'{{"lease": {{"name": "l", "token": 1, "holder": "h", "until": {until}}}}}'
+
+
 def test_agent_rejects_calls_without_its_key_and_invalid_calls_change_nothing(
     tmp_path: Path,
 ) -> None:
@@ -479,6 +484,18 @@
                 (404, "GET /v1/operations/a", "", key),
                 (400, "GET /v1/events?since=x", "", key),
                 (400, "POST /v1/hold", '{"rollout": "", "holder": "x"}', key),
+                (400, "POST /v1/fence", "{}", key),
+                (400, "POST /v1/fence", '{"lease": {"name": "l", "token": 0, "holder": "h"}}', key),
+                (400, "POST /v1/fence", lease_until('"never"'), key),
+                (400, "POST /v1/fence", lease_until('{"clock": "c", "ms": -1}'), key),
+                (400, "POST /v1/fence", lease_until('{"clock": "c", "s": 1}'), key),
+                (
+                    409,
+                    "POST /v1/fence",
+                    lease_until('{"clock": "another", "ms": 9000000000000000}'),
+                    key,
+                ),
+                (404, "GET /v1/fence", "", key),
                 (404, "GET /elsewhere", "", key),
             ):
                 answer_status, answer = await call(request_line, body, sent_key)
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -21,6 +21,7 @@
     table_digest,
     with_reloaded_keys,
 )
+from onyxpass.agent.agent_clock import AgentClock
 from onyxpass.agent.credentials import is_authorized, make_key, read_key
 from onyxpass.agent.lifecycle import InstanceState, Launch, Lifecycle, RestartPolicy, Terminate
 from onyxpass.agent.rollout_locks import RolloutLockManager
@@ -127,6 +128,21 @@
     assert isinstance(busy.next(0.0), BackOff) and isinstance(busy.next(1.0), SendOrder)
 
 
+def test_an_order_that_came_too_late_is_sent_again_and_one_without_a_lease_is_not() -> None:
+    exchange = OrderExchange(0.0, 9.0)
+    assert exchange.on_answer(CallKind.ORDER, 409, {"error": "late", "expired": True}) is None
+    assert isinstance(exchange.next(0.0), BackOff) and isinstance(exchange.next(1.0), SendOrder)
+    assert exchange.on_lease_lost().kind is OutcomeKind.FAILED
+
+
+def test_a_time_of_an_agents_clock_has_passed_at_its_end_and_for_every_other_agent() -> None:
+    clock, other = AgentClock(), AgentClock()
+    later = replace(clock.now(), at_ms=clock.now().at_ms + 60_000)
+    assert not clock.has_passed(later)
+    assert clock.has_passed(clock.now())
+    assert other.has_passed(later)
+
+
 @settings(max_examples=200, deadline=None, derandomize=True)
 @given(
     st.lists(
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -17,6 +17,7 @@
 from onyxpass.fleet.runner import ChangeOrder
 from onyxpass.history_checkers import history
 from onyxpass.history_checkers.history import HistoryLine
+from onyxpass.net.http_client import ResponseLostError
 from onyxpass.testbed.process_trial import ProcessTrial, draw_schedule, process_trial, run_schedule
 
 
@@ -124,6 +125,80 @@
     run(scenario)
 
 
+class CutOffTool:
+    """A tool whose first order does not arrive; it goes on once ``may_go_on`` is set."""
+
+    def __init__(self, trial: ProcessTrial) -> None:
+        fleet = fleet_config.load(trial.site.folder / "fleet-a.toml")
+        self.controller, self.trial = FleetController(fleet), trial
+        self.is_cut_off, self.may_go_on = asyncio.Event(), asyncio.Event()
+        self._call = self.controller.agent_client.call
+        self.controller.agent_client.call = self.call  # type: ignore[method-assign]
+
+    async def call(self, agent: Any, method: str, target: str, *rest: Any) -> Any:
+        is_order = method == "POST" and target.startswith("/v1/instances/")
+        if is_order and not self.is_cut_off.is_set():
+            self.trial.store_links["a"].cut()
+            self.is_cut_off.set()
+            await self.may_go_on.wait()
+            raise ResponseLostError("planted")
+        return await self._call(agent, method, target, *rest)
+
+
+async def restart_instances(controller: FleetController, *names: str) -> dict[str, int]:
+    members = [member for member in controller.fleet.members if member.name in names]
+    _, report = await controller.run_rollout(members, ChangeOrder(ChangeMethod.RESTART, 12.0))
+    return report.tally.counts()
+
+
+@pytest.mark.parametrize("guard", ["tool", "fence", "age"])
+def test_an_order_under_a_lease_that_has_passed_on_changes_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, guard: str
+) -> None:
+    """Guards against two holders that act at once, on hosts that do not share an agent: the first
+    one's order was sent again, and its agent knew nothing of the second one. Each guard alone.
+    """
+    first_proofs: dict[str, Any] = {}
+    dated_proof_for = RolloutLeases.dated_proof_for
+
+    async def undated_proof_for(self: RolloutLeases, agent: Any, _timeout_s: float) -> Any:
+        return self.proof_for(agent)
+
+    async def first_proof_for(self: RolloutLeases, agent: Any, timeout_s: float) -> Any:
+        """Return the first proof of each lease, as a tool would that doesn't look at its time."""
+        proof = await dated_proof_for(self, agent, timeout_s)
+        if self._fleet.state.name != "rollouts-a":
+            return proof
+        if proof is not None and guard == "fence":
+            proof = {name: value for name, value in proof.items() if name != "until"}
+        return first_proofs.setdefault(agent.host, proof)
+
+    async def scenario() -> None:
+        monkeypatch.setattr(
+            RolloutLeases,
+            "dated_proof_for",
+            undated_proof_for if guard == "tool" else first_proof_for,
+        )
+        if guard != "fence":
+            monkeypatch.setattr(RolloutLeases, "agents", lambda _self: [])
+        async with process_trial(tmp_path) as t:
+            tool = CutOffTool(t)
+            first = asyncio.create_task(restart_instances(tool.controller, "d1", "d2"))
+            await asyncio.wait_for(tool.is_cut_off.wait(), 60)
+            other = FleetController(fleet_config.load(tmp_path / "fleet-b.toml"))
+            second = asyncio.create_task(restart_instances(other, "d3", "d4"))
+            await until(lambda: t.find_lines("begin", "agent-h2"), 60)
+            tool.may_go_on.set()
+            assert (await second)["done"] == 2
+            counts = await first
+            assert counts["done"] == 0 and counts["failed"] == 1, counts
+            begun = [line.source for line in t.history_lines() if line.kind == "begin"]
+            assert "agent-h1" not in "".join(begun[begun.index("agent-h2.log") :]), begun
+            assert bool(t.find_lines("refused", "agent-h1")) == (guard != "tool")
+
+    run(scenario)
+
+
 def test_a_seed_always_draws_the_same_schedule_and_many_seeds_draw_every_kind_of_fault() -> None:
     assert draw_schedule(5) == draw_schedule(5) != draw_schedule(6)
     assert len({fault.kind for seed in range(40) for fault in draw_schedule(seed)}) == 13
