End a drain from watched files only where the file says so, and offer an end mark

Callers saw: a watched file that stands cut off before its last line, the state "draining", puts the drained writer back to work; some 30 bookings go there in 3 s.

Cause: an absent key means "active", and guards only look at servers that are lost to work. Ruled out as the cause: the 0.1 s for which files have to be still (a writer may be held up for longer than any time).

Change: a drained server takes work again only by state = "active" (or a weight, if a weight of 0 alone had drained it); over discovery it may not just vanish either. require_end in sources.toml asks for a last table [end], which no proper part of a file has.

Measured: three plays of every part of a file, and two more tests, fail without the guard and pass now; tests/test_sources.py and tests/proofs pass.

--- a/onyxpass/sources/cli.py
+++ b/onyxpass/sources/cli.py
@@ -85,7 +85,10 @@
     roles = roles_by_kind(config)
     if config is None:
         roles = roles_by_kind(None, watched_schema.parse_files(files, (), False))
-    return watched_schema.parse_files(files, list(roles), sources.sole_source), roles
+    parsed = watched_schema.parse_files(
+        files, list(roles), sources.sole_source, require_end=sources.file.require_end
+    )
+    return parsed, roles
 
 
 def last_view(sources: SourcesConfig) -> MembershipView:
--- a/onyxpass/sources/membership.py
+++ b/onyxpass/sources/membership.py
@@ -159,7 +159,11 @@
 
     def _parse(self, files: Files) -> ParsedFiles:
         return schema.parse_files(
-            files, list(self.core.endpoints.roles), self.sources.sole_source, self.loopback_only
+            files,
+            list(self.core.endpoints.roles),
+            self.sources.sole_source,
+            self.loopback_only,
+            self.sources.file.require_end,
         )
 
     def _validate(self, view: MembershipView, parsed: ParsedFiles) -> ValidationResult:
--- a/onyxpass/sources/schema.py
+++ b/onyxpass/sources/schema.py
@@ -20,6 +20,7 @@
 from onyxpass.scheduling import contract
 
 MAX_FAULTS = 50  # faults after which servers are not checked for more
+END_HEADER = "[end]"
 SERVER_HEADER = re.compile(r"\s*\[\[\s*servers\s*\]\]")
 MAX_FILE_BYTES = 16 * 1024 * 1024  # size of one watched file
 ServerId = Annotated[str, Field(min_length=1, max_length=253)]
@@ -54,9 +55,18 @@
     removes: list[ServerId] = Field(default_factory=list)
 
 
+class EndTable(toml_config.Model):
+    """The mark of a file that was written to its end; it has no keys."""
+
+    model_config = toml_config.schema_description(
+        "The last table of a file, if ``require_end`` is set: what comes without it is half written."
+    )
+
+
 class WatchedFile(toml_config.Model):
     change: ChangeTable = Field(default_factory=ChangeTable)
     servers: list[ServerTable] = Field(default_factory=list)
+    end: EndTable | None = None
 
 
 class GuardsTable(toml_config.Model):
@@ -92,6 +102,8 @@
     poll_s: Annotated[float, Field(gt=0, le=600)] = 1.0
     ramp_s: Annotated[float, Field(ge=0, le=3600)] = 10.0  # duration of a weight change
     snapshot: str | None = None  # file for the last accepted view
+    # whether each file must end with the table ``[end]``
+    require_end: bool = False
     guards: GuardsTable = Field(default_factory=GuardsTable)
 
 
@@ -111,12 +123,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerEntry:
-    """A server of a watched file. ``address`` None: discovery provides the address."""
+    """A server of a watched file. ``address`` None: discovery provides the address.
+
+    ``has_state`` and ``has_weight`` tell whether these keys are written out.
+    """
 
     server: contract.Endpoint
     address: Address | None
     file: str = ""
     line: int = 0
+    has_state: bool = False
+    has_weight: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,7 +170,14 @@
         else contract.EndpointCondition.UP,
         weight=table.weight,
     )
-    return ServerEntry(server, Address.parse(table.address) if table.address else None, file, line)
+    return ServerEntry(
+        server,
+        Address.parse(table.address) if table.address else None,
+        file,
+        line,
+        has_state="state" in table.model_fields_set,
+        has_weight="weight" in table.model_fields_set,
+    )
 
 
 def _parse_file(file: str, data: bytes) -> tuple[WatchedFile | None, str, list[FileFault]]:
@@ -231,12 +255,13 @@
     kinds: Sequence[str],
     sole_source: bool,
     loopback_only: bool = False,
+    require_end: bool = False,
 ) -> ParsedFiles:
     """Parse all files, in their order, as one list of servers.
 
     ``kinds`` are the kinds that the settings define. With ``sole_source`` the files are the only
     source, so each server needs its kind, hall and address. With ``loopback_only`` only loopback
-    addresses are allowed.
+    addresses are allowed. With ``require_end`` the last table of each file must be ``[end]``.
     """
     entries: list[ServerEntry] = []
     removes: set[str] = set()
@@ -249,6 +274,11 @@
         faults += file_faults
         if watched_file is None:
             continue
+        if require_end and not _ends_with_mark(text):
+            last_line = text.count("\n") + 1
+            faults.append(
+                FileFault(file, "half written: its last table is not [end]", last_line, 1)
+            )
         removes |= set(watched_file.change.removes)
         rows = _header_lines(text)
         for number, table in enumerate(watched_file.servers):
@@ -266,6 +296,14 @@
     return ParsedFiles(tuple(entries), frozenset(removes), tuple(faults))
 
 
+def _ends_with_mark(text: str) -> bool:
+    """Return whether the last line that is neither empty nor a comment is the table ``[end]``."""
+    for line in reversed(text.splitlines()):
+        if content := line.partition("#")[0].strip():
+            return content.replace(" ", "") == END_HEADER
+    return False
+
+
 def _server_faults(
     table: ServerTable, kinds: Sequence[str], sole_source: bool, loopback_only: bool
 ) -> Iterable[tuple[PathPart, str]]:
--- a/onyxpass/sources/validation.py
+++ b/onyxpass/sources/validation.py
@@ -75,6 +75,8 @@
             # Prevents a burst of requests to a server that was just added: it counts as cold.
             entry = replace(entry, server=replace(entry.server, started_us=now_us))
         entries[entry.server.id] = entry
+    if reasons := _unstated_returns(old, entries, parsed, sole_source):
+        return Rejected(tuple(reasons))
     difference = compare(old.entries, entries)
     if not difference and old.number:
         return Unchanged()
@@ -88,6 +90,38 @@
     return Accepted(MembershipView.of(old.number + 1, entries.values()), difference)
 
 
+def _unstated_returns(
+    old: MembershipView, entries: Mapping[str, ServerEntry], parsed: ParsedFiles, sole_source: bool
+) -> list[str]:
+    """Return a reason for each drained server that would take work again without being told to.
+
+    A file that is cut off before ``state = "draining"`` can be parsed, and must not end a drain.
+    """
+    reasons = []
+    for name, before in old.entries.items():
+        if accepts_new_requests(before):
+            continue
+        entry = entries.get(name)
+        if entry is None:
+            if not sole_source and name not in parsed.removes:
+                reasons.append(
+                    f"server {name!r} drains and is not listed any more: list it in "
+                    "change.removes if it is to take work again"
+                )
+        elif accepts_new_requests(entry) and not _states_return(before, entry):
+            reasons.append(
+                f"{entry.file}:{entry.line}: server {name!r} drained, and no key says otherwise now: "
+                'write state = "active" if it is to take work again'
+            )
+    return reasons
+
+
+def _states_return(before: ServerEntry, entry: ServerEntry) -> bool:
+    """Return whether a file says that a drained server takes work again."""
+    drained_by_weight = before.server.weight == 0 and not before.has_state
+    return entry.has_state or (drained_by_weight and entry.has_weight)
+
+
 def _minimum_violations(
     entries: Mapping[str, ServerEntry], roles: Mapping[str, contract.Role], guards: GuardsTable
 ) -> list[str]:
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -9,7 +9,7 @@
 import random
 import shutil
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
@@ -37,8 +37,13 @@
 from onyxpass.sources.debounce import Debouncer, contents_digest
 from onyxpass.sources.format import formatted
 from onyxpass.sources.index import ServerIndex
-from onyxpass.sources.membership_view import EMPTY_VIEW, MembershipView, compare
-from onyxpass.sources.schema import GuardsTable, SourcesFile, WatchedFile
+from onyxpass.sources.membership_view import (
+    EMPTY_VIEW,
+    MembershipView,
+    accepts_new_requests,
+    compare,
+)
+from onyxpass.sources.schema import GuardsTable, ParsedFiles, SourcesFile, WatchedFile
 from onyxpass.sources.validation import Accepted, Rejected, Unchanged, validate
 from onyxpass.sources.weight_ramp import WeightRamp
 from onyxpass.testbed.client import send_request
@@ -123,6 +128,93 @@
     assert any(place in reason and why in reason for reason in result.reasons), result.reasons
 
 
+def cuts(text: str) -> Iterator[str]:
+    """Yield every part of a text that a writer held up in its middle may have written."""
+    return (text[:length] for length in range(len(text)))
+
+
+@pytest.mark.parametrize(
+    "drain", ['state = "draining"', "weight = 0", 'weight = 0\nstate = "draining"']
+)
+@pytest.mark.parametrize("order", ["state last", "state first"])
+def test_no_part_of_a_file_puts_a_drained_server_back_to_work(drain: str, order: str) -> None:
+    """Guards against requests at a drained server: a file that is cut off before the line that
+    drains it can be parsed, and the server was taken for active.
+    """
+    head, *keys = row("w2", "writer", 4).splitlines()
+    lines = [head, keys[0], *drain.splitlines(), *keys[1:]]
+    drained = "\n".join(lines if order == "state first" else [head, *keys, *drain.splitlines()])
+    text = GOOD.replace(row("w2", "writer", 4), drained + "\n")
+    old = view(text)
+    assert not accepts_new_requests(old.entries["w2"])
+    for part in cuts(text.replace('"r1"', '"r7"').replace("127.0.0.1:1", "127.0.0.1:77")):
+        result = validated(part, old=old)
+        if isinstance(result, Accepted) and "w2" in result.view.entries:
+            assert not accepts_new_requests(result.view.entries["w2"]), part
+
+
+@pytest.mark.parametrize(
+    ("drain", "end"),
+    [
+        ('state = "draining"', 'state = "active"'),
+        ("weight = 0", "weight = 0.5"),
+        ("weight = 0", 'state = "active"'),
+    ],
+)
+def test_a_drained_server_takes_work_again_if_the_file_says_so(drain: str, end: str) -> None:
+    old = view(GOOD + drain)
+    assert not accepts_new_requests(old.entries["w2"])
+    rejected = validated(GOOD, old=old)
+    assert isinstance(rejected, Rejected)
+    assert any("0.toml:22" in reason and "active" in reason for reason in rejected.reasons)
+    assert accepts_new_requests(validated(GOOD + end, old=old).view.entries["w2"])
+
+
+def test_a_weight_alone_does_not_end_a_drain_by_state() -> None:
+    old = view(GOOD + 'state = "draining"\nweight = 0')
+    assert isinstance(validated(GOOD + "weight = 2.0", old=old), Rejected)
+
+
+def test_over_discovery_a_drained_server_is_not_forgotten_by_a_file_that_is_cut_off() -> None:
+    def parsed(text: str) -> ParsedFiles:
+        return schema.parse_files({"x": text.encode()}, list(ROLES), False)
+
+    def result(old: MembershipView, text: str) -> Any:
+        return validate(old, parsed(text), ROLES, NO_REMOVAL_LIMITS, 7, sole_source=False)
+
+    first = '[[servers]]\nid = "r1"\nweight = 2.0\n'
+    old = result(EMPTY_VIEW, first + '[[servers]]\nid = "r2"\nstate = "draining"\n').view
+    assert isinstance(result(old, first), Rejected)
+    assert isinstance(result(old, '[change]\nremoves = ["r2"]\n' + first), Accepted)
+    assert isinstance(result(old, first + '[[servers]]\nid = "r2"\n'), Rejected)
+
+
+@pytest.mark.parametrize(
+    ("end", "is_complete"),
+    [
+        ("[end]\n", True),
+        ("[end]", True),
+        ("  [ end ]  # written\n\n# by a script\n", True),
+        ("", False),
+        ("# [end]\n", False),
+        ("[end]\n" + row("w9", "writer", 9), False),
+        ("[end]\nat = 1\n", False),
+    ],
+)
+def test_with_an_end_mark_a_file_counts_once_it_was_written_to_its_end(
+    end: str, is_complete: bool
+) -> None:
+    files = {"0.toml": (GOOD + end).encode()}
+    parsed = schema.parse_files(files, list(ROLES), True, require_end=True)
+    assert bool(parsed.faults) != is_complete, parsed.faults
+
+
+def test_with_an_end_mark_no_part_of_a_file_counts() -> None:
+    for part in cuts(GOOD + "[end]"):
+        files = {"0.toml": part.encode()}
+        assert schema.parse_files(files, list(ROLES), True, require_end=True).faults, part
+
+
 def test_a_byte_order_mark_is_no_fault() -> None:
     assert set(view(GOOD).entries) == set(validated(b"\xef\xbb\xbf" + GOOD.encode()).view.entries)
 
