Hold streams that nobody reads, and answers of servers, within the memory limit

Callers would see a dispatcher that is killed for its memory: 400 clients with sound requests that read nothing of their streams took it to 183, 231 and 388 MiB of 112 (trials, events of 1,000, 30,000 and 200,000 bytes).

Cause: asyncio's buffers bound each stream (up to 128 KiB in the reader and 256 KiB a receive, 64 KiB for the client), nothing bounds their sum, and the budget knew clients' input only. Ruled out: charging and evicting alone (155 to 276 MiB: the receives of one turn come to 100 MiB).

Change: 16 KiB a receive from servers, reading pauses beyond 8 KiB, a stream waits once its client leaves 8 KiB in the process; a connection to a server has an account, settled to what is held, the client's unsent bytes among it. Over the limit the largest exchange ends; the client of a stream counts as gone (exchange_evicted). Two tests of test_net.py replace dialer.open_connection where they replaced asyncio's, which the dialer does not call any more.

--- a/onyxpass/core/memory_budget.py
+++ b/onyxpass/core/memory_budget.py
@@ -1,9 +1,11 @@
-"""Bounds the bytes that the process holds for requests of its clients, without I/O.
-
-Each connection has an account, which is charged with what arrives on it and is not done with. What
-exceeds the budget is taken from one connection after the other: first from those without a valid
-request, among them from the one that holds most, among equals from the oldest. A small part of each
-account is free of charge, so that usual requests are served however full the budget is.
+"""Bounds the bytes that the process holds for its peers, without I/O.
+
+Each connection has an account, which is charged with what arrives on it and is not done with: for a
+connection to a server also with what its client has not taken yet. What exceeds the budget is taken
+from one connection after the other: first from those without a valid request, among them from the
+one that holds most, among equals from the oldest; then in the same order from the exchanges with
+servers. A small part of each account is free of charge, so that usual requests are served however
+full the budget is.
 """
 
 from collections.abc import Callable
@@ -21,11 +23,12 @@
 
 
 class Standing(IntEnum):
-    """What the client of an account has sent so far; the lowest is evicted first."""
+    """What the bytes of an account belong to; the lowest is evicted first."""
 
     NO_REQUEST = 0  # no valid request that is open
-    OPEN_REQUEST = 1
-    PROTECTED = 2  # the bytes belong to an open request; never evicted
+    OPEN_REQUEST = 1  # a client with an open request, beside it
+    EXCHANGE = 2  # an attempt's answer, and what its client has not taken of it
+    PROTECTED = 3  # an open request; never evicted
 
 
 class MemoryAccount:
@@ -73,7 +76,7 @@
 
 
 class MemoryBudget:
-    """The accounts of all client connections of a process, and their common limit."""
+    """The accounts of all connections of a process, and their common limit."""
 
     def __init__(self, memory_mib: int = DEFAULT_MEMORY_MIB, connections: int = 0) -> None:
         """``memory_mib`` is what the process may use in all, with so many connections at once."""
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -18,6 +18,13 @@
     async def forward(self, event: bytes) -> None:
         """Forward the next event of the stream; return once there is capacity for more."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of its connection that the process holds, since the client does not read them."""
+
+    def disconnect(self) -> None:
+        """Break the client's connection, which then counts as left by the client."""
+
     def complete(self) -> None:
         """Complete the stream; final."""
 
--- a/onyxpass/net/client.py
+++ b/onyxpass/net/client.py
@@ -44,6 +44,13 @@
             # the task that reads from the client reports this to the core
             log.debug("client_disconnected")
 
+    @property
+    def unsent_bytes(self) -> int:
+        return self.wire.writer.transport.get_write_buffer_size()
+
+    def disconnect(self) -> None:
+        self.wire.abort()
+
     def complete(self) -> None:
         self.wire.write(h11.EndOfMessage())
         self.done.set()
--- a/onyxpass/net/dialer.py
+++ b/onyxpass/net/dialer.py
@@ -30,19 +30,22 @@
 
 
 async def connect(
-    host: str, port: int, limit: int = 2**16
+    host: str,
+    port: int,
+    limit: int = 2**16,
+    protocol_type: type[asyncio.StreamReaderProtocol] = asyncio.StreamReaderProtocol,
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Open a connection to a server; ``ResourceShortageError`` if a local resource is lacking.
 
     Prevents blaming a server for a local shortage, and wasting attempts where some new connections
     are dropped: a reset is retried once, a shortage or an unreachable route a few times. A refused
-    connection or one without an answer is not retried.
+    connection or one without an answer is not retried. ``limit`` is that of the reader.
     """
     delays = iter(RETRY_DELAYS_S)
     was_reset = False
     while True:
         try:
-            return await _open_streams(host, port, limit)
+            return await _open_streams(host, port, limit, protocol_type)
         except OSError as error:
             is_shortage = error.errno in LOCAL_SHORTAGE_ERRNOS
             if is_shortage or error.errno in UNREACHABLE_ERRNOS:
@@ -58,15 +61,26 @@
                 raise
 
 
+async def open_connection(
+    host: str, port: int, limit: int, protocol_type: type[asyncio.StreamReaderProtocol]
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open streams as ``asyncio.open_connection`` does, with a protocol of this type."""
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit, loop)
+    protocol = protocol_type(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 async def _open_streams(
-    host: str, port: int, limit: int
+    host: str, port: int, limit: int, protocol_type: type[asyncio.StreamReaderProtocol]
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Open the streams; OSError with EAGAIN if the connection was not established.
 
     asyncio takes EAGAIN from connect for a connection in progress, and then returns one that is not
     connected.
     """
-    reader, writer = await asyncio.open_connection(host, port, limit=limit)
+    reader, writer = await open_connection(host, port, limit, protocol_type)
     if writer.get_extra_info("peername") is None:
         writer.transport.abort()
         raise OSError(errno.EAGAIN, "the connection was not established")
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -3,6 +3,7 @@
 import asyncio
 import select
 import socket
+from collections.abc import Callable
 from typing import Any
 
 import h11
@@ -18,6 +19,11 @@
 HEAD_LIMIT = 32 * 1024
 BODY_LIMIT = 256 * 1024
 READ_BYTES = 32 * 1024
+SERVER_RECEIVE_BYTES = 16 * 1024
+SERVER_READER_LIMIT = SERVER_RECEIVE_BYTES // 4  # reading pauses beyond twice this
+CLIENT_WRITE_LIMIT = (
+    8 * 1024
+)  # held in the process beyond what the kernel takes; then a stream waits
 # time for a client to close after this side has; bytes it sends meanwhile are discarded
 CLIENT_CLOSE_TIMEOUT_US = 250_000
 # bounds of what is read of a rejected message, so that its response is not lost
@@ -43,21 +49,47 @@
         self.status = status
 
 
-class TimedProtocol(asyncio.StreamReaderProtocol):
-    """Records a lower bound of when received bytes entered the kernel's buffer.
+class ChargedProtocol(asyncio.StreamReaderProtocol):
+    """Charges received bytes to the connection's memory account, and drops those that exceed it."""
 
-    Charges received bytes to the connection's memory account, and drops those that exceed it.
+    memory: MemoryAccount | None = None
+
+    def data_received(self, data: bytes) -> None:
+        if self.memory is None or self.memory.charge(len(data)):
+            self.input_accepted()
+            super().data_received(data)
+
+    def input_accepted(self) -> None:
+        """Record that bytes were received and are kept."""
+
+
+class ServerProtocol(ChargedProtocol, asyncio.BufferedProtocol):
+    """Reads from a server, in parts of the size of usual events.
+
+    What it does not take stays in the kernel until there is room, and so does not count as held;
+    asyncio takes 256 KiB at once.
     """
 
+    _received = bytearray()
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        self._received = bytearray(SERVER_RECEIVE_BYTES)
+        return self._received
+
+    def buffer_updated(self, nbytes: int) -> None:
+        data = bytes(memoryview(self._received)[:nbytes])
+        del self._received
+        self.data_received(data)
+
+
+class TimedProtocol(ChargedProtocol):
+    """Records a lower bound of when received bytes entered the kernel's buffer."""
+
     unseen_since_ns: int | None = None  # for the first bytes received since ``take_since``
-    memory: MemoryAccount | None = None
 
-    def data_received(self, data: bytes) -> None:
-        if self.memory is not None and not self.memory.charge(len(data)):
-            return
+    def input_accepted(self) -> None:
         if self.unseen_since_ns is None:
             self.unseen_since_ns = unseen_since_ns()
-        super().data_received(data)
 
     def take_since(self) -> int | None:
         since_ns, self.unseen_since_ns = self.unseen_since_ns, None
@@ -84,6 +116,8 @@
         self.timed_protocol: TimedProtocol | None = None  # set if arrival times are recorded
         self.memory: MemoryAccount | None = None  # set if the process bounds what it holds
         self.partial_body = bytearray()  # of the message that is being read
+        self.unparsed_bytes = 0  # received and not returned by ``poll``, without incomplete heads
+        self._on_evicted: Callable[[], None] | None = None  # during an exchange with a server
         self._memory_standing = Standing.NO_REQUEST
         # lower bound of when the bytes of the last read arrived
         self.received_since_ns: int | None = None
@@ -110,6 +144,7 @@
             # asyncio sets this option only if the socket states its protocol, which accepted
             # sockets do not.
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        transport.set_write_buffer_limits(CLIENT_WRITE_LIMIT)
         wire = cls(role, reader, asyncio.StreamWriter(transport, protocol, reader, loop))
         wire.timed_protocol = protocol
         if budget is not None:
@@ -118,6 +153,25 @@
             )
         return wire
 
+    def charge_to(self, budget: MemoryBudget) -> None:
+        """Charge what arrives on a connection to a server, which ``ChargedProtocol`` reads."""
+        protocol = self.writer.transport.get_protocol()
+        assert isinstance(protocol, ChargedProtocol)
+        self.memory = protocol.memory = budget.open(
+            self._end_exchange, lambda: self._memory_standing
+        )
+
+    def begin_exchange(self, on_evicted: Callable[[], None]) -> None:
+        """Charge what arrives to an exchange, until the next cycle.
+
+        ``on_evicted`` is called if the exchange holds too much, and must end it.
+        """
+        self._memory_standing, self._on_evicted = Standing.EXCHANGE, on_evicted
+
+    def _end_exchange(self) -> None:
+        clear_buffer(self.reader)
+        (self._on_evicted or self.abort)()
+
     def _drop_input(self) -> None:
         """Drop what was received; the message that is being read fails."""
         clear_buffer(self.reader)
@@ -136,7 +190,7 @@
 
     def settle_memory(self) -> None:
         """Hold no more than what is still to be parsed: the message has been answered or failed."""
-        self._memory_standing = Standing.NO_REQUEST
+        self._memory_standing, self._on_evicted = Standing.NO_REQUEST, None
         if self.memory is not None:
             self.memory.settle(len(self.h11.trailing_data[0]) + buffered_bytes(self.reader))
 
@@ -174,7 +228,10 @@
         except h11.RemoteProtocolError as error:
             raise HttpError(str(error), error.error_status_hint) from error
         if event is h11.NEED_DATA:
+            self.unparsed_bytes = 0
             return None
+        if isinstance(event, h11.Data):
+            self.unparsed_bytes -= len(event.data)
         self._line_limit.parsed(event)  # type: ignore[arg-type]
         return event  # type: ignore[return-value]
 
@@ -203,6 +260,7 @@
             self.h11.receive_data(data)
         except (h11.RemoteProtocolError, RuntimeError) as error:
             raise HttpError(str(error)) from error
+        self.unparsed_bytes += len(data)
         head_lines = self._line_limit.received(data)
         self._next_step_cost_ns += input_cost_ns(len(data), head_lines)
 
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -15,7 +15,16 @@
 from onyxpass.core.requests import Attempt
 from onyxpass.net.connection_budget import ConnectionBudget, IdleConnection
 from onyxpass.net.dialer import ResourceShortageError, connect
-from onyxpass.net.http import BODY_LIMIT, HOP_BY_HOP, HttpConnection, HttpError, header, read_body
+from onyxpass.net.http import (
+    BODY_LIMIT,
+    HOP_BY_HOP,
+    SERVER_READER_LIMIT,
+    HttpConnection,
+    HttpError,
+    ServerProtocol,
+    header,
+    read_body,
+)
 from onyxpass.net.response_reader import (
     CorruptResponseError,
     EventSplitter,
@@ -155,6 +164,8 @@
 
     def _discard(self, wire: HttpConnection) -> None:
         wire.abort()
+        if wire.memory is not None:
+            wire.memory.close()
         self.budget.open -= 1
 
     def _take_idle(self) -> HttpConnection | None:
@@ -181,11 +192,13 @@
         self.budget.open += 1
         try:
             async with self.wheel.timeout(self.connect_us if timeout_us is None else timeout_us):
-                streams = await connect(self.address.host, self.address.port)
+                host, port = self.address.host, self.address.port
+                streams = await connect(host, port, SERVER_READER_LIMIT, ServerProtocol)
         except BaseException:
             self.budget.open -= 1
             raise
         wire = HttpConnection(h11.CLIENT, *streams)
+        wire.charge_to(self.core.memory_budget)
         wire.generation = self.generation
         return wire
 
@@ -317,8 +330,20 @@
         self, wire: HttpConnection, attempt: Attempt
     ) -> tuple[AttemptStatus, int, str]:
         incoming = ResponseReader(wire, self.wheel)
+        wire.begin_exchange(lambda: self._evict(wire, attempt))
         return await self._flag_corrupt(attempt, incoming, self._read_response(incoming, attempt))
 
+    def _evict(self, wire: HttpConnection, attempt: Attempt) -> None:
+        """End an exchange that holds too much.
+
+        The client of a stream does not read it, and counts as gone: the server is not to blame.
+        """
+        log.warning("exchange_evicted", id=attempt.request.id, server=self.name)
+        if attempt.committed:
+            attempt.request.client.disconnect()
+        else:
+            wire.abort()
+
     async def _resume(
         self, resumed: AdoptedStream, attempt: Attempt
     ) -> tuple[AttemptStatus, int, str]:
@@ -358,6 +383,7 @@
         text = bytearray()
         while isinstance(part := await incoming.next(), bytes):
             text += part
+            incoming.settle(len(text))
             if len(text) > BODY_LIMIT:
                 raise HttpError("body too large")
         if not isinstance(part, h11.EndOfMessage):
@@ -402,7 +428,9 @@
                 continue
             if isinstance(part, bytes):
                 # Only complete events reach the client: invalid bytes must not commit the request.
-                if not (complete := events.feed(part)):
+                complete, part = events.feed(part), b""  # prevents the part from being held as well
+                incoming.settle(events.partial_bytes + len(complete) + client.unsent_bytes)
+                if not complete:
                     continue
                 if not self.core.outcomes.stream_event_received(attempt):
                     raise HttpError("the request does not accept this stream any more")
--- a/onyxpass/net/response_reader.py
+++ b/onyxpass/net/response_reader.py
@@ -10,7 +10,7 @@
 import h11
 
 from onyxpass.core.timer_wheel import Timeout, TimerWheel
-from onyxpass.net.http import BODY_LIMIT, HttpConnection, HttpError, header
+from onyxpass.net.http import BODY_LIMIT, HttpConnection, HttpError, buffered_bytes, header
 
 MAX_EVENT_BYTES = BODY_LIMIT  # maximum size of one event, and of one chunk
 TAIL_BYTES = 512  # last bytes of the stream that are searched for the usage
@@ -58,6 +58,19 @@
         ended = self.wire.last_two_bytes == b"\r\n" != self._last_chunk_end
         return self.chunked and ended and not (self._parts or self._lookahead or self.wire.pending)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that were received and not returned; an incomplete head counts until it is parsed."""
+        return self._size + self.wire.unparsed_bytes + buffered_bytes(self.wire.reader)
+
+    def settle(self, returned_bytes: int) -> None:
+        """Charge the exchange with what is held now, of it ``returned_bytes`` of what was returned.
+
+        Does nothing while all that has arrived since the last time is free of charge.
+        """
+        if (memory := self.wire.memory) is not None and memory.charged_bytes:
+            memory.settle(self.held_bytes + returned_bytes)
+
     def interrupt_wait(self) -> None:
         """Interrupt the present wait for the next part, or the next such wait if there is none."""
         self._interrupted = True
@@ -71,6 +84,8 @@
         of its own.
         """
         while True:
+            if self.wire.out_of_memory:
+                raise HttpError("too much is held for other requests")
             await self.wire.begin_step()
             event, self._lookahead = self._lookahead, None
             if event is None:
@@ -180,6 +195,11 @@
         counts = USAGE_PATTERN.findall(self.tail)
         return min(BODY_LIMIT, int(counts[-1])) if counts else 0
 
+    @property
+    def partial_bytes(self) -> int:
+        """The number of bytes received of the next event."""
+        return len(self._partial)
+
     @property
     def partial_event(self) -> bytes:
         """The bytes received of the next event."""
--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -71,6 +71,13 @@
         except OSError:
             log.debug("client_disconnected")  # the reading side reports it to the core
 
+    @property
+    def unsent_bytes(self) -> int:
+        return self.writer.transport.get_write_buffer_size()
+
+    def disconnect(self) -> None:
+        self.writer.transport.abort()
+
     def _respond(self, text: bytes) -> None:
         if not self.answered:
             self.answered = True
--- a/onyxpass/toolcalls/replicas.py
+++ b/onyxpass/toolcalls/replicas.py
@@ -1,7 +1,8 @@
 """Readers and writers that speak JSON-RPC: one actor per server, one connection per attempt."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -11,9 +12,11 @@
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.fleet import ActorFleet, ServerActor
 from onyxpass.core.loop_turn import StepFlow
+from onyxpass.core.memory_budget import MemoryAccount, Standing
 from onyxpass.core.release import release
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.net.dialer import ResourceShortageError, connect
+from onyxpass.net.http import ServerProtocol, buffered_bytes, clear_buffer
 from onyxpass.scheduling import contract
 from onyxpass.scheduling.contract import AttemptStatus, HealthCheckResult, Idempotency
 from onyxpass.toolcalls import rpc
@@ -62,7 +65,8 @@
         async with self.wheel.timeout(
             self.connect_timeout_us if timeout_us is None else timeout_us
         ):
-            return await connect(self.address.host, self.address.port, rpc.LINE_LIMIT)
+            host, port = self.address.host, self.address.port
+            return await connect(host, port, rpc.LINE_LIMIT, ServerProtocol)
 
     async def run_attempt(self, attempt: Attempt) -> None:
         status, note, reason, written = AttemptStatus.UNREACHABLE, 0, "", False
@@ -83,7 +87,10 @@
                     self._send_request(writer, attempt)
                     self.core.reservations.attempt_begun(attempt, lambda: None)
                     self.core.outcomes.request_sent(attempt)
-                    status, note, reason = await self._read_stream(reader, writer, attempt)
+                    with self._charged(reader, writer, attempt) as memory:
+                        status, note, reason = await self._read_stream(
+                            reader, writer, attempt, memory
+                        )
         except ResourceShortageError as problem:
             status, reason = AttemptStatus.NOT_SENT, str(problem)
         except RpcError as problem:
@@ -103,6 +110,29 @@
                 writer.close()
             self.core.outcomes.attempt_ended(attempt, status, note, reason)
 
+    @contextmanager
+    def _charged(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, attempt: Attempt
+    ) -> Iterator[MemoryAccount]:
+        """Charge what arrives on a connection to an account, which is closed at the end."""
+
+        def evict() -> None:
+            # The client of a stream does not read it, and counts as gone: the server is not to blame.
+            log.warning("exchange_evicted", id=attempt.request.id, server=self.name)
+            clear_buffer(reader)
+            if attempt.committed:
+                attempt.request.client.disconnect()
+            else:
+                writer.transport.abort()
+
+        protocol = writer.transport.get_protocol()
+        assert isinstance(protocol, ServerProtocol)
+        memory = protocol.memory = self.core.memory_budget.open(evict, lambda: Standing.EXCHANGE)
+        try:
+            yield memory
+        finally:
+            memory.close()
+
     def _send_request(self, writer: asyncio.StreamWriter, attempt: Attempt) -> None:
         payload: Payload = attempt.request.payload
         params = {
@@ -119,7 +149,11 @@
         )
 
     async def _read_stream(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, attempt: Attempt
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        attempt: Attempt,
+        memory: MemoryAccount,
     ) -> tuple[AttemptStatus, int, str]:
         """Read an attempt's stream up to its response; text and tool calls are both stream events.
 
@@ -135,6 +169,8 @@
                     text = await rpc.read_line(reader, flow)
                 if text is None:
                     return AttemptStatus.RESET, 0, "closed without a response"
+                unsent_bytes = attempt.request.client.unsent_bytes
+                memory.settle(buffered_bytes(reader) + len(text) + unsent_bytes)
                 match rpc.parse(text):
                     case RpcResponse(id, result, error) if id == attempt.number:
                         return self._final_status(attempt, result, error)
--- a/tests/test_memory_bound.py
+++ b/tests/test_memory_bound.py
@@ -11,10 +11,12 @@
 
 import pytest
 import standins as st
+import structlog
 import test_toolcalls as calls
-from cluster import PREFILLED, STREAM, Replica
+from cluster import HEAD as HEAD_OF_STREAM
+from cluster import PREFILLED, STREAM, Replica, chat_request, running_cluster
 from fault_injection import ChildProcess, open_connection, run_async, servers_and_config
-from test_endless_input import Play, check_rpc_requests, chunk, run_rpc
+from test_endless_input import CLASS_TIME_MS, Play, check_rpc_requests, chunk, run_rpc
 
 from onyxpass.config.platform_file import ConfigError, read_memory_mib
 from onyxpass.core.memory_budget import (
@@ -30,6 +32,9 @@
 from onyxpass.toolcalls import rpc
 
 MEMORY_MIB, DESCRIPTORS = 64, 1024
+STREAM_MEMORY_MIB = 112
+STREAMING_CLIENTS, MIN_STREAMS = 400, 200
+FLOOD_BYTES = 2_000_000  # of one stream
 MANY_CLIENTS = 300  # together they send more than the memory, and fewer than there are places
 POLL_S = 0.01
 
@@ -174,6 +179,139 @@
     assert set(answers) <= {b"HTTP/1.1 503", b"HTTP/1.1 408", b"HTTP/1.1 400", b""}, answers
 
 
+class FloodingWriter(Replica):
+    """Answers the requests of ``unread-`` ids with more than any buffer takes, in large events."""
+
+    def __init__(self, event_bytes: int, stream_bytes: int = FLOOD_BYTES) -> None:
+        super().__init__(self.flood)
+        self.stream_bytes = stream_bytes
+        content = b"x" * event_bytes
+        event = b'data: {"choices":[{"index":0,"delta":{"content":"%b"}}]}\n\n' % content
+        self.chunk, self.begun = chunk(event), 0
+
+    @staticmethod
+    async def flood(
+        self: "Replica", reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+    ) -> None:
+        assert isinstance(self, FloodingWriter)
+        if b"unread-" not in head:
+            await STREAM(self, reader, writer, head)
+            return
+        self.begun += 1
+        writer.write(HEAD_OF_STREAM)
+        with contextlib.suppress(OSError):
+            for _ in range(self.stream_bytes // len(self.chunk)):
+                writer.write(self.chunk)
+                await writer.drain()
+
+
+@pytest.mark.parametrize("event_bytes", [30_000, 200_000])
+def test_streams_that_nobody_reads_stay_within_the_memory_and_usual_ones_are_answered(
+    tmp_path: Path, event_bytes: int
+) -> None:
+    """Guards against a dispatcher that is killed for its memory: 400 clients that read nothing of
+    their streams took it to 183 to 388 MiB of 112.
+    """
+    peaks_mib: list[float] = []
+
+    async def watch(pid: int) -> None:
+        while True:
+            peaks_mib.append(private_mib(pid))
+            await asyncio.sleep(POLL_S)
+
+    async def request(port: int, number: int, end: asyncio.Event) -> None:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1)
+            reader._transport.pause_reading()  # type: ignore[attr-defined]
+            writer.write(chat_request(f"unread-{number}", "a", 8_000))
+            await end.wait()
+            writer.transport.abort()
+
+    async def scenario() -> None:
+        limits = {"cores": 1.0, "memory_mb": STREAM_MEMORY_MIB, "sockets": DESCRIPTORS}
+        writers = [FloodingWriter(event_bytes) for _ in range(4)]
+        readers = [Replica(PREFILLED) for _ in range(4)]
+        async with servers_and_config(tmp_path, readers, writers, limits=limits) as (path, _):
+            process = await ChildProcess.start("serve", "--config", str(path))
+            p, end = Play(await process.port()), asyncio.Event()
+            watching = asyncio.create_task(watch(process.child.pid))
+            unread = [
+                asyncio.create_task(request(p.port, number, end))
+                for number in range(STREAMING_CLIENTS)
+            ]
+            await st.until(lambda: sum(writer.begun for writer in writers) >= MIN_STREAMS)
+            answers = await p.usual_requests()
+            watching.cancel()
+            end.set()
+            await asyncio.gather(*unread)
+            assert await process.terminate() == 0, process.other_output
+        assert all(answer.startswith(b"HTTP/1.1 ") for answer in answers)
+        assert p.longest_s * 1000 <= CLASS_TIME_MS
+
+    run_async(scenario())
+    assert max(peaks_mib) <= STREAM_MEMORY_MIB
+
+
+def test_an_exchange_that_holds_too_much_ends_without_blame_for_its_server() -> None:
+    """A client that does not read counts as gone; what it held is given back."""
+
+    async def scenario() -> None:
+        writer = FloodingWriter(30_000, stream_bytes=64 * FLOOD_BYTES)
+        async with running_cluster([Replica(PREFILLED)], [writer]) as w:
+            core = w.dispatcher.core
+            core.memory_budget.limit_bytes = 4 * FREE_BYTES
+            with structlog.testing.capture_logs() as lines:
+                stream, stream_writer = await asyncio.open_connection(
+                    "127.0.0.1", w.dispatcher.front.port, limit=1
+                )
+                stream._transport.pause_reading()  # type: ignore[attr-defined]
+                stream_writer.write(chat_request("unread-1"))
+                await st.until(lambda: any(x["event"] == "exchange_evicted" for x in lines))
+                await st.until(lambda: not core.registry.by_number)
+            assert [x["event"] for x in lines if x["event"] == "client_gone"] == ["client_gone"]
+            assert {x["end"] for x in lines if x["event"] == "attempt"} <= {"cancelled"}
+            assert not any(s.failure_rate for s in core.router.servers.values())
+            await st.until(lambda: core.memory_budget.charged_bytes == 0)
+            assert core.memory_budget.evictions == 1
+            stream_writer.transport.abort()
+
+    run_async(scenario())
+
+
+def test_an_exchange_of_the_rpc_front_that_holds_too_much_ends_without_blame() -> None:
+    async def flood(
+        _: st.DecodeServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            for _ in range(64 * FLOOD_BYTES // 30_000):
+                st.send_message(writer, method="text", params={"text": "x" * 30_000})
+                await writer.drain()
+
+    async def scenario() -> None:
+        async with calls.world(st.send_text("a")) as bed:
+            core, front = bed.service.core, bed.service.front
+            core.memory_budget.limit_bytes = 4 * FREE_BYTES
+            steps = [writer.steps for writer in bed.writers]
+            for server in bed.writers:
+                server.steps = (flood,)
+            with structlog.testing.capture_logs() as lines:
+                reader, writer = await asyncio.open_connection("127.0.0.1", front.port, limit=1)
+                reader._transport.pause_reading()  # type: ignore[attr-defined]
+                params = {"class": "part-lookup", "prompt": "board"}
+                st.send_message(writer, id=1, method="generate", params=params)
+                await st.until(lambda: any(x["event"] == "exchange_evicted" for x in lines))
+                await st.until(lambda: not core.registry.by_number)
+            assert [x["event"] for x in lines if x["event"] == "client_gone"] == ["client_gone"]
+            assert not any(s.failure_rate for s in core.router.servers.values())
+            await st.until(lambda: core.memory_budget.charged_bytes == 0)
+            for server, usual in zip(bed.writers, steps, strict=True):
+                server.steps = usual
+            await check_rpc_requests(bed, await bed.client())
+            writer.transport.abort()
+
+    run_rpc(scenario)
+
+
 def test_unfinished_lines_stay_within_the_budget_of_the_rpc_front() -> None:
     """Guards against the same there: 256 connections may hold 128 MiB of lines without an end."""
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -36,6 +36,7 @@
     bad_request_limiter,
     connection_budget,
     connections,
+    dialer,
     front,
     poll_schedule,
     response_reader,
@@ -753,7 +754,7 @@
             tried.append(kind())
             raise tried[-1]
 
-        monkeypatch.setattr(asyncio, "open_connection", broken)
+        monkeypatch.setattr(dialer, "open_connection", broken)
         with pytest.raises(kind):
             await connect("127.0.0.1", 1)
         assert len(tried) == most
@@ -771,7 +772,7 @@
 
     async def scenario() -> None:
         async with running_cluster([Replica(PREFILLED)], [Replica(STREAM)]) as w:
-            monkeypatch.setattr(asyncio, "open_connection", none_left)
+            monkeypatch.setattr(dialer, "open_connection", none_left)
             with structlog.testing.capture_logs() as lines:
                 await w.dispatcher.replicas.actors["r0"].check_health()
                 core, client = w.dispatcher.core, StubClient()
