Give the stops of the JSON-RPC front, an agent and a node a time, and name what is left

Cause: each stop awaits others (requests, tool calls, instances, the store's client) one after the other, some without a limit: a request with a long time, an instance whose end is never noticed. Ruled out as unlimited, by reading: serve's unanswered requests and its releases.

Change: stop_limit.stop_within ends a stop after its time and logs stop_overdue with what is left: stop_s of the JSON-RPC front's file (120 s, optional, rejected unless positive), 10 s beyond the agent's grace_s, 10 s at a node. serve is as before: SIGTERM finishes what was taken.

--- a/onyxpass/agent/main.py
+++ b/onyxpass/agent/main.py
@@ -9,7 +9,9 @@
 from onyxpass.agent.config import AgentConfig
 from onyxpass.agent.credentials import read_key
 from onyxpass.agent.supervisor import Agent
+from onyxpass.stop_limit import stop_within
 
+STOP_MARGIN_S = 10.0  # beyond the instances' grace period
 log = structlog.get_logger("agent")
 
 
@@ -50,6 +52,17 @@
     await agent.start()
     serving = asyncio.create_task(api.run()) if api is not None else None
     await stopping.wait()
+    await stop_agent(agent, serving)
+
+
+async def stop_agent(agent: Agent, serving: "asyncio.Task[None] | None") -> None:
+    """Stop all instances within their grace period; the next agent adopts what is left."""
+    limit_s = agent.config.termination_grace_s + STOP_MARGIN_S
+    if not await stop_within(limit_s, _stop(agent, serving), agent.running_processes):
+        agent.close()
+
+
+async def _stop(agent: Agent, serving: "asyncio.Task[None] | None") -> None:
     if serving is not None:  # accept no calls while the instances stop
         serving.cancel()
         await asyncio.wait([serving])
--- a/onyxpass/agent/supervisor.py
+++ b/onyxpass/agent/supervisor.py
@@ -151,6 +151,16 @@
             await self._remove_from_store(self.store)
         self.close()
 
+    def running_processes(self) -> dict[str, object]:
+        """Return the instances that have a process, with its id."""
+        return {
+            "instances": {
+                instance.name: instance.process.pid
+                for instance in self.instances
+                if instance.process is not None
+            }
+        }
+
     async def _stop_polling(self) -> None:
         """Cancel the polling task and wait for its end.
 
--- a/onyxpass/desired/node.py
+++ b/onyxpass/desired/node.py
@@ -50,10 +50,12 @@
     reject_unknown_fields,
 )
 from onyxpass.net.listen import Listener
+from onyxpass.stop_limit import stop_within
 
 MAX_LONG_POLL_MS = 10_000
 RELOAD_TIMEOUT_S = 10.0  # for an agent to complete a reload
 RETRY_DELAY_S = 0.5  # before the state is applied again after a failure
+STOP_S = 10.0  # for the node's tasks to end
 log = structlog.get_logger("desired")
 
 
@@ -378,4 +380,4 @@
         if task.done():  # prevents a node from running on without one of its parts
             task.result()
         task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    await stop_within(STOP_S, asyncio.gather(*tasks, return_exceptions=True))
--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -360,7 +360,6 @@
                 async with self.core.wheel.timeout(CLIENT_CLOSE_TIMEOUT_US):
                     await asyncio.wait(list(self.connections))
         await self._close_connections()
-        await self.relay.finish()
 
     async def _close_connections(self) -> None:
         """Close all connections; those whose clients don't read the rest are broken off in the end."""
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -31,6 +31,7 @@
 from onyxpass.core.memory_budget import DEFAULT_MEMORY_MIB, MemoryBudget
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.scheduling import contract
+from onyxpass.stop_limit import stop_within
 from onyxpass.store.claim_generation import RECOVERY_PERIOD_US, StoreGeneration
 from onyxpass.store.redis import RedisStore
 from onyxpass.toolcalls.call_claims import CallClaims
@@ -42,6 +43,10 @@
 if TYPE_CHECKING:  # keeps start-up short: only watched files need this module
     from onyxpass.sources.membership import FileSource
 
+DEFAULT_STOP_S = 120.0  # longer than any usual request and its tool calls take together
+MAX_STOP_S = 24 * 3600
+REMAINING_SHOWN = 8  # requests, and calls, that are named if a stop takes too long
+CLOSE_S = 5.0  # for tasks to end once they are cancelled
 log = structlog.get_logger("rpc")
 
 
@@ -62,6 +67,7 @@
     journal: Path | None = None  # None: ``journal_path`` chooses
     connections: int = 256
     memory_mib: int = DEFAULT_MEMORY_MIB  # that the process may use
+    stop_s: float = DEFAULT_STOP_S  # from SIGTERM until what is left is closed
     sources: Path | None = None  # the file that names the watched files, in place of ``servers``
 
 
@@ -76,6 +82,8 @@
         optional_values["recovery_us"] = config.recovery_us
     if config.memory_mib != DEFAULT_MEMORY_MIB:
         optional_values["memory_mb"] = config.memory_mib
+    if config.stop_s != DEFAULT_STOP_S:
+        optional_values["stop_s"] = config.stop_s
     if config.journal is not None:
         optional_values["journal"] = str(config.journal)
     return {
@@ -146,6 +154,7 @@
             journal=base / str(store["journal"]) if "journal" in store else None,
             connections=int(raw.get("connections", 256)),
             memory_mib=read_memory_mib(raw.get("memory_mb"), "memory_mb"),
+            stop_s=float(raw.get("stop_s", DEFAULT_STOP_S)),
             sources=base / str(raw["sources"]) if "sources" in raw else None,
         )
     except ConfigError:
@@ -158,6 +167,8 @@
         )
     if config.recovery_us <= 0:
         raise ConfigError("store.recovery_ms must be positive")
+    if not 0 < config.stop_s <= MAX_STOP_S:
+        raise ConfigError(f"stop_s must lie between 0 and {MAX_STOP_S}")
     if len({server.id for server, _ in servers}) < len(servers):
         raise ConfigError("two servers have the same id")
     return config
@@ -328,10 +339,24 @@
         return {**self.core.metric_rows(), "clients": len(self.front.connections), **sources}
 
     async def stop(self) -> None:
-        await self.front.stop()
-        await self.close()
+        """Finish the open requests and tool calls; what is left after ``stop_s`` is closed."""
+        await stop_within(self.config.stop_s, self._finish(), self._remaining)
+        await stop_within(CLOSE_S, self.close(), self._remaining)
         log.info("stopped", name=self.config.name)
 
+    async def _finish(self) -> None:
+        await self.front.stop()
+        await self.relay.finish()
+
+    def _remaining(self) -> dict[str, object]:
+        """Return what keeps this front from ending, for the log."""
+        requests = sorted(request.id for request in self.core.registry.by_number.values())
+        return {
+            "requests": requests[:REMAINING_SHOWN],
+            "calls": sorted(self.relay.open_calls)[:REMAINING_SHOWN],
+            "clients": len(self.front.connections),
+        }
+
     async def close(self) -> None:
         """Cancel all tasks, without waiting for open requests, and close the store."""
         self.claims.stop()
