--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What a developer needs, by name. The platform uses deploy/balancer.toml.
-.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet bench-sources bench-lab bench-start bench-together bench-schedules bench-capacity bench-guard bench-reclaim soak
+.PHONY: build dev test lint run demo toolcalls agent ci clean bench-fleet bench-sources bench-lab bench-start bench-together bench-schedules bench-capacity bench-guard bench-reclaim bench-waiting-memory soak
 
 build:
 	test -d .venv || python3 -m venv .venv
@@ -72,3 +72,6 @@
 
 bench-guard: dev
 	.venv-dev/bin/python benchmarks/guard.py
+
+bench-waiting-memory: dev
+	.venv-dev/bin/python benchmarks/waiting_memory.py
