End the orders that are under way when an agent is told to end

Cause: the agent's API ended its calls and not the operations they had begun; the state was closed before these ended, so that neither record nor history got their end. Ruled out: the fence.

Change: when the API ends, its operations are ended as unknown, before the instances are stopped.

--- a/onyxpass/agent/api.py
+++ b/onyxpass/agent/api.py
@@ -87,6 +87,10 @@
             # are not valid after a restart of the host.
             self._locks.acquire(saved.rollout, saved.holder, saved.ttl_s, time.monotonic())
 
+    async def interrupt_operations(self) -> None:
+        """End all operations in progress as unknown, while the agent's state can be written."""
+        await self._operations.interrupt()
+
     def listen(self) -> Listener:
         """Listen on the agent's address."""
         return Listener.at(self._address.host, self._address.port, BACKLOG)
--- a/onyxpass/agent/main.py
+++ b/onyxpass/agent/main.py
@@ -50,7 +50,7 @@
     loop.add_signal_handler(signal.SIGHUP, _ignore_reload)
     agent, api = build(config)
     await agent.start()
-    serving = asyncio.create_task(api.run()) if api is not None else None
+    serving = asyncio.create_task(_serve(api)) if api is not None else None
     await stopping.wait()
     await stop_agent(agent, serving)
 
@@ -62,6 +62,14 @@
         agent.close()
 
 
+async def _serve(api: AgentApi) -> None:
+    """Serve calls until cancelled, and then end the operations that they began."""
+    try:
+        await api.run()
+    finally:
+        await api.interrupt_operations()
+
+
 async def _stop(agent: Agent, serving: "asyncio.Task[None] | None") -> None:
     if serving is not None:  # accept no calls while the instances stop
         serving.cancel()
--- a/onyxpass/agent/operations.py
+++ b/onyxpass/agent/operations.py
@@ -94,6 +94,13 @@
                 return self.find(operation_id)
         return self.find(operation_id)
 
+    async def interrupt(self) -> None:
+        """End all operations in progress as unknown, and wait until that is stored."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def _run(
         self, operation: Operation, instance: Instance, options: OperationOptions
     ) -> None:
--- a/onyxpass/testbed/process_trial.py
+++ b/onyxpass/testbed/process_trial.py
@@ -185,6 +185,7 @@
     "answers lost": "-",
     "agent stopped": "12",
     "agent killed": "12",
+    "agent told to end": "12",
 }
 
 
@@ -281,7 +282,7 @@
                 await store.restart(self.older_snapshot)
             case "answers lost":
                 store.faults = [StoreFault.LOST, StoreFault.REFUSED, StoreFault.LOST]
-            case "agent stopped" | "agent killed":
+            case "agent stopped" | "agent killed" | "agent told to end":
                 await self._inject_into_agent(fault)
 
     async def _inject_into_agent(self, fault: ScheduledFault) -> None:
@@ -294,10 +295,13 @@
             await asyncio.sleep(fault.duration_s)
             with suppress(ProcessLookupError):
                 process.send_signal(signal.SIGCONT)
-        else:
+            return
+        if fault.kind == "agent killed":
             process.kill()
-            await process.wait()
-            await self.trial.site.start(host)
+        else:  # perhaps during an order
+            process.terminate()
+        await process.wait()
+        await self.trial.site.start(host)
 
 
 async def run_schedule(folder: Path, seed: int) -> list[ScheduledFault]:
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -199,9 +199,31 @@
     run(scenario)
 
 
+def test_an_order_under_way_at_an_agents_stop_has_an_end(tmp_path: Path) -> None:
+    """Guards against an order that is told as failed though it may have had its effect, or that has
+    no end at all: the agent closed its state before the orders under way were ended.
+    """
+
+    async def scenario() -> None:
+        async with process_trial(tmp_path) as t:
+            await t.start("a")
+            await until(lambda: t.find_lines("begin"), 60)
+            begun = t.find_lines("begin")[0]
+            host = next(h for h in t.site.hosts if begun.source == f"agent-{h.name}.log")
+            assert host.process is not None
+            host.process.terminate()
+            assert await asyncio.wait_for(host.process.wait(), 60) == 0
+            ended = t.find_lines("end", begun.source, effect=begun["effect"])
+            assert [line["state"] for line in ended] == ["unknown"]
+            await t.site.start(host)
+            await t.tool_result("a")
+
+    run(scenario)
+
+
 def test_a_seed_always_draws_the_same_schedule_and_many_seeds_draw_every_kind_of_fault() -> None:
     assert draw_schedule(5) == draw_schedule(5) != draw_schedule(6)
-    assert len({fault.kind for seed in range(40) for fault in draw_schedule(seed)}) == 13
+    assert len({fault.kind for seed in range(40) for fault in draw_schedule(seed)}) == 14
 
 
 @pytest.mark.parametrize("seed", [1, 2])
