--- a/onyxpass/soak/clients.py
+++ b/onyxpass/soak/clients.py
@@ -39,6 +39,11 @@
     *((ClientBehavior.LONG_STREAM,) * 3),
     *tuple(ClientBehavior),
 )
+BODY_BYTES = 256 * 1024
+UNFINISHED_BODY = (
+    b"POST /v1/chat/completions HTTP/1.1\r\nHost: onyxpass\r\nContent-Length: %d\r\n\r\n"
+    % BODY_BYTES
+) + b"x" * (BODY_BYTES - 1)
 TOKENS = 40
 LONG_STREAM_TOKENS = 1_200
 
@@ -203,6 +208,17 @@
             if connection is not None:
                 connection.writer.close()
 
+    async def hold_unfinished_bodies(self, count: int, duration_s: float) -> None:
+        """Send ``count`` requests without the last byte of their bodies, and close them later."""
+        connections = await asyncio.gather(*(self._connect() for _ in range(count)))
+        for connection in connections:
+            if connection is not None:
+                connection.writer.write(UNFINISHED_BODY)
+        await asyncio.sleep(duration_s)
+        for connection in connections:
+            if connection is not None:
+                connection.writer.transport.abort()
+
     def close(self) -> None:
         """Close the idle connections."""
         for connection in self.idle:
--- a/onyxpass/soak/dispatchers.py
+++ b/onyxpass/soak/dispatchers.py
@@ -23,6 +23,7 @@
 KILL_AFTER_DEADLINE_S = 0.7  # SIGKILL is sent this long after SIGTERM plus the deadline
 MAX_COUNTED_DEADLINE_S = 3.0  # a longer deadline counts as this
 SOCKET_LIMIT = 512  # sockets that a dispatcher may have open
+MEMORY_MIB = 96  # that it may use
 # a process that used less CPU time than this part of a stall was not run by the machine
 MIN_CPU_SHARE = 0.5
 ROUTED_AFTER_SIGTERM_S = 0.3  # new connections keep coming this long after SIGTERM
@@ -115,7 +116,7 @@
                 "listen": f"127.0.0.1:{self.port}",
                 "discovery": self.discovery_links[self.discovery_link].address,
                 "seed": f"{self.number + 1:x}",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKET_LIMIT},
+                "limits": {"cores": 1.0, "memory_mb": MEMORY_MIB, "sockets": SOCKET_LIMIT},
                 "known": {},
                 "settings": dispatcher_settings(self.parameters),
             }
--- a/onyxpass/soak/injector.py
+++ b/onyxpass/soak/injector.py
@@ -26,6 +26,7 @@
 DELAY_PULSE_S = 0.1  # with a send that began in it, the process is held up for 0.14 s at most
 DELAY_PAUSE_S = 0.3
 RELOADS = 3
+UNFINISHED_BODIES = SOCKET_LIMIT // 5  # clients, fewer than the places that others leave free
 # How long the effects of a fault may last after its start or its end:
 RESTART_EFFECT_S = 6.0  # a new process may not know changes that the previous one was sent
 RELOAD_EFFECT_S = 4.0  # changes may not be known yet after discovery's address changed
@@ -96,6 +97,9 @@
                 dispatcher.record_disturbance("crowd", fault.duration_s + IDLE_CONNECTIONS_EFFECT_S)
                 clients = self._components.clients[dispatcher.number]
                 await clients.hold_idle_connections(SOCKET_LIMIT, fault.duration_s)
+            case FaultKind.UNFINISHED_BODIES:
+                clients = self._components.clients[dispatcher.number]
+                await clients.hold_unfinished_bodies(UNFINISHED_BODIES, fault.duration_s)
             case _:
                 await self._force_calls(fault, dispatcher)
 
--- a/onyxpass/soak/schedule.py
+++ b/onyxpass/soak/schedule.py
@@ -34,6 +34,8 @@
     # SIGHUPs, SIGTERM and more SIGHUP, SIGTERM or SIGINT; started again once it has ended
     SIGNAL_SERIES = "signals in series"
     IDLE_CONNECTIONS = "crowd"  # idle clients open as many connections as its socket limit
+    # clients send bodies that stay one byte short, together more than it may hold
+    UNFINISHED_BODIES = "bodies without end"
     KILL = "kill"  # SIGKILL; started again
     SUSPEND = "hold up"  # SIGSTOP, then SIGCONT
     # SIGHUP several times in a row, each time with the other of discovery's two addresses
@@ -67,6 +69,7 @@
         FaultKind.TERMINATE,
         FaultKind.SIGNAL_SERIES,
         FaultKind.IDLE_CONNECTIONS,
+        FaultKind.UNFINISHED_BODIES,
         FaultKind.KILL,
         FaultKind.SUSPEND,
         FaultKind.RELOAD,
--- a/onyxpass/toolcalls/call_claims.py
+++ b/onyxpass/toolcalls/call_claims.py
@@ -178,6 +178,11 @@
                 )
             await self.wheel.sleep(OPEN_POLL_US)
 
+    @property
+    def is_registered(self) -> bool:
+        """Whether the store's registry of fronts has this one, as far as it has looked."""
+        return self._registered_until_s > time.time()
+
     async def register(self, ttl_s: int) -> None:
         """Let all fronts know of the claims of this one before it makes one that lasts ``ttl_s``.
 
