--- a/benchmarks/bench_support.py
+++ b/benchmarks/bench_support.py
@@ -6,23 +6,66 @@
 """
 
 import asyncio
+import json
 import os
 import subprocess
 import sys
+import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 from onyxpass.emulator import full_scale
 from onyxpass.history_checkers.trace import Trace
-from onyxpass.testbed.replicas import ListedReplica, PrefillStates, StandinDiscovery, StandinReplica
-
+from onyxpass.testbed.replicas import (
+    ListedReplica,
+    PrefillStates,
+    StandinDiscovery,
+    StandinFleet,
+    StandinReplica,
+)
+from onyxpass.testbed.settings import dispatcher_config
+from onyxpass.testbed.site import free_port
+
+ROOT = Path(__file__).parent.parent
 Measurements = dict[str, float]
 
 
+# A dispatcher
+
+
+@asynccontextmanager
+async def running_dispatcher(fleet: StandinFleet) -> AsyncIterator[tuple[int, int]]:
+    """Run a dispatcher in front of a stand-in fleet; yields its process id and port."""
+    with tempfile.TemporaryDirectory() as folder:
+        path, port = Path(folder) / "config.json", free_port()
+        path.write_text(json.dumps(dispatcher_config("n0", f"127.0.0.1:{port}", fleet)))
+        command = (sys.executable, "-m", "onyxpass", "serve", "--config", str(path))
+        process = await asyncio.create_subprocess_exec(
+            *command, cwd=ROOT, stdout=asyncio.subprocess.PIPE
+        )
+        assert process.stdout is not None
+        while b'"full"' not in await process.stdout.readline():
+            pass
+        drain = asyncio.create_task(process.stdout.read())
+        try:
+            yield process.pid, port
+        finally:
+            process.terminate()
+            await process.wait()
+            await drain
+
+
 # Metrics from /proc
 
 
+def private_bytes(pid: int) -> int:
+    """Return the memory of a process alone, without files that others map as well."""
+    rows = [row.split() for row in Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines()]
+    return sum(int(row[1]) for row in rows if row[0].startswith("Private_")) * 1024
+
+
 def cpu_s(pid: int) -> float:
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- a/benchmarks/guard.py
+++ b/benchmarks/guard.py
@@ -7,25 +7,20 @@
 """
 
 import asyncio
-import json
 import os
 import platform
 import sys
-import tempfile
 import time
-from pathlib import Path
 
-from bench_support import cpu_s
+from bench_support import ROOT, cpu_s, running_dispatcher
 
 from onyxpass.config.settings import read_settings
 from onyxpass.invariants import InvariantChecker
 from onyxpass.scheduling import contract
 from onyxpass.testbed.client import send_request
 from onyxpass.testbed.replicas import StandinFleet
-from onyxpass.testbed.settings import SETTINGS, dispatcher_config
-from onyxpass.testbed.site import free_port
+from onyxpass.testbed.settings import SETTINGS
 
-ROOT = Path(__file__).parent.parent
 ROUNDS = 20_000
 MAX_CONCURRENT = 8
 
@@ -55,17 +50,7 @@
 async def request_us(requests: int) -> float:
     """Return a real dispatcher's processor time per served request in microseconds."""
     fleet = await StandinFleet(2, 2).start()
-    with tempfile.TemporaryDirectory() as folder:
-        path, port = Path(folder) / "config.json", free_port()
-        path.write_text(json.dumps(dispatcher_config("n0", f"127.0.0.1:{port}", fleet)))
-        command = (sys.executable, "-m", "onyxpass", "serve", "--config", str(path))
-        process = await asyncio.create_subprocess_exec(
-            *command, cwd=ROOT, stdout=asyncio.subprocess.PIPE
-        )
-        assert process.stdout is not None
-        while b'"full"' not in await process.stdout.readline():
-            pass
-        drain = asyncio.create_task(process.stdout.read())
+    async with running_dispatcher(fleet) as (pid, port):
         slots = asyncio.Semaphore(MAX_CONCURRENT)
 
         async def send_numbered(number: int) -> str:
@@ -76,15 +61,12 @@
                 return answer.outcome
 
         await asyncio.gather(*(send_numbered(number) for number in range(100)))
-        before_s = cpu_s(process.pid)
+        before_s = cpu_s(pid)
         ends = await asyncio.gather(
             *(send_numbered(number) for number in range(100, 100 + requests))
         )
-        used_s = cpu_s(process.pid) - before_s
-        process.terminate()
-        await process.wait()
-        await drain
-        await fleet.stop()
+        used_s = cpu_s(pid) - before_s
+    await fleet.stop()
     assert ends.count("served") == requests, set(ends)
     return used_s / requests * 1e6
 
--- a/benchmarks/waiting_memory.py
+++ b/benchmarks/waiting_memory.py
@@ -9,18 +9,12 @@
 import json
 import os
 import platform
-import sys
-import tempfile
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from pathlib import Path
+
+from bench_support import ROOT, private_bytes, running_dispatcher
 
 from onyxpass.testbed.replicas import Speed, StandinFleet
-from onyxpass.testbed.settings import dispatcher_config
-from onyxpass.testbed.site import free_port
 
-ROOT = Path(__file__).parent.parent
 CLIENTS = 200
 SETTLING_S = 2.0  # until what the clients sent has been read
 SLOW = Speed(read_s=60.0)  # no prefill ends while the memory is read
@@ -57,39 +51,10 @@
 )
 
 
-def private_bytes(pid: int) -> int:
-    """Return the memory of this process alone, without files that others map as well."""
-    rows = [row.split() for row in Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines()]
-    return sum(int(row[1]) for row in rows if row[0].startswith("Private_")) * 1024
-
-
-@asynccontextmanager
-async def running_dispatcher() -> AsyncIterator[tuple[int, int]]:
-    """Run a dispatcher with slow servers; yields its process id and port."""
-    fleet = await StandinFleet(4, 4, speed=SLOW).start()
-    with tempfile.TemporaryDirectory() as folder:
-        path, port = Path(folder) / "config.json", free_port()
-        path.write_text(json.dumps(dispatcher_config("n0", f"127.0.0.1:{port}", fleet)))
-        command = (sys.executable, "-m", "onyxpass", "serve", "--config", str(path))
-        process = await asyncio.create_subprocess_exec(
-            *command, cwd=ROOT, stdout=asyncio.subprocess.PIPE
-        )
-        assert process.stdout is not None
-        while b'"full"' not in await process.stdout.readline():
-            pass
-        drain = asyncio.create_task(process.stdout.read())
-        try:
-            yield process.pid, port
-        finally:
-            process.kill()
-            await process.wait()
-            await drain
-            await fleet.stop()
-
-
 async def bytes_per_client(kind: ClientKind) -> int:
     """Return the growth of a dispatcher's memory for each client of a kind."""
-    async with running_dispatcher() as (pid, port):
+    fleet = await StandinFleet(4, 4, speed=SLOW).start()
+    async with running_dispatcher(fleet) as (pid, port):
         before = private_bytes(pid)
         writers = []
         for number in range(CLIENTS):
@@ -100,6 +65,7 @@
         grown = private_bytes(pid) - before
         for writer in writers:
             writer.transport.abort()
+    await fleet.stop()
     return grown // CLIENTS
 
 
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -21,9 +21,8 @@
 READ_BYTES = 32 * 1024
 SERVER_RECEIVE_BYTES = 16 * 1024
 SERVER_READER_LIMIT = SERVER_RECEIVE_BYTES // 4  # reading pauses beyond twice this
-CLIENT_WRITE_LIMIT = (
-    8 * 1024
-)  # held in the process beyond what the kernel takes; then a stream waits
+# bytes for a client that the kernel does not take yet, beyond which its stream waits
+CLIENT_WRITE_LIMIT = 8 * 1024
 # time for a client to close after this side has; bytes it sends meanwhile are discarded
 CLIENT_CLOSE_TIMEOUT_US = 250_000
 # bounds of what is read of a rejected message, so that its response is not lost
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -11,6 +11,7 @@
 
 from onyxpass.config.platform_file import Address
 from onyxpass.core.dispatcher import RequestDispatcher
+from onyxpass.core.exchange_eviction import evict_exchange
 from onyxpass.core.fleet import ServerActor
 from onyxpass.core.requests import Attempt
 from onyxpass.net.connection_budget import ConnectionBudget, IdleConnection
@@ -330,20 +331,9 @@
         self, wire: HttpConnection, attempt: Attempt
     ) -> tuple[AttemptStatus, int, str]:
         incoming = ResponseReader(wire, self.wheel)
-        wire.begin_exchange(lambda: self._evict(wire, attempt))
+        wire.begin_exchange(lambda: evict_exchange(attempt, self.name, wire.abort))
         return await self._flag_corrupt(attempt, incoming, self._read_response(incoming, attempt))
 
-    def _evict(self, wire: HttpConnection, attempt: Attempt) -> None:
-        """End an exchange that holds too much.
-
-        The client of a stream does not read it, and counts as gone: the server is not to blame.
-        """
-        log.warning("exchange_evicted", id=attempt.request.id, server=self.name)
-        if attempt.committed:
-            attempt.request.client.disconnect()
-        else:
-            wire.abort()
-
     async def _resume(
         self, resumed: AdoptedStream, attempt: Attempt
     ) -> tuple[AttemptStatus, int, str]:
--- a/onyxpass/toolcalls/replicas.py
+++ b/onyxpass/toolcalls/replicas.py
@@ -10,6 +10,7 @@
 
 from onyxpass.config.platform_file import Address
 from onyxpass.core.dispatcher import RequestDispatcher
+from onyxpass.core.exchange_eviction import evict_exchange
 from onyxpass.core.fleet import ActorFleet, ServerActor
 from onyxpass.core.loop_turn import StepFlow
 from onyxpass.core.memory_budget import MemoryAccount, Standing
@@ -117,13 +118,8 @@
         """Charge what arrives on a connection to an account, which is closed at the end."""
 
         def evict() -> None:
-            # The client of a stream does not read it, and counts as gone: the server is not to blame.
-            log.warning("exchange_evicted", id=attempt.request.id, server=self.name)
             clear_buffer(reader)
-            if attempt.committed:
-                attempt.request.client.disconnect()
-            else:
-                writer.transport.abort()
+            evict_exchange(attempt, self.name, writer.transport.abort)
 
         protocol = writer.transport.get_protocol()
         assert isinstance(protocol, ServerProtocol)
