End a drain by weight only where the file states the weight again

Callers would see requests at a drained server: drained by weight = 0 with state = "active" before it, and the file cut off between the two. SERVERS.md promised otherwise. Found on rereading, whose rule took a written state for enough. Ruled out: the other orders of the keys.

Change: after a weight of 0 the weight has to be written, and the state as well where it was written before; the refusal says which.

--- a/onyxpass/sources/validation.py
+++ b/onyxpass/sources/validation.py
@@ -111,15 +111,22 @@
         elif accepts_new_requests(entry) and not _states_return(before, entry):
             reasons.append(
                 f"{entry.file}:{entry.line}: server {name!r} drained, and no key says otherwise now: "
-                'write state = "active" if it is to take work again'
+                f"write {_keys_to_write(before)} if it is to take work again"
             )
     return reasons
 
 
+def _keys_to_write(before: ServerEntry) -> str:
+    if before.server.weight != 0:
+        return 'state = "active"'
+    return 'its weight and state = "active"' if before.has_state else "its weight"
+
+
 def _states_return(before: ServerEntry, entry: ServerEntry) -> bool:
-    """Return whether a file says that a drained server takes work again."""
-    drained_by_weight = before.server.weight == 0 and not before.has_state
-    return entry.has_state or (drained_by_weight and entry.has_weight)
+    """Return whether a file has each key that may have drained a server, and not for want of it."""
+    if before.server.weight != 0:
+        return entry.has_state
+    return entry.has_weight and (entry.has_state or not before.has_state)
 
 
 def _minimum_violations(
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -134,7 +134,13 @@
 
 
 @pytest.mark.parametrize(
-    "drain", ['state = "draining"', "weight = 0", 'weight = 0\nstate = "draining"']
+    "drain",
+    [
+        'state = "draining"',
+        "weight = 0",
+        'weight = 0\nstate = "draining"',
+        'state = "active"\nweight = 0',
+    ],
 )
 @pytest.mark.parametrize("order", ["state last", "state first"])
 def test_no_part_of_a_file_puts_a_drained_server_back_to_work(drain: str, order: str) -> None:
@@ -158,7 +164,8 @@
     [
         ('state = "draining"', 'state = "active"'),
         ("weight = 0", "weight = 0.5"),
-        ("weight = 0", 'state = "active"'),
+        ("weight = 0", 'weight = 1.0\nstate = "active"'),
+        ('state = "active"\nweight = 0', 'state = "active"\nweight = 0.5'),
     ],
 )
 def test_a_drained_server_takes_work_again_if_the_file_says_so(drain: str, end: str) -> None:
@@ -166,7 +173,9 @@
     assert not accepts_new_requests(old.entries["w2"])
     rejected = validated(GOOD, old=old)
     assert isinstance(rejected, Rejected)
-    assert any("0.toml:22" in reason and "active" in reason for reason in rejected.reasons)
+    (reason,) = (reason for reason in rejected.reasons if "0.toml:22" in reason)
+    for key, advice in (("weight", "its weight"), ("state", 'state = "active"')):
+        assert (key in drain) == (advice in reason), "it says what to write"
     assert accepts_new_requests(validated(GOOD + end, old=old).view.entries["w2"])
 
 
@@ -175,6 +184,11 @@
     assert isinstance(validated(GOOD + "weight = 2.0", old=old), Rejected)
 
 
+def test_a_state_alone_does_not_end_a_drain_by_weight() -> None:
+    old = view(GOOD + "weight = 0")
+    assert isinstance(validated(GOOD + 'state = "active"', old=old), Rejected)
+
+
 def test_over_discovery_a_drained_server_is_not_forgotten_by_a_file_that_is_cut_off() -> None:
     def parsed(text: str) -> ParsedFiles:
         return schema.parse_files({"x": text.encode()}, list(ROLES), False)
