Take a stream for complete only if its last event has come

Cause: the framing alone decided. A server that ends its chunks in order in the middle of an answer looked like one that is done; the log said 'served' with token_us 0. Ruled out: a broken connection (h11 raises, and its test holds), events lost here (the server's record says 'no whole answer'), a migration (no second process in the evidence). Why it works: the last event of the protocol's streams, [DONE], is looked for in the events that were forwarded, in every form of the format, and goes along when a stream migrates. Log: 'attempt' tells the reason and 'parts'.

--- a/onyxpass/core/outcomes.py
+++ b/onyxpass/core/outcomes.py
@@ -172,6 +172,8 @@
         if status is AttemptStatus.COMPLETED:
             log.info("served", **fields, **self._count_completed(attempt))
         else:
+            if attempt.event_count:  # of a stream that was cut off
+                fields["parts"] = attempt.event_count
             log.info("attempt", **fields, end=status.value, us=attempt.duration_us, why=reason)
 
     def _count_completed(self, attempt: Attempt) -> dict[str, object]:
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -429,9 +429,12 @@
                     await client.forward(complete)
             elif isinstance(part, h11.EndOfMessage):
                 attempt.output_tokens = events.tokens()
-                if attempt.committed and whole_at_end and not events.has_partial_event:
-                    return AttemptStatus.COMPLETED, 0, ""
-                raise HttpError("the stream ended incomplete")
+                if not attempt.committed or not whole_at_end or events.has_partial_event:
+                    raise HttpError("the stream ended incomplete")
+                # A server may end its framing in order in the middle of its answer.
+                if not events.has_last_event:
+                    raise HttpError("the stream ended without its last event")
+                return AttemptStatus.COMPLETED, 0, ""
             else:
                 raise HttpError("connection closed within the stream")
 
--- a/onyxpass/net/response_reader.py
+++ b/onyxpass/net/response_reader.py
@@ -20,6 +20,7 @@
 # part of a response: its head, a complete chunk, or its end
 Part = h11.Event | type[h11.PAUSED] | bytes
 EVENT_FIELDS = (b"data", b"event", b"id", b"retry", b"")  # the empty name marks a comment
+LAST_EVENT_DATA = "[DONE]"
 
 
 class CorruptResponseError(HttpError):
@@ -149,13 +150,16 @@
 class EventSplitter:
     """Splits a body into complete server-sent events, unchanged; the first one is validated."""
 
-    def __init__(self, partial: bytes | None = None) -> None:
+    def __init__(self, partial: bytes | None = None, has_last_event: bool = False) -> None:
         """Start a stream, or continue one whose first event was seen elsewhere.
 
-        ``partial`` holds the bytes received of the next event in the second case.
+        In the second case ``partial`` holds the bytes received of the next event, and
+        ``has_last_event`` tells whether the last one of the stream was seen.
         """
         self._partial = bytearray(partial or b"")
         self._opened = partial is not None
+        # Whether the event that ends every complete answer has come.
+        self.has_last_event = has_last_event
         self._validated_bytes = 0  # of the complete events before the first one with data
         self.tail = b""  # last bytes of the events returned so far
 
@@ -185,6 +189,7 @@
         complete = bytes(self._partial[:end])
         del self._partial[:end]
         self._validated_bytes = 0
+        self.has_last_event = self.has_last_event or contains_last_event(complete)
         self.tail = (
             complete if len(complete) >= TAIL_BYTES else (self.tail + complete)[-TAIL_BYTES:]
         )
@@ -211,6 +216,27 @@
         return bool(self._partial)
 
 
+def split_event_lines(text: str) -> list[str]:
+    """Return the lines of events, of which an empty one ends each event."""
+    return text.replace("\r\n", "\n").replace("\r", "\n").split("\n")
+
+
+def contains_last_event(events: bytes) -> bool:
+    """Return whether one of these complete events is the last one of an answer."""
+    if LAST_EVENT_DATA.encode() not in events:
+        return False
+    data: list[str] = []
+    for line in split_event_lines(events.decode("utf-8", "replace")):
+        name, _, value = line.partition(":")
+        if name == "data":
+            data.append(value.removeprefix(" "))
+        elif not line:
+            if data == [LAST_EVENT_DATA]:
+                return True
+            data = []
+    return False
+
+
 def has_data_event(text: bytes, is_first: bool = True) -> bool:
     """Return whether one of these complete events carries data.
 
@@ -219,10 +245,10 @@
     """
     data: list[str] = []
     try:
-        lines = text.decode("utf-8")
+        decoded = text.decode("utf-8")
         if is_first:
-            lines = lines.removeprefix("\ufeff")
-        for line in lines.replace("\r\n", "\n").replace("\r", "\n").split("\n"):
+            decoded = decoded.removeprefix("\ufeff")
+        for line in split_event_lines(decoded):
             name, _, value = line.partition(":")
             if line and name.encode() not in EVENT_FIELDS:
                 raise HttpError("invalid server-sent event")
@@ -233,7 +259,7 @@
         else:
             return False
         event_data = "\n".join(data)
-        if event_data != "[DONE]" and not isinstance(json.loads(event_data), dict):
+        if event_data != LAST_EVENT_DATA and not isinstance(json.loads(event_data), dict):
             raise HttpError("event data is not a JSON object")
     except (ValueError, RecursionError) as error:
         raise HttpError(f"invalid server-sent event: {type(error).__name__}") from error
--- a/onyxpass/net/stream_migration.py
+++ b/onyxpass/net/stream_migration.py
@@ -43,7 +43,7 @@
 log = structlog.get_logger("succession")
 
 
-def encode_stream(attempt: Attempt, partial_event: bytes, keep_alive: bool, clock: Clock) -> bytes:
+def encode_stream(attempt: Attempt, events: EventSplitter, keep_alive: bool, clock: Clock) -> bytes:
     """Encode what the other process needs to know of a stream besides its two connections.
 
     Times are on the monotonic clock, which all processes of a machine share and nobody sets.
@@ -65,7 +65,8 @@
         "first_us": attempt.first_event_us,
         "parts": attempt.event_count,
         "gap_us": attempt.longest_gap_us,
-        "rest": partial_event.decode("latin-1"),
+        "rest": events.partial_event.decode("latin-1"),
+        "last_event": events.has_last_event,
         "keeps": keep_alive,
     }
     return json.dumps(fields).encode()
@@ -101,9 +102,7 @@
                 or not all(map(is_quiescent, wires))
             ):
                 return False
-            message = encode_stream(
-                attempt, events.partial_event, client.keep_alive, self.core.clock
-            )
+            message = encode_stream(attempt, events, client.keep_alive, self.core.clock)
             if len(message) > MAX_MESSAGE_BYTES:
                 return False
             for wire in wires:  # bytes from now on are for the process that continues the stream
@@ -229,6 +228,9 @@
             for name in TIME_FIELDS:
                 fields[name] = self.core.clock.from_monotonic_ns(fields[name] * 1000)
         fields["rest"].encode("latin-1")
+        # Senders of earlier builds don't tell it; only the framing shows the end of their streams.
+        if type(fields.setdefault("last_event", True)) is not bool:
+            raise ValueError("last_event is not a truth value")
         if fields["id"] in self.core.registry.by_id:  # prevents two responses under one id
             raise ValueError("a request with this id is open")
         return cast("dict[str, Any]", fields)
@@ -265,7 +267,7 @@
         )
         self.core.adopt_stream(request, attempt)
         self.front.adopt(client_wire, client, request)
-        events = EventSplitter(fields["rest"].encode("latin-1"))
+        events = EventSplitter(fields["rest"].encode("latin-1"), fields["last_event"])
         self.replicas.adopt(attempt, AdoptedStream(wire, events), replica_address(wire))
         log.info("stream_adopted", id=request.id, server=attempt.server)
 
--- a/tests/test_stream_completeness.py
+++ b/tests/test_stream_completeness.py
@@ -10,6 +10,8 @@
 import pytest
 from cluster import HEAD, PREFILLED, Replica, respond_with, run_async, running_cluster
 
+from onyxpass.net.response_reader import EventSplitter
+
 SEEDS = range(6800, 6812)
 LAST_CHUNK = b"0\r\n\r\n"
 USAGE = b'data: {"choices":[],"usage":{"completion_tokens":9}}\n\n'
@@ -77,3 +79,17 @@
                 assert (await w.request("a1")).endswith(LAST_CHUNK), f"seed {seed}"
 
     run_async(scenario)
+
+
+def test_the_last_event_is_recognised_in_pieces_and_not_within_other_text() -> None:
+    for last in LAST_EVENTS:
+        splitter = EventSplitter()
+        splitter.feed(token_event(1))
+        assert not splitter.has_last_event
+        for byte in last:
+            splitter.feed(bytes([byte]))
+        assert splitter.has_last_event, last
+    for other in (token_event(1), b": data: [DONE]\n\n", b"data: [DONE]\ndata: x\n\n"):
+        splitter = EventSplitter()
+        splitter.feed(token_event(0) + other)
+        assert not splitter.has_last_event, other
--- a/tests/test_stream_migration.py
+++ b/tests/test_stream_migration.py
@@ -238,3 +238,55 @@
             client.close()
 
     run_async(scenario)
+
+
+async def migrate(path: Path, offer: dict[str, object], *sockets: socket.socket) -> None:
+    """Offer a stream to the process behind ``path``, and confirm it."""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
+        sock.setblocking(False)
+        with stream_migration.short_socket_path(path) as short:
+            sock.connect(short)
+        socket.send_fds(sock, [json.dumps(offer).encode()], [s.fileno() for s in sockets])
+        accepted = await asyncio.get_running_loop().sock_recv(sock, 1)
+        assert accepted == stream_migration.ACCEPTED
+        sock.send(stream_migration.CONFIRMED)
+
+
+@pytest.mark.parametrize(
+    ("fields", "rest", "complete"),
+    [
+        ({"last_event": False}, b"", False),
+        ({"last_event": False}, b"e\r\ndata: [DONE]\n\n\r\n", True),
+        ({"last_event": True}, b"", True),
+        ({}, b"", True),  # an older build does not tell
+    ],
+)
+def test_an_adopted_stream_is_complete_only_with_its_last_event(
+    tmp_path: Path, fields: dict[str, object], rest: bytes, complete: bool
+) -> None:
+    """Guards against streams that are cut short while they migrate, and told as complete."""
+
+    async def scenario() -> None:
+        async with running_cluster([Replica(PREFILLED)], [Replica(STREAM)], folder=tmp_path) as w:
+            path = w.dispatcher.process_registry.migration_socket()
+            assert path is not None
+            await until(path.exists)
+            (client, ours), (wire, replica) = pair(), pair()
+            await migrate(
+                path, {**OFFER, "version": stream_migration.VERSION, **fields}, ours, wire
+            )
+            ours.close()
+            wire.close()
+            replica.send(rest + b"0\r\n\r\n")
+            client.settimeout(10)
+            received = b""
+            with contextlib.suppress(ConnectionResetError):
+                while not received.endswith(b"0\r\n\r\n") and (
+                    part := await asyncio.to_thread(client.recv, 4096)
+                ):
+                    received += part
+            assert received.endswith(b"0\r\n\r\n") == complete
+            client.close()
+            replica.close()
+
+    run_async(scenario)
