Limit the silence within an event, not the time that it takes

Cause: one second for each head, chunk and event as a whole, whether or not its bytes came. Why it works: the limit is one of silence now. In a stream that is forwarded an event has 4.6 s from the one before in any case, and longer while bytes come; events within an incomplete chunk are forwarded. An answer in one slow chunk: cut off before, with 0 of its 6 events forwarded; 6 of 6 within 0.3 s now.

--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -339,6 +339,7 @@
     ) -> tuple[AttemptStatus, int, str]:
         incoming = ResponseReader(resumed.wire, self.wheel)
         incoming.begun = incoming.chunked = True
+        incoming.event_completed()
         rest = self._relay_events(incoming, attempt, resumed.events, True)
         return await self._flag_corrupt(attempt, incoming, rest)
 
@@ -409,10 +410,13 @@
                 and await successor.migrate(attempt, incoming, events)
             ):
                 raise StreamMigrated
+            # Until then a chunk is forwarded only once its size has proved right.
+            incoming.forwarding = attempt.committed
             try:
                 part = await self._next_part(
                     incoming,
                     STREAM_STALL_TIMEOUT_US if attempt.committed else FIRST_EVENT_TIMEOUT_US,
+                    events.has_partial_event,
                 )
             except WaitInterrupted:
                 continue
@@ -422,6 +426,7 @@
                 incoming.settle(events.partial_bytes + len(complete) + client.unsent_bytes)
                 if not complete:
                     continue
+                incoming.event_completed()
                 if not self.core.outcomes.stream_event_received(attempt):
                     raise HttpError("the request does not accept this stream any more")
                 # bounded, so that a client that reads nothing does not occupy the replica for ever
@@ -438,10 +443,12 @@
             else:
                 raise HttpError("connection closed within the stream")
 
-    async def _next_part(self, incoming: ResponseReader, silence_us: int) -> Part:
+    async def _next_part(
+        self, incoming: ResponseReader, silence_us: int, within_event: bool
+    ) -> Part:
         self.streams.add(incoming)
         try:
-            return await incoming.next(silence_us)
+            return await incoming.next(silence_us, within_event)
         finally:
             self.streams.discard(incoming)
 
--- a/onyxpass/net/response_reader.py
+++ b/onyxpass/net/response_reader.py
@@ -15,7 +15,10 @@
 MAX_EVENT_BYTES = BODY_LIMIT  # maximum size of one event, and of one chunk
 TAIL_BYTES = 512  # last bytes of the stream that are searched for the usage
 USAGE_PATTERN = re.compile(rb'"completion_tokens"\s*:\s*([0-9]{1,9})')
-PART_TIMEOUT_US = 1_000_000  # from the first byte of a head, chunk or small body to its last
+# Maximum silence within a head, chunk or event that has begun; while a stream is forwarded, only
+# once the time of the event is used up.
+PART_SILENCE_US = 1_000_000
+MAX_EVENT_TIME_US = 30_000_000  # from the first byte of an event to its last
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 # part of a response: its head, a complete chunk, or its end
 Part = h11.Event | type[h11.PAUSED] | bytes
@@ -44,9 +47,16 @@
         # time limit of the present wait, if no byte of the next part is there
         self._wait: Timeout | None = None
         self._interrupted = False
+        # Whether the client has a part of the stream: incomplete chunks are returned as they come,
+        # for the events within them, and an event may take longer than before.
+        self.forwarding = False
         self._parts: list[bytes] = []
+        self._within_chunk = False  # a part of an incomplete chunk was returned
         self._last_chunk_end = b""  # last two bytes of the last complete chunk
-        self._size = self._due_us = 0
+        self._size = 0
+        self._last_read_us = 0  # when bytes came last
+        self._complete_us = 0  # when the last head or event was complete
+        self._began_us = 0  # when the present head, chunk or event began; 0: none has
         self._lookahead: h11.Event | type[h11.PAUSED] | None = None
 
     @property
@@ -57,7 +67,12 @@
         """
         # not decidable if the chunk's own data ends in CRLF
         ended = self.wire.last_two_bytes == b"\r\n" != self._last_chunk_end
-        return self.chunked and ended and not (self._parts or self._lookahead or self.wire.pending)
+        return self.chunked and ended and not (self._lookahead or self._chunk_begun)
+
+    @property
+    def _chunk_begun(self) -> bool:
+        """Whether a head or chunk is partly received."""
+        return bool(self._parts) or self._within_chunk or self.wire.pending
 
     @property
     def held_bytes(self) -> int:
@@ -78,11 +93,16 @@
         if self._wait is not None:
             self._wait.expire()
 
-    async def next(self, silence_us: int | None = None) -> Part:
+    def event_completed(self) -> None:
+        """Record that an event is complete; the time of the next one counts from here."""
+        self._complete_us, self._began_us = self.wheel.clock.now_us(), 0
+
+    async def next(self, silence_us: int | None = None, within_event: bool = False) -> Part:
         """Return the next part.
 
-        ``silence_us`` limits a wait without any byte of the part; a part that has begun has a limit
-        of its own.
+        ``silence_us`` limits a wait without any byte of the part. A part that has begun, or an event
+        (``within_event``), goes on while its bytes come; in a stream that is forwarded it has that
+        time from the last complete event in any case.
         """
         while True:
             if self.wire.out_of_memory:
@@ -92,12 +112,13 @@
             if event is None:
                 event = self.wire.poll()
             if event is None:
-                await self._read_more(silence_us)
+                await self._read_more(silence_us, within_event)
             elif isinstance(event, h11.Data):
                 if (part := self._add_data(event)) is not None:
                     return part
             else:
-                self._due_us, self.begun = 0, True
+                self.event_completed()
+                self.begun = True
                 if isinstance(event, h11.Response):
                     self.chunked = is_chunked(event)
                 return event
@@ -107,45 +128,58 @@
         self._size += len(event.data)
         if self._size > MAX_EVENT_BYTES:  # prevents a chunk of gigabytes from filling the memory
             raise HttpError("a chunk exceeds the size limit")
-        if self.chunked and not event.chunk_end:
+        complete = bool(event.chunk_end) or not self.chunked
+        if not complete and not self.forwarding:
             return None
+        self._within_chunk = not complete
         # Parses what follows before the chunk is forwarded, to detect a wrong chunk size.
         self._lookahead = self.wire.poll()
         part = b"".join(self._parts)
-        self._parts, self._size, self._due_us = [], 0, 0
+        self._parts, self._size = [], 0
         self._last_chunk_end = part[-2:]
         return part
 
-    async def _read_more(self, silence_us: int | None) -> None:
-        """Read more bytes; HttpError if a head or chunk has begun and is not completed in time."""
-        part = bool(self._parts) or self.wire.pending
-        if self._interrupted and not part:
+    async def _read_more(self, silence_us: int | None, within_event: bool) -> None:
+        """Read more bytes; HttpError if none come for too long."""
+        begun = self._chunk_begun or within_event
+        if self._interrupted and not self._chunk_begun:
             self._interrupted = False
             raise WaitInterrupted
-        if not part and silence_us is None:  # the timer of the attempt ends the wait
+        if not begun and silence_us is None:  # the timer of the attempt ends the wait
             await self.wire.read_more()
         else:
-            now_us = self.wheel.clock.now_us()
-            if part and not self._due_us:
-                self._due_us = now_us + PART_TIMEOUT_US
-            timeout = self.wheel.timeout(self._due_us - now_us if part else silence_us or 0)
-            try:
-                async with timeout:
-                    self._wait = None if part else timeout
-                    await self.wire.read_more()
-            except TimeoutError:
-                if self._interrupted and not part:
-                    self._interrupted = False
-                    raise WaitInterrupted from None
-                raise HttpError(
-                    "incomplete head or chunk timed out"
-                    if part
-                    else "no data within the time limit"
-                ) from None
-            finally:
-                self._wait = None
+            await self._read_in_time(silence_us, begun)
+        self._last_read_us = self.wheel.clock.now_us()
         self.begun = self.begun or self.wire.pending
 
+    async def _read_in_time(self, silence_us: int | None, begun: bool) -> None:
+        can_interrupt = not self._chunk_begun
+        timeout = self.wheel.timeout(self._time_left_us(silence_us or 0, begun))
+        try:
+            async with timeout:
+                self._wait = timeout if can_interrupt else None
+                await self.wire.read_more()
+        except TimeoutError:
+            if self._interrupted and can_interrupt:
+                self._interrupted = False
+                raise WaitInterrupted from None
+            raise HttpError(
+                "incomplete head or chunk timed out" if begun else "no data within the time limit"
+            ) from None
+        finally:
+            self._wait = None
+
+    def _time_left_us(self, silence_us: int, begun: bool) -> int:
+        """Return how long the next bytes may take, so that a slow server is not cut off."""
+        if not begun:
+            return silence_us
+        now_us = self.wheel.clock.now_us()
+        self._began_us = self._began_us or now_us
+        due_us = (self._last_read_us or now_us) + PART_SILENCE_US
+        if self.forwarding:
+            due_us = max(due_us, self._complete_us + silence_us)
+        return min(due_us, self._began_us + MAX_EVENT_TIME_US) - now_us
+
 
 class EventSplitter:
     """Splits a body into complete server-sent events, unchanged; the first one is validated."""
--- a/tests/test_slow_streams.py
+++ b/tests/test_slow_streams.py
@@ -19,6 +19,7 @@
 MAX_CLIENT_WAIT_S = 5.0  # for a client, after its running server's last event
 SILENCE_S = 4.0  # of a server that is slow within an event
 CLASS_TIME_MS = 6000
+MAX_EVENT_DELAY_S = 0.3  # from an event's last byte at the server to the client
 LAST_CHUNK = b"0\r\n\r\n"
 EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"%s"}}]}\n\n'
 
@@ -108,6 +109,27 @@
     run_async(scenario())
 
 
+def test_events_within_a_slow_chunk_are_forwarded_as_they_come() -> None:
+    """Guards against events that are held back until the chunk around them is complete."""
+
+    async def scenario() -> None:
+        events = [EVENT % (b"%d" % number * 200) for number in range(6)]
+        text = b"".join(events) + EVENTS[1]
+        pieces = [(0.0, HEAD + chunk(EVENTS[0])), (0.1, b"%x\r\n" % len(text))]
+        pieces += [(0.6, event) for event in (*events, EVENTS[1])]
+        script = SlowWriter([*pieces, (0.0, b"\r\n" + LAST_CHUNK)])
+        writers = SlowWriters()
+        writers.by_id["a1"] = script
+        async with running_cluster([Replica(PREFILLED)], [writers]) as w:
+            received, parts, _ = await read_stream(w, "a1")
+        assert received.endswith(LAST_CHUNK)
+        for number, event in enumerate(events):
+            came_s = next(at for at, part in parts if event in part)
+            assert came_s - script.written_s[2 + number] <= MAX_EVENT_DELAY_S, number
+
+    run_async(scenario())
+
+
 def test_a_stream_that_falls_silent_within_an_event_ends_before_its_client_has_waited_too_long() -> (
     None
 ):
