--- /dev/null
+++ b/tests/test_memory_crowds.py
@@ -0,0 +1,124 @@
+"""Hundreds of clients at once, of drawn kinds and sizes, and a process that stays within its memory.
+
+Guards against a dispatcher that is killed for its memory. It is counted as a platform may count it:
+all resident pages at their peak, files that others map among them, in megabytes of 10^6 bytes.
+"""
+
+import asyncio
+import contextlib
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+from cluster import HEAD, PREFILLED, STREAM, Replica
+from fault_injection import ChildProcess, open_connection, run_async, servers_and_config
+from test_endless_input import CLASS_TIME_MS, Play, chunk
+
+from onyxpass.net.http import BODY_LIMIT
+from onyxpass.net.line_limit import MAX_LINES
+
+MEGABYTE = 1_000_000
+DESCRIPTORS = 1024
+CLIENTS = 470
+BAD_CLIENT_END_S = 8.0  # for the answer, or the close, that a client of the crowd gets
+SLOW_EVENT_S = 0.05
+SLOW_EVENTS = 100
+Crowd = Callable[[random.Random, int, asyncio.StreamWriter], asyncio.Future[None] | None]
+
+
+def head(number: int, length: int, fields: bytes = b"") -> bytes:
+    """Return the head of a request of the crowd."""
+    return (
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-ID: crowd-%d\r\n"
+        b"X-Priority-Class: a\r\nX-Timeout-Ms: 6000\r\nContent-Length: %d\r\n%b\r\n"
+        % (number, length, fields)
+    )
+
+
+def short_fields(count: int) -> bytes:
+    return b"".join(b"x%x:%d\r\n" % (number, number % 10) for number in range(count))
+
+
+def many_fields_and_no_body(
+    random_source: random.Random, number: int, writer: asyncio.StreamWriter
+) -> None:
+    fields = short_fields(random_source.randint(MAX_LINES // 2, MAX_LINES - 20))
+    writer.write(head(number, BODY_LIMIT, fields) + b'{"a":"')
+
+
+def many_fields_of_an_open_request(
+    random_source: random.Random, number: int, writer: asyncio.StreamWriter
+) -> None:
+    fields = short_fields(random_source.randint(MAX_LINES // 2, MAX_LINES - 20))
+    writer.write(head(number, 2, fields) + b"{}")
+
+
+async def stream_slowly(
+    self: Replica, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request: bytes
+) -> None:
+    """Answer the requests of the crowd slowly, and all others at once."""
+    if b"crowd-" not in request:
+        await STREAM(self, reader, writer, request)
+        return
+    writer.write(HEAD)
+    event = chunk(b'data: {"choices":[{"index":0,"delta":{"content":"%b"}}]}\n\n' % (b"x" * 300))
+    with contextlib.suppress(OSError):
+        for _ in range(SLOW_EVENTS):
+            writer.write(event)
+            await writer.drain()
+            await asyncio.sleep(SLOW_EVENT_S)
+
+
+def peak_megabytes(pid: int) -> float:
+    """Return the most resident memory that a process has had since its start."""
+    rows = Path(f"/proc/{pid}/status").read_text().splitlines()
+    peak_kib = next(int(row.split()[1]) for row in rows if row.startswith("VmHWM"))
+    return peak_kib * 1024 / MEGABYTE
+
+
+async def play_crowd(folder: Path, memory_mb: int, crowd: Crowd, seed: int) -> float:
+    """Play a crowd beside usual requests, which have to be answered; return the peak of memory."""
+    random_source = random.Random(seed)
+    answers = Counter[bytes]()
+
+    async def send(port: int, number: int) -> None:
+        with contextlib.suppress(OSError, TimeoutError):
+            async with open_connection(port) as (reader, writer):
+                if (sending := crowd(random_source, number, writer)) is not None:
+                    await sending
+                answer = await asyncio.wait_for(reader.read(), BAD_CLIENT_END_S)
+                answers[answer[:12]] += 1
+
+    limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": DESCRIPTORS}
+    readers = [Replica(PREFILLED) for _ in range(2)]
+    writers = [Replica(stream_slowly) for _ in range(2)]
+    async with servers_and_config(folder, readers, writers, limits=limits) as (path, _):
+        process = await ChildProcess.start("serve", environment={"ROUTER_CONFIG": str(path)})
+        play = Play(await process.port())
+        clients = [asyncio.create_task(send(play.port, number)) for number in range(CLIENTS)]
+        usual = await play.usual_requests()
+        await asyncio.gather(*clients)
+        peak_mb = peak_megabytes(process.child.pid)
+        assert await process.terminate() == 0, process.other_output
+    served = sum(answer.startswith(b"HTTP/1.1 200") for answer in usual)
+    assert all(answer.startswith(b"HTTP/1.1 ") for answer in usual), answers
+    assert served >= len(usual) // 2, (served, answers)
+    assert play.longest_s * 1000 <= CLASS_TIME_MS
+    return peak_mb
+
+
+def peaks_over(
+    memory_mb: int, folder: Path, crowds: Sequence[Crowd], seed: int
+) -> dict[str, float]:
+    """Return the peaks of those crowds that take the process over its memory."""
+    peaks_mb = {
+        crowd.__name__: run_async(play_crowd(folder, memory_mb, crowd, seed)) for crowd in crowds
+    }
+    return {name: peak_mb for name, peak_mb in peaks_mb.items() if peak_mb > memory_mb}
+
+
+def test_heads_of_many_fields_stay_within_the_memory(tmp_path: Path) -> None:
+    """Guards against a process that is killed for heads of 11 KB that take 170 KB once parsed."""
+    crowds = (many_fields_and_no_body, many_fields_of_an_open_request)
+    assert not peaks_over(64, tmp_path, crowds, seed=6840)
