--- a/tests/test_memory_crowds.py
+++ b/tests/test_memory_crowds.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
+import pytest
 from cluster import HEAD, PREFILLED, STREAM, Replica
 from fault_injection import ChildProcess, open_connection, run_async, servers_and_config
 from test_endless_input import CLASS_TIME_MS, Play, chunk
@@ -19,6 +20,7 @@
 from onyxpass.net.line_limit import MAX_LINES
 
 MEGABYTE = 1_000_000
+LEAST_MEMORY_MB = 32
 DESCRIPTORS = 1024
 CLIENTS = 470
 BAD_CLIENT_END_S = 8.0  # for the answer, or the close, that a client of the crowd gets
@@ -54,6 +56,68 @@
     writer.write(head(number, 2, fields) + b"{}")
 
 
+def body_that_stops(
+    random_source: random.Random, number: int, writer: asyncio.StreamWriter
+) -> None:
+    """Stop within a large body, one byte before its end at the latest."""
+    missing = random_source.choice((1, random_source.randint(1, BODY_LIMIT - 10)))
+    writer.write(head(number, BODY_LIMIT) + b'{"a":"' + b"x" * (BODY_LIMIT - 6 - missing))
+
+
+def body_written_slowly(
+    random_source: random.Random, number: int, writer: asyncio.StreamWriter
+) -> asyncio.Future[None]:
+    piece, pause_s = random_source.randint(500, 20_000), random_source.uniform(0.01, 0.2)
+
+    async def send() -> None:
+        writer.write(head(number, BODY_LIMIT) + b'{"a":"')
+        for _ in range((BODY_LIMIT - 8) // piece):
+            writer.write(b"x" * piece)
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+
+    return asyncio.ensure_future(send())
+
+
+def large_open_request(
+    random_source: random.Random, number: int, writer: asyncio.StreamWriter
+) -> None:
+    body = b'{"a":"' + b"x" * random_source.randint(100_000, BODY_LIMIT - 8) + b'"}'
+    writer.write(head(number, len(body)) + body)
+
+
+def body_of_many_values(
+    random_source: random.Random, number: int, writer: asyncio.StreamWriter
+) -> None:
+    """Send a valid body that takes far more memory as objects than as text."""
+    body = b'{"a":[' + b"[],{}," * random_source.randint(10_000, 40_000) + b"0]}"
+    writer.write(head(number, len(body)) + body)
+
+
+def open_request_that_is_not_read(
+    random_source: random.Random, number: int, writer: asyncio.StreamWriter
+) -> None:
+    writer.write(head(number, 2) + b"{}")
+    writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+
+def any_kind(
+    random_source: random.Random, number: int, writer: asyncio.StreamWriter
+) -> asyncio.Future[None] | None:
+    return random_source.choice(KINDS)(random_source, number, writer)
+
+
+KINDS: tuple[Crowd, ...] = (
+    many_fields_and_no_body,
+    many_fields_of_an_open_request,
+    body_that_stops,
+    body_written_slowly,
+    large_open_request,
+    body_of_many_values,
+    open_request_that_is_not_read,
+)
+
+
 async def stream_slowly(
     self: Replica, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request: bytes
 ) -> None:
@@ -122,3 +186,13 @@
     """Guards against a process that is killed for heads of 11 KB that take 170 KB once parsed."""
     crowds = (many_fields_and_no_body, many_fields_of_an_open_request)
     assert not peaks_over(64, tmp_path, crowds, seed=6840)
+
+
+def test_crowds_of_every_kind_stay_within_the_least_memory(tmp_path: Path) -> None:
+    """Guards against a process that is killed where its settings leave it little beside its start."""
+    assert not peaks_over(LEAST_MEMORY_MB, tmp_path, (*KINDS, any_kind), seed=6841)
+
+
+@pytest.mark.parametrize(("memory_mb", "seed"), [(48, 6842), (112, 6843), (192, 6844)])
+def test_mixed_crowds_stay_within_the_memory(tmp_path: Path, memory_mb: int, seed: int) -> None:
+    assert not peaks_over(memory_mb, tmp_path, (any_kind,), seed)
