Keep a process within the least memory: fewer places, smaller tables, bodies not parsed

Cause: the number of clients was told from the descriptors alone, 480 at 22 KB each beside a program of 23 MB; the memory was read as MiB and without the pages that others map; a body of many small values took 5 MB while it was checked; the table of sessions and prefixes had 20,000 entries whatever the memory, with names of up to 512 bytes. Ruled out: the budget for bodies alone (the connections take it all at 32). Why it works: connections may take half of what is left beside the program (61 clients at 32 MB, 386 at 64, 480 as before from 74 on); the table has a 24th of the memory, and long names are kept as digests; of a body with over 8,192 values the ends, the strings and the brackets are checked, in place of its objects. The unit is 10^6 bytes and the measure resident pages, the stricter reading of the page.

--- a/onyxpass/admin/serve_configuration.py
+++ b/onyxpass/admin/serve_configuration.py
@@ -8,14 +8,14 @@
 
 from onyxpass.admin.running_configuration import is_reloadable_setting, settings_values
 from onyxpass.config.platform_file import Config
-from onyxpass.core.memory_budget import DEFAULT_MEMORY_MIB
+from onyxpass.core.memory_budget import DEFAULT_MEMORY_MB
 
 RELOADABLE_SERVE_KEYS = frozenset(("discovery", "sockets", "connect_timeout_us", "conn_idle_us"))
 
 
 def serve_values(config: Config) -> dict[str, Any]:
     # A limit that is not set is left out: the configuration digest stays that of earlier versions.
-    memory = {} if config.memory_mib == DEFAULT_MEMORY_MIB else {"memory_mb": config.memory_mib}
+    memory = {} if config.memory_mb == DEFAULT_MEMORY_MB else {"memory_mb": config.memory_mb}
     return {
         **memory,
         "name": config.name,
--- a/onyxpass/config/platform_file.py
+++ b/onyxpass/config/platform_file.py
@@ -13,7 +13,7 @@
 
 from onyxpass.config.settings import read_settings
 from onyxpass.config.settings_validation import SettingsFault, find_faults
-from onyxpass.core.memory_budget import DEFAULT_MEMORY_MIB
+from onyxpass.core.memory_budget import DEFAULT_MEMORY_MB, max_connections
 from onyxpass.scheduling import contract
 
 # Environment variables: the platform's prefix, the path of the sources file, and three that an
@@ -33,7 +33,7 @@
 DEFAULT_CONNECT_TIMEOUT_US = 250_000
 DEFAULT_CONNECTION_IDLE_US = 15_000_000
 MAX_PORT = 65535
-MAX_MEMORY_MIB = 1024 * 1024
+MAX_MEMORY_MB = 1024 * 1024
 
 
 def managed() -> bool:
@@ -67,10 +67,14 @@
 NO_ADDRESS = Address("", 0)  # of discovery, if watched files are the only source
 
 
-def connection_limit(sockets: int) -> int:
-    """Return the connections for one side, clients or replicas, out of ``sockets`` descriptors."""
+def connection_limit(sockets: int, memory_mb: int = DEFAULT_MEMORY_MB) -> int:
+    """Return the connections for one side, clients or replicas.
+
+    They share ``sockets`` descriptors, and the memory that is left beside the program.
+    """
     reserved = min(RESERVED_SOCKETS, sockets // RESERVED_SOCKETS_DIVISOR)
-    return max(MIN_CONNECTION_LIMIT, (sockets - reserved) // 2)
+    by_descriptors = max(MIN_CONNECTION_LIMIT, (sockets - reserved) // 2)
+    return min(by_descriptors, max_connections(memory_mb))
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,7 +88,7 @@
     settings: contract.Settings
     known_endpoints: Mapping[str, Any]
     sockets: int = DEFAULT_SOCKETS
-    memory_mib: int = DEFAULT_MEMORY_MIB  # over which the process is killed
+    memory_mb: int = DEFAULT_MEMORY_MB  # over which the process is killed
     connect_timeout_us: int = DEFAULT_CONNECT_TIMEOUT_US
     conn_idle_us: int = DEFAULT_CONNECTION_IDLE_US
     control: Address | None = None  # where the dispatcher listens for operators
@@ -97,7 +101,7 @@
     @property
     def connection_limit(self) -> int:
         """The maximum number of client connections, and likewise of replica connections."""
-        return connection_limit(self.sockets)
+        return connection_limit(self.sockets, self.memory_mb)
 
 
 def parse(
@@ -148,7 +152,7 @@
         settings=contract_settings,
         known_endpoints=raw.get("known") or {},
         sockets=int(sockets or DEFAULT_SOCKETS),
-        memory_mib=read_memory_mib(process_limits.get("memory_mb"), "limits.memory_mb"),
+        memory_mb=read_memory_mb(process_limits.get("memory_mb"), "limits.memory_mb"),
         connect_timeout_us=int(limits.get("connectTimeoutUs") or DEFAULT_CONNECT_TIMEOUT_US),
         conn_idle_us=int(limits.get("connIdleUs") or DEFAULT_CONNECTION_IDLE_US),
         control=_control(raw, environ),
@@ -159,13 +163,13 @@
     )
 
 
-def read_memory_mib(value: object, key: str) -> int:
+def read_memory_mb(value: object, key: str) -> int:
     """Return a memory limit; the default if it is absent. Raises ConfigError with the key."""
     if value is None:
-        return DEFAULT_MEMORY_MIB
+        return DEFAULT_MEMORY_MB
     if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 1:
         raise ConfigError(f"{key}: must be a number, 1 at least, not {value!r}")
-    return int(min(value, MAX_MEMORY_MIB))
+    return int(min(value, MAX_MEMORY_MB))
 
 
 def _listen_descriptor(environ: Mapping[str, str]) -> int | None:
--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -20,7 +20,7 @@
 from onyxpass.core.endpoints import COMPLETE_FORMS, EndpointTable
 from onyxpass.core.final_answers import FinalAnswers
 from onyxpass.core.loop_turn import StepPriority, step_waits
-from onyxpass.core.memory_budget import MemoryBudget
+from onyxpass.core.memory_budget import MEGABYTE, MemoryBudget
 from onyxpass.core.metrics import Metrics
 from onyxpass.core.outcomes import AttemptOutcomes
 from onyxpass.core.reasons import Reason
@@ -31,7 +31,7 @@
 from onyxpass.core.state_reservations import StateReservations
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.invariants import InvariantChecker
-from onyxpass.scheduling import contract
+from onyxpass.scheduling import contract, prefix_affinity
 from onyxpass.scheduling.contract import AttemptStatus
 from onyxpass.scheduling.router import Router
 
@@ -40,6 +40,7 @@
 # A request without an answer is failed this long after the router's deadline, before its client
 # leaves.
 OVERDUE_AFTER_US = 10_000
+AFFINITY_DIVISOR = 24  # part of the memory that the table of sessions and prefixes may take
 TIMER_RETRY_US = 50_000  # until a timer event on which the router failed is repeated
 log = structlog.get_logger("core")
 
@@ -81,6 +82,12 @@
         """The settings in force."""
         return self._context.settings
 
+    def limit_memory(self, memory_mb: int, connections: int) -> None:
+        """Set the memory that the process may use, with so many client connections at once."""
+        self.memory_budget = MemoryBudget(memory_mb, connections)
+        entries = memory_mb * MEGABYTE // AFFINITY_DIVISOR // prefix_affinity.ENTRY_BYTES
+        self.router.affinity.memory_limit = max(1, entries)
+
     def connect_fleet(self, fleet: ServerFleet) -> None:
         """Set the fleet that carries out attempts; nothing is sent without one."""
         self._context.fleet = fleet
--- a/onyxpass/core/memory_budget.py
+++ b/onyxpass/core/memory_budget.py
@@ -12,9 +12,13 @@
 from enum import IntEnum
 
 MIB = 1024 * 1024
-DEFAULT_MEMORY_MIB = 192
-PROGRAM_MIB = 24  # for all that is not held for a client
-CONNECTION_BYTES = 48 * 1024  # for each connection: its objects, its parser's buffer, free bytes
+MEGABYTE = 1_000_000  # the unit of the limit: the smaller one of two readings
+DEFAULT_MEMORY_MB = 192
+PROGRAM_MB = 26  # resident, for all that is not held for a client
+# For each client connection and one to a server: their objects, parsers' buffers and free bytes.
+CONNECTION_BYTES = 48 * 1024
+CONNECTIONS_DIVISOR = 2  # part of what is left beside the program that connections may take
+MIN_CONNECTIONS = 8
 # The remaining memory is divided by this: bytes are held twice while they are passed on, and the
 # allocator doesn't return all that was freed.
 BUDGET_DIVISOR = 3
@@ -22,6 +26,12 @@
 FREE_BYTES = 8 * 1024  # of each account
 
 
+def max_connections(memory_mb: int) -> int:
+    """Return how many client connections a process with this memory may have at once."""
+    remaining = (memory_mb - PROGRAM_MB) * MEGABYTE
+    return max(MIN_CONNECTIONS, remaining // CONNECTIONS_DIVISOR // CONNECTION_BYTES)
+
+
 class Standing(IntEnum):
     """What the bytes of an account belong to; the lowest is evicted first."""
 
@@ -78,9 +88,9 @@
 class MemoryBudget:
     """The accounts of all connections of a process, and their common limit."""
 
-    def __init__(self, memory_mib: int = DEFAULT_MEMORY_MIB, connections: int = 0) -> None:
-        """``memory_mib`` is what the process may use in all, with so many connections at once."""
-        self.memory_mib = memory_mib
+    def __init__(self, memory_mb: int = DEFAULT_MEMORY_MB, connections: int = 0) -> None:
+        """``memory_mb`` is what the process may use in all, with so many connections at once."""
+        self.memory_mb = memory_mb
         self.limit_bytes = 0
         self.set_connection_limit(connections)
         self.charged_bytes = 0
@@ -90,7 +100,7 @@
 
     def set_connection_limit(self, connections: int) -> None:
         """Set the limit that remains beside so many connections."""
-        remaining = (self.memory_mib - PROGRAM_MIB) * MIB - connections * CONNECTION_BYTES
+        remaining = (self.memory_mb - PROGRAM_MB) * MEGABYTE - connections * CONNECTION_BYTES
         self.limit_bytes = max(MIN_BUDGET_BYTES, remaining // BUDGET_DIVISOR)
 
     def open(self, evict: Callable[[], None], standing: Callable[[], Standing]) -> MemoryAccount:
--- a/onyxpass/net/line_limit.py
+++ b/onyxpass/net/line_limit.py
@@ -24,8 +24,9 @@
 
     def __init__(self, connection: h11.Connection) -> None:
         self._connection = connection
-        # head of the message whose body is being received
-        self._head: h11.Request | h11.Response | None = None
+        # Of the message whose body is being received: whether it is chunked; None before its body.
+        # The head itself is not kept, which may be large.
+        self._is_chunked: bool | None = None
         self._head_complete = False
         self._last_bytes = b""
         self._head_lines = 0
@@ -49,7 +50,7 @@
 
     def begin_message(self) -> None:
         """Count anew for the next message, of which some bytes may have been received."""
-        self._head, self._head_complete, self._last_bytes = None, False, b""
+        self._is_chunked, self._head_complete, self._last_bytes = None, False, b""
         self._head_lines = self._body_lines = 0
         self.received(self._buffered())
 
@@ -60,15 +61,15 @@
         elif isinstance(event, h11.InformationalResponse):
             self.begin_message()
         elif isinstance(event, h11.Request | h11.Response):
-            self._head, self._at_chunk_end = event, True
+            self._is_chunked, self._at_chunk_end = is_chunked(event), True
 
     def is_exceeded(self) -> bool:
         """Return whether the next head, or the next trailers, have too many lines to be parsed."""
-        if self._head is None:
+        if self._is_chunked is None:
             return self._head_lines > MAX_LINES
         if self._body_lines <= MAX_LINES or not self._at_chunk_end:
             return False
-        return is_chunked(self._head) and self._trailers_exceed()
+        return self._is_chunked and self._trailers_exceed()
 
     def _trailers_exceed(self) -> bool:
         """Return whether what follows the end of a chunk is no chunk, but too many lines."""
--- a/onyxpass/net/request_parser.py
+++ b/onyxpass/net/request_parser.py
@@ -22,6 +22,11 @@
     b"x-attrs",
     b"x-tenant-id",
 )
+MAX_PARSED_VALUES = 8_192  # of a body that is parsed; each takes some 64 bytes then
+VALUE_MARKS = (b",", b"[", b"{")  # one precedes each value, if they are not within strings
+BRACKETS = ((b"[", b"]"), (b"{", b"}"))
+STRING_PATTERN = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"', re.DOTALL)
+NO_OBJECT = "the body is no JSON object"
 REQUEST_ID_PATTERN = re.compile(rb"[A-Za-z0-9._~-]{1,128}\Z")
 
 
@@ -64,17 +69,32 @@
         raise HttpError("HTTP/1.1 only", 505)
 
 
+def looks_like_object(structure: bytes) -> bool:
+    """Return whether JSON without its strings may be an object."""
+    balanced = all(structure.count(a) == structure.count(b) for a, b in BRACKETS)
+    ended_strings = b'"' not in structure
+    return balanced and ended_strings and structure.startswith(b"{") and structure.endswith(b"}")
+
+
 def check_body(text: bytes) -> None:
     """Reject a body that is not a JSON object.
 
-    No replica can use it, and its rejection there would look like a failure of the replica.
+    No replica can use it, and its rejection there would look like a failure of the replica. Of a
+    body with very many values only the ends and the brackets are looked at: parsed, it would take
+    twenty times its size.
     """
+    if sum(map(text.count, VALUE_MARKS)) > MAX_PARSED_VALUES:
+        structure = STRING_PATTERN.sub(b"", text).strip()
+        if sum(map(structure.count, VALUE_MARKS)) > MAX_PARSED_VALUES:
+            if not looks_like_object(structure):
+                raise BadRequest(NO_OBJECT)
+            return
     try:
         is_object = isinstance(json.loads(text), dict)
     except (ValueError, RecursionError):
         is_object = False
     if not is_object:
-        raise BadRequest("the body is no JSON object")
+        raise BadRequest(NO_OBJECT)
 
 
 def read_arrival(
--- a/onyxpass/scheduling/prefix_affinity.py
+++ b/onyxpass/scheduling/prefix_affinity.py
@@ -16,6 +16,7 @@
 from onyxpass.scheduling.server_state import ServerState
 
 MAX_ENTRIES = 20_000  # some minutes of sessions at hundreds of requests per second
+ENTRY_BYTES = 400  # of memory, for each entry with its key
 ENTRY_TTL_US = 30_000_000  # a prefix unused for this long has likely been evicted by the server
 RECENT_REQUESTS = 30  # over which the popularity of a prefix is measured
 MIN_OWNERS = 4  # of a prefix, where there are many routers
@@ -32,6 +33,7 @@
 
     def __init__(self, pool: ServerPool) -> None:
         self._pool = pool
+        self.memory_limit: int | None = None  # entries that the process has memory for
         self.recent_prefixes = deque[str](maxlen=RECENT_REQUESTS)
         # By key, least recently used first: server, when it was stored, tokens
         self.entries = OrderedDict[str, tuple[ServerState, int, int]]()
@@ -46,8 +48,9 @@
             self.entries[key] = (server, now_us, tokens)
             self.entries.move_to_end(key)
         # Prevents the table from growing with sessions that have ended.
+        max_entries = min(MAX_ENTRIES, self.memory_limit or MAX_ENTRIES)
         while (
-            len(self.entries) > MAX_ENTRIES
+            len(self.entries) > max_entries
             or now_us - next(iter(self.entries.values()))[1] > ENTRY_TTL_US
         ):
             self.entries.popitem(last=False)
--- a/onyxpass/scheduling/request_state.py
+++ b/onyxpass/scheduling/request_state.py
@@ -3,10 +3,21 @@
 The router that made a ``RequestState`` owns it and is the only one to change it.
 """
 
+import hashlib
+
 from onyxpass.scheduling import contract
 from onyxpass.scheduling.contract import AttemptStatus, Role
 from onyxpass.scheduling.server_state import PREFILL_OVERHEAD_TOKENS, ServerState
 
+MAX_NAME_CHARACTERS = 64  # of a session or prefix that is kept as it is
+
+
+def table_key(kind: str, name: str) -> str:
+    """Return the key of a session ("s") or prefix ("p"); that of a long name is its digest."""
+    if len(name) > MAX_NAME_CHARACTERS:
+        name = hashlib.blake2b(name.encode("utf-8", "surrogatepass"), digest_size=16).hexdigest()
+    return f"{kind}|{name}"
+
 
 class RequestState:
     """A request that waits or has an attempt in flight; times in microseconds."""
@@ -53,9 +64,9 @@
             answer_tokens = arrival.max_tokens // 2
         # Tokens of a decode server's memory that the stream will use.
         self.decode_tokens = arrival.prompt_tokens + max(1, answer_tokens)
-        self.prefix_keys = {f"s|{arrival.session}": arrival.prompt_tokens}  # deepest first
+        self.prefix_keys = {table_key("s", arrival.session): arrival.prompt_tokens}  # deepest first
         if arrival.prefix:
-            self.prefix_keys[f"p|{arrival.prefix}"] = arrival.prefix_tokens
+            self.prefix_keys[table_key("p", arrival.prefix)] = arrival.prefix_tokens
         self.server: ServerState | None = None  # where an attempt is in flight
         self.sent_us = 0
         self.silence_deadline_us = 0  # time at which its server counts as silent
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -13,7 +13,6 @@
 from onyxpass.core import event_loop
 from onyxpass.core.clock import Clock, cpu_us
 from onyxpass.core.dispatcher import RequestDispatcher
-from onyxpass.core.memory_budget import MemoryBudget
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.hot_restart.inherited_listener import inherited_listener
 from onyxpass.hot_restart.process_registry import ProcessRegistry
@@ -48,7 +47,7 @@
         self.clock = Clock()
         self.wheel = TimerWheel(self.clock)
         self.core = RequestDispatcher(config.settings, config.seed, self.clock, self.wheel)
-        self.core.memory_budget = MemoryBudget(config.memory_mib, config.connection_limit)
+        self.core.limit_memory(config.memory_mb, config.connection_limit)
         self.replicas = Replicas(
             self.core, config.connection_limit, config.connect_timeout_us, config.conn_idle_us
         )
@@ -96,7 +95,8 @@
 
         The number is lower while another process of the same dispatcher runs.
         """
-        self.front.max_connections = self.replicas.budget.limit = connection_limit(sockets)
+        limit = connection_limit(sockets, self.config.memory_mb)
+        self.front.max_connections = self.replicas.budget.limit = limit
         self.core.memory_budget.set_connection_limit(self.front.max_connections)
         self.replicas.budget.shrink()
 
--- a/onyxpass/toolcalls/service.py
+++ b/onyxpass/toolcalls/service.py
@@ -23,12 +23,12 @@
     settings_values,
     with_reloaded_keys,
 )
-from onyxpass.config.platform_file import Address, ConfigError, managed, read_memory_mib
+from onyxpass.config.platform_file import Address, ConfigError, managed, read_memory_mb
 from onyxpass.config.settings import read_settings
 from onyxpass.core import event_loop
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import RequestDispatcher
-from onyxpass.core.memory_budget import DEFAULT_MEMORY_MIB, MemoryBudget
+from onyxpass.core.memory_budget import DEFAULT_MEMORY_MB, max_connections
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.scheduling import contract
 from onyxpass.stop_limit import stop_within
@@ -66,7 +66,7 @@
     recovery_us: int = RECOVERY_PERIOD_US  # without claims, after the store has lost its keys
     journal: Path | None = None  # None: ``journal_path`` chooses
     connections: int = 256
-    memory_mib: int = DEFAULT_MEMORY_MIB  # that the process may use
+    memory_mb: int = DEFAULT_MEMORY_MB  # that the process may use
     stop_s: float = DEFAULT_STOP_S  # from SIGTERM until what is left is closed
     sources: Path | None = None  # the file that names the watched files, in place of ``servers``
 
@@ -80,8 +80,8 @@
     optional_values: dict[str, Any] = {}
     if config.recovery_us != RECOVERY_PERIOD_US:
         optional_values["recovery_us"] = config.recovery_us
-    if config.memory_mib != DEFAULT_MEMORY_MIB:
-        optional_values["memory_mb"] = config.memory_mib
+    if config.memory_mb != DEFAULT_MEMORY_MB:
+        optional_values["memory_mb"] = config.memory_mb
     if config.stop_s != DEFAULT_STOP_S:
         optional_values["stop_s"] = config.stop_s
     if config.journal is not None:
@@ -153,7 +153,7 @@
             recovery_us=int(store.get("recovery_ms", RECOVERY_PERIOD_US // 1000)) * 1000,
             journal=base / str(store["journal"]) if "journal" in store else None,
             connections=int(raw.get("connections", 256)),
-            memory_mib=read_memory_mib(raw.get("memory_mb"), "memory_mb"),
+            memory_mb=read_memory_mb(raw.get("memory_mb"), "memory_mb"),
             stop_s=float(raw.get("stop_s", DEFAULT_STOP_S)),
             sources=base / str(raw["sources"]) if "sources" in raw else None,
         )
@@ -207,7 +207,8 @@
         self.clock = Clock()
         self.wheel = TimerWheel(self.clock)
         self.core = RequestDispatcher(config.settings, config.seed, self.clock, self.wheel)
-        self.core.memory_budget = MemoryBudget(config.memory_mib, config.connections)
+        connections = min(config.connections, max_connections(config.memory_mb))
+        self.core.limit_memory(config.memory_mb, connections)
         self.store = RedisStore(config.store_url, config.store_timeout_ms)
         self.journal = CallJournal(journal)
         self.claims = CallClaims(
@@ -223,9 +224,9 @@
             config.tools, self.wheel, self.relay.record, config.tool_timeout_us, config.connect_us
         )
         self.relay.tool_server = self.tool_server
-        self.replicas = RpcReplicas(self.core, self.relay, config.connect_us, config.connections)
+        self.replicas = RpcReplicas(self.core, self.relay, config.connect_us, connections)
         self.core.connect_fleet(self.replicas)
-        self.front = RpcFront(self.core, self.relay, config.listen, config.connections)
+        self.front = RpcFront(self.core, self.relay, config.listen, connections)
         self.tasks: list[asyncio.Task[None]] = []
         self.file_source: FileSource | None = None
         if config.sources is not None:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -5,11 +5,13 @@
 
 import asyncio
 import json
+import tracemalloc
 from itertools import pairwise
 from types import SimpleNamespace
 from typing import Any
 
 import h11
+import pytest
 from helpers import SETTINGS, make_endpoints
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
@@ -22,7 +24,7 @@
 from onyxpass.net.endpoint_watcher import EndpointListError, JsonObjectSplitter, parse_endpoint_list
 from onyxpass.net.http import HttpConnection, HttpError, read_body
 from onyxpass.net.replica import cached_tokens
-from onyxpass.net.request_parser import BadRequest, read_arrival
+from onyxpass.net.request_parser import MAX_PARSED_VALUES, BadRequest, check_body, read_arrival
 from onyxpass.net.response_reader import EventSplitter, ResponseReader
 from onyxpass.scheduling import contract
 from onyxpass.toolcalls import rpc
@@ -286,3 +288,36 @@
         assert 0 <= Address.parse(text.decode("latin-1")).port <= 65535
     except ConfigError:
         return
+
+
+MANY = b"[],{}," * 20_000
+
+
+@pytest.mark.parametrize(
+    ("body", "accepted"),
+    [
+        (b'{"a":[' + MANY + b"0]}", True),
+        (b'{"a":"' + b"," * 60_000 + b'"}', True),
+        (b'{"a":"' + b"," * 60_000 + b"}", False),
+        (b'{"a":"' + b'\\"{' * 30_000 + b'"}', True),
+        (b"[" + MANY + b"0]", False),
+        (b'"' + MANY + b'"', False),
+        (b'{"a":' + b"[" * 90_000 + b"}", False),
+        (b'{"a":' + b"[" * 5_000 + b"}", False),
+        (b"{" + b'"' * 100_001, False),
+    ],
+)
+def test_a_body_of_very_many_values_is_checked_without_being_parsed(
+    body: bytes, accepted: bool
+) -> None:
+    """Guards against a body of 256 KiB that takes 5 MB for a moment, twice what may be left."""
+    tracemalloc.start()
+    try:
+        check_body(body)
+        found = True
+    except BadRequest:
+        found = False
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert found == accepted
+    assert peak_bytes <= 2 * len(body) + 64 * MAX_PARSED_VALUES * 2
