Refuse an id that may have run, also after its client left and in an upgrade

Cause: an id was known only while its request was open, and only to its own process. Ruled out: a retry of ours (each attempt has the first one closed; the guard RUN_ONCE holds). Why it works: an id is claimed when its request is accepted and remembered for 120 s, unless nothing of it has run or it was rejected with that promise; then it may come again. The processes that share a listening socket share the table as a file of 128 KiB in $TMPDIR, locked for each claim; others keep it in memory. A repeat gets 409, as it did while the request was open.

--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -146,6 +146,7 @@
 
     def adopt_stream(self, request: Request, attempt: Attempt) -> None:
         """Continue a stream that another process began, to which the request is committed."""
+        request.adopted = True
         request.attempts = [attempt]
         request.in_flight = attempt
         request.committed = attempt
--- a/onyxpass/core/final_answers.py
+++ b/onyxpass/core/final_answers.py
@@ -38,6 +38,7 @@
         reason = Reason.ATTEMPTS_FAILED if request.attempts else Reason.NO_CAPACITY
         if shutting_down:
             reason = Reason.SHUTTING_DOWN
+        request.rejected = True
         log.info("refused", id=request.id, attempts=len(request.attempts), why=reason)
         self._answer(
             request,
--- a/onyxpass/core/request_registry.py
+++ b/onyxpass/core/request_registry.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from onyxpass.core.clock import Clock
+from onyxpass.core.request_ids import RequestIdTable
 from onyxpass.core.requests import Request
 from onyxpass.invariants import InvariantChecker
 
@@ -25,6 +26,7 @@
     def __init__(self, clock: Clock, invariants: InvariantChecker) -> None:
         self.by_number: dict[int, Request] = {}
         self.by_id: dict[str, Request] = {}  # a request whose id is already in here is a duplicate
+        self.ids = RequestIdTable(clock.now_us)  # of requests that are open or may have run
         self.on_idle: Callable[[], None] | None = None  # called when the last request is removed
         self._recently_finished: list[Request] = []
         self._clock = clock
@@ -63,6 +65,8 @@
         del self.by_number[request.number]
         if self.by_id.get(request.id) is request:
             del self.by_id[request.id]
+            if not request.may_have_run and not request.adopted:
+                self.ids.release(request.id)
             self._invariants.record_removal(request.id)
         if not self.by_number and self.on_idle is not None:
             self.on_idle()
--- a/onyxpass/core/requests.py
+++ b/onyxpass/core/requests.py
@@ -97,6 +97,8 @@
     in_flight: Attempt | None = None  # at most one
     committed: Attempt | None = None  # the attempt whose stream the client has
     finished: bool = False  # the final answer was given, or the client has left
+    adopted: bool = False  # its stream was begun by another process
+    rejected: bool = False  # with the promise that nothing has run
     has_reserved_state: bool = False  # a server may have state reserved for it
     # Start of the time limit for reserved state: the end of the attempt that reserved it, or of a
     # later one that is known to have reached its server.
@@ -106,6 +108,13 @@
     prefill_interrupted: bool = False  # the last attempt was a prefill that was interrupted
     deadline_timer: Timer | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have begun on it; False of a request that was rejected."""
+        return not self.rejected and any(
+            attempt.status is None or attempt.status.may_have_run for attempt in self.attempts
+        )
+
 
 class ServerFleet(Protocol):
     """Carries out attempts and reports the end of each to ``AttemptOutcomes.attempt_ended``."""
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -479,6 +479,9 @@
             check_body(text)
             if request_id in self.core.registry.by_id:
                 raise HttpError("a request with this id is open", 409)
+            # Also after its client has left, and at the other process of an upgrade.
+            if not self.core.registry.ids.claim(request_id):
+                raise HttpError("a request with this id may have run", 409)
             payload = Payload(
                 bytes(head.method), bytes(head.target), forwarded_headers(head.headers), text
             )
--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -17,6 +17,7 @@
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.hot_restart.inherited_listener import inherited_listener
 from onyxpass.hot_restart.process_registry import ProcessRegistry
+from onyxpass.hot_restart.shared_request_ids import open_shared_table
 from onyxpass.net.control import ControlServer
 from onyxpass.net.endpoint_watcher import EndpointWatcher
 from onyxpass.net.front import Front
@@ -129,6 +130,7 @@
 
     async def start(self) -> None:
         self.process_registry.start()
+        self._share_request_ids()
         for work in (self.core.run(), self.wheel.run()):
             self.tasks.append(asyncio.create_task(work))
         if not self.watches_files_only:
@@ -158,6 +160,18 @@
             listen=f"{self.config.listen.host}:{self.front.port}",
         )
 
+    def _share_request_ids(self) -> None:
+        """Share the ids of requests with the process of an upgrade, if there may be one."""
+        folder = self.process_registry.folder
+        if folder is None or not self.front.shared:
+            return
+        try:
+            self.core.registry.ids = open_shared_table(
+                folder, lambda: self.clock.to_monotonic_us(self.clock.now_us())
+            )
+        except OSError as problem:  # this process's own ids are remembered all the same
+            log.warning("request_ids_not_shared", folder=str(folder), error=str(problem))
+
     def _sweep(self) -> None:
         # scheduled first, so that one failure does not end the repetition
         self.wheel.after(SWEEP_INTERVAL_US, self._sweep)
