Send nothing on to a JSON-RPC server once its attempt has ended

Cause: the end of an attempt closed the connection, and a close goes on sending what the server has not read. The request arrived in full after its attempt had been reported as ended and perhaps repeated. Ruled out: the HTTP front, which aborts (test_net's cancelled attempts). Why it works: with unsent bytes the connection is aborted; a request whose line was not sent in full, and that the server has not answered, is reported as not sent.

--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -67,6 +67,7 @@
     """
 
     memory: MemoryAccount | None = None
+    has_received = False  # whether any byte has come
     _received = bytearray()
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -79,6 +80,7 @@
         self.data_received(data)
 
     def data_received(self, data: bytes) -> None:
+        self.has_received = True
         if self.memory is None or self.memory.charge(len(data)):
             self.input_accepted()
             super().data_received(data)
--- a/onyxpass/toolcalls/replicas.py
+++ b/onyxpass/toolcalls/replicas.py
@@ -44,6 +44,22 @@
     calls: dict[rpc.Id, ToolCall] = field(default_factory=dict)
 
 
+def is_unsent(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the kernel has not accepted everything that was written."""
+    transport = writer.transport
+    return transport.get_write_buffer_size() > 0 and not transport.is_closing()
+
+
+def is_request_unsent(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the server has certainly not received all of the request.
+
+    Once it has answered anything, what is unsent may be the result of one of its calls.
+    """
+    protocol = writer.transport.get_protocol()
+    assert isinstance(protocol, ChargedProtocol)
+    return is_unsent(writer) and not protocol.has_received
+
+
 class RpcReplica(ServerActor):
     """A reader or writer that speaks JSON-RPC, as an actor."""
 
@@ -100,14 +116,19 @@
             status = AttemptStatus.RESET if written else AttemptStatus.UNREACHABLE
             reason = str(problem) or "no connection"
         except asyncio.CancelledError:
-            status = AttemptStatus.CANCELLED if written else AttemptStatus.NOT_SENT
-            if writer is not None and written and not writer.is_closing():
+            # A line without its end is no request: it has certainly not run.
+            sent = written and writer is not None and not is_request_unsent(writer)
+            status = AttemptStatus.CANCELLED if sent else AttemptStatus.NOT_SENT
+            if sent and writer is not None and not writer.is_closing():
                 writer.write(rpc.notification("cancel", {"request": attempt.request.id}))
         except Exception:
             log.exception("exchange_failed", server=self.name)
             status = AttemptStatus.RESET if written else AttemptStatus.UNREACHABLE
         finally:
             if writer is not None:
+                # A close would go on sending what the server has not read, after the attempt's end.
+                if is_unsent(writer):
+                    writer.transport.abort()
                 writer.close()
             self.core.outcomes.attempt_ended(attempt, status, note, reason)
 
