--- a/onyxpass/core/memory_budget.py
+++ b/onyxpass/core/memory_budget.py
@@ -24,6 +24,7 @@
 BUDGET_DIVISOR = 3
 MIN_BUDGET_BYTES = MIB
 FREE_BYTES = 8 * 1024  # of each account
+RESERVED_DIVISOR = 2  # part of the budget for open requests that are held beside their input
 
 
 def max_connections(memory_mb: int) -> int:
@@ -75,6 +76,24 @@
         self._budget.enforce()
         return not self.is_evicted
 
+    def reserve(self, count: int) -> bool:
+        """Charge ``count`` bytes of an open request if they fit; return whether they do.
+
+        Open requests may take a part of the budget only: input needs the rest. Only accounts
+        without a request are evicted for it.
+        """
+        if self._budget.reserved_bytes + count > self._budget.limit_bytes // RESERVED_DIVISOR:
+            return False
+        self._budget.reserved_bytes += count
+        self._budget.set_held(self, self.held_bytes + count)
+        self._budget.enforce(Standing.NO_REQUEST)
+        return True
+
+    def release(self, count: int) -> None:
+        """Give back bytes that were reserved."""
+        self._budget.reserved_bytes -= count
+        self._budget.set_held(self, max(0, self.held_bytes - count))
+
     def settle(self, held_bytes: int) -> None:
         """Set what is still held, once a part of it has been passed on or dropped."""
         self._budget.set_held(self, 0 if self.is_evicted else held_bytes)
@@ -94,6 +113,7 @@
         self.limit_bytes = 0
         self.set_connection_limit(connections)
         self.charged_bytes = 0
+        self.reserved_bytes = 0
         self.evictions = 0
         self._accounts: set[MemoryAccount] = set()
         self._last_number = 0
@@ -125,11 +145,11 @@
         account.held_bytes = held_bytes
         self.charged_bytes += account.charged_bytes
 
-    def enforce(self) -> None:
-        """Evict accounts until the charged bytes are within the limit, as far as some may be."""
+    def enforce(self, highest: Standing = Standing.EXCHANGE) -> None:
+        """Evict accounts, up to this standing, until the charged bytes are within the limit."""
         while self.charged_bytes > self.limit_bytes:
             victim = self._next_victim()
-            if victim is None:
+            if victim is None or victim.standing() > highest:
                 return
             self.evictions += 1
             victim.is_evicted = True
--- a/onyxpass/toolcalls/front.py
+++ b/onyxpass/toolcalls/front.py
@@ -6,6 +6,8 @@
 import asyncio
 import contextlib
 import secrets
+import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -31,6 +33,7 @@
 
 CHARACTERS_PER_TOKEN = 4  # estimate for a request without ``prompt_tokens``
 MAX_ID_CHARACTERS = 128
+MAX_NAME_CHARACTERS = 512  # of a session and of a prefix, as of a header at the HTTP front
 # Time at shutdown in which the connections in the kernel's accept queue are accepted.
 ACCEPT_QUEUE_DELAY_US = 50_000
 # Turns of the event loop after ``ACCEPT_QUEUE_DELAY_US``; some turns do not poll the sockets.
@@ -53,6 +56,7 @@
         self.reader, self.writer, self.id, self.payload = reader, writer, id, payload
         self.request: Request | None = None
         self.answered = False
+        self.on_answered: Callable[[], None] = lambda: None
 
     def _write(self, text: bytes) -> None:
         if not self.writer.is_closing():
@@ -82,6 +86,7 @@
         if not self.answered:
             self.answered = True
             self._write(text)
+            self.on_answered()
 
     def send_error(self, code: int, message: str, **data: object) -> None:
         self._respond(rpc.error(self.id, RpcError(code, message, data=data or None)))
@@ -129,6 +134,7 @@
     writer: asyncio.StreamWriter
     clients: RpcClients
     memory: MemoryAccount
+    requests_memory: MemoryAccount  # of open requests; never evicted
     closed_by_server: bool = False
     # The earliest monotonic time at which the line read last may have arrived.
     arrived_since_ns: int | None = None
@@ -172,7 +178,11 @@
             memory = self.core.memory_budget.open(drop_input, standing)
 
             async def serve(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-                await self._serve_client(Connection(reader, writer, clients, memory))
+                requests_memory = self.core.memory_budget.open(
+                    lambda: None, lambda: Standing.PROTECTED
+                )
+                connection = Connection(reader, writer, clients, memory, requests_memory)
+                await self._serve_client(connection)
 
             protocol = TimedProtocol(reader, serve, loop)
             protocol.memory = memory
@@ -211,6 +221,10 @@
                     message = rpc.parse(line)
                     if isinstance(message, RpcRequest):
                         self._handle(message, connection)
+                        # One decision at a time for each connection: prevents requests of one
+                        # client from queueing before those of all others.
+                        if message.method == "generate":
+                            await self.core.settled()
                     else:
                         log.debug("unexpected_client_response", id=str(message.id)[:80])
                 except RpcError as problem:
@@ -228,8 +242,10 @@
         finally:
             for client in connection.clients.values():
                 self._cancel_request(client)
+                client.on_answered()
             self.connections.pop(task, None)
             memory.close()
+            connection.requests_memory.close()
             writer.close()
 
     def _close_idle_connection(self) -> bool:
@@ -302,6 +318,13 @@
             rpc.string_param(params, "class"),
             rpc.string_param(params, "prompt"),
         )
+        session = rpc.string_param(params, "session", request_id)
+        prefix = rpc.string_param(params, "prefix", "")
+        if max(len(session), len(prefix)) > MAX_NAME_CHARACTERS:
+            raise RpcError(
+                rpc.INVALID_PARAMS,
+                f"session and prefix are up to {MAX_NAME_CHARACTERS} characters",
+            )
         if traffic_class not in self.core.deadlines:
             raise RpcError(
                 rpc.INVALID_PARAMS,
@@ -322,15 +345,26 @@
         arrival = contract.Arrival(
             id=self.core.registry.allocate_number(request_id),
             traffic_class=traffic_class,
-            session=rpc.string_param(params, "session", request_id),
+            session=session,
             deadline_us=arrived_us + timeout_ms * 1000 - min(ANSWER_MARGIN_US, timeout_ms * 500),
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
-            prefix=rpc.string_param(params, "prefix", "") or None,
+            prefix=prefix or None,
             prefix_tokens=rpc.integer_param(params, "prefix_tokens", 0),
         )
         payload = Payload(prompt, max_tokens, traffic_class, is_new_request="request" not in params)
         client = RpcClient(connection.reader, connection.writer, id, payload)
+        held_bytes = sys.getsizeof(prompt)
+        if not connection.requests_memory.reserve(held_bytes):
+            raise RpcError(
+                rpc.REFUSED, "too much is held for other requests", data={"retry_after_ms": 1000}
+            )
+
+        def release() -> None:
+            client.on_answered = lambda: None  # at the answer or at the connection's end, once
+            connection.requests_memory.release(held_bytes)
+
+        client.on_answered = release
         client.request = self.core.submit(request_id, arrival, client, payload)
         return client
 
