--- a/onyxpass/serve.py
+++ b/onyxpass/serve.py
@@ -12,7 +12,7 @@
 from onyxpass import reload_signal
 from onyxpass.config.platform_file import NO_ADDRESS, Config, ConfigError, connection_limit, managed
 from onyxpass.core import event_loop
-from onyxpass.core.clock import Clock, cpu_us
+from onyxpass.core.clock import Clock, cpu_us, peak_resident_kib
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.hot_restart.inherited_listener import inherited_listener
@@ -189,6 +189,9 @@
             "state",
             requests=len(self.core.registry.by_number),
             cpu_us=cpu_us(),
+            peak_resident_kib=peak_resident_kib(),
+            held_bytes=self.core.memory_budget.charged_bytes,
+            evictions=self.core.memory_budget.evictions,
             longest_turn_us=event_loop.take_recent_longest_turn_us(),
             clients=len(self.front.connections),
             connections=self.replicas.budget.open,
