Give each request of the test of partial requests an id of its own

Both requests of test_partial_requests_at_shutdown had the id a1; the second gets 409 since ids that have run are refused, where 503 for the shutdown is meant. The check is the same. Found by the whole suite beside the work (it stood still: after a failed check its clean-up waits for clients that are not closed).

--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -286,8 +286,11 @@
 def test_partial_requests_at_shutdown_are_answered_once_complete_and_refused_if_late() -> None:
     async def scenario() -> None:
         async with running_cluster([Replica(PREFILLED)], [Replica(STREAM)]) as w:
-            text = chat_request("a1", text=b'{"k": "%b"}' % (b"v" * 400))
-            halves = [(raw_client(w, text[:cut]), text[cut:]) for cut in (9, len(text) - 100)]
+            body = b'{"k": "%b"}' % (b"v" * 400)
+            halves = []
+            for request_id, cut in (("a1", 9), ("a2", -100)):
+                text = chat_request(request_id, text=body)
+                halves.append((raw_client(w, text[:cut]), text[cut:]))
             opened = w.dispatcher.front.connections
             await until(lambda: [p.stage for p in opened.values()] == [Stage.READING] * 2)
             stopping = asyncio.create_task(w.dispatcher.stop())
