--- a/onyxpass/core/dispatcher.py
+++ b/onyxpass/core/dispatcher.py
@@ -15,7 +15,7 @@
 
 from onyxpass.core import event_loop
 from onyxpass.core.actor import Actor
-from onyxpass.core.clock import Clock, peak_resident_kib
+from onyxpass.core.clock import Clock
 from onyxpass.core.context import DispatcherContext, enforce
 from onyxpass.core.endpoints import COMPLETE_FORMS, EndpointTable
 from onyxpass.core.final_answers import FinalAnswers
@@ -180,7 +180,6 @@
         rows["svc.client_bytes"] = self.memory_budget.charged_bytes
         rows["svc.client_bytes_limit"] = self.memory_budget.limit_bytes
         rows["svc.memory_evictions"] = self.memory_budget.evictions
-        rows["svc.peak_resident_kib"] = peak_resident_kib()
         return rows | {"svc.violations": self.invariants.violations.total()}
 
     def receive(self, message: contract.Event) -> None:
--- a/tests/support/black_box.py
+++ b/tests/support/black_box.py
@@ -5,6 +5,7 @@
 
 import hashlib
 import http.client
+import itertools
 import json
 import os
 import re
@@ -184,13 +185,17 @@
         connection.close()
 
 
+REQUEST_NUMBERS = itertools.count()
+
+
 def send_request(
     port: int, number: int, traffic_class: str = "part-lookup", tokens: int = 40
 ) -> http.client.HTTPResponse:
     """Send one request to a dispatcher; return the response, whose body has not been read."""
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=20)
     headers = {
-        "x-request-id": f"q{number}",
+        # New with each request, as a client's ids are: one that has run is refused.
+        "x-request-id": f"q{number}-{next(REQUEST_NUMBERS)}",
         "x-priority-class": traffic_class,
         "x-route-key": f"s{number}",
         "x-timeout-ms": "6000",
