Soak: a kill by the soak during a start is no problem of the dispatcher

The soak recorded its own SIGKILL. It knows the process that it killed now; any other end during a start is a problem as before, which the second half of the new test plants (its first half fails without the change).

--- a/onyxpass/soak/dispatchers.py
+++ b/onyxpass/soak/dispatchers.py
@@ -103,6 +103,7 @@
         self.fault_control: FaultControl | None = None
         self.process: asyncio.subprocess.Process | None = None
         self.accepts_clients = False  # whether clients open connections to it
+        self.killed: asyncio.subprocess.Process | None = None  # the process killed last
         self.terminating = False  # whether SIGTERM was sent to its present process
         self.starts = 0
         self.unserved_since_s = 0.0  # since when no process accepts connections; 0: one does
@@ -155,8 +156,8 @@
         self.fault_control, self.process, self.terminating = control, process, False
         due_s = time.monotonic() + READY_TIMEOUT_S
         while not self._logged(b'"listening"', b'"form": "full"'):
-            if process.returncode is not None and self.terminating:
-                return  # it was terminated while it was starting
+            if process.returncode is not None and (self.terminating or process is self.killed):
+                return  # it was terminated or killed by a fault while it was starting
             if process.returncode is not None or time.monotonic() > due_s:
                 state = (
                     f"exit code {process.returncode}"
@@ -243,6 +244,7 @@
         process = self.process
         self.accepts_clients, self.unserved_since_s = False, time.monotonic()
         self.record_disturbance("killed", 0.5)
+        self.killed = process
         if process is not None:
             with contextlib.suppress(ProcessLookupError):
                 process.kill()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from onyxpass.faultshim.control import build_library
 from onyxpass.history_checkers.trace import Event, EventKind, Trace
 from onyxpass.soak.checker import RULES, breaches
 from onyxpass.soak.dispatchers import SoakDispatcher
@@ -318,6 +319,29 @@
     assert [(interval.start_s, interval.end_s) for interval in found] == [(8.2, 9.0)] * intervals
 
 
+@pytest.mark.parametrize(("killed_by_soak", "problems"), [(True, 0), (False, 1)])
+def test_a_kill_during_the_start_is_a_problem_unless_the_soak_did_it(
+    tmp_path: Path, killed_by_soak: bool, problems: int
+) -> None:
+    """Found in a soak (seeds 9110 and 9137): a fault killed a process that another had just started."""
+
+    async def scenario() -> None:
+        records = Records(Trace())
+        dispatcher = SoakDispatcher(1, tmp_path, (Link(1), Link(1)), records, PARAMETERS)
+        dispatcher.write_config()
+        starting = asyncio.create_task(dispatcher.start(build_library(tmp_path)))
+        while dispatcher.process is None:
+            await asyncio.sleep(0)
+        if killed_by_soak:
+            await dispatcher.kill()
+        else:
+            dispatcher.process.kill()
+        await starting
+        assert len(records.problems) == problems, records.problems
+
+    asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
 def test_a_closed_attempt_that_arrives_late_is_no_overlap() -> None:
     """Found in a soak: the link to a reader stalled, so an attempt that was already closed arrived
     while a writer had the request.
