--- a/onyxpass/core/request_ids.py
+++ b/onyxpass/core/request_ids.py
@@ -37,7 +37,7 @@
         buffer: Buffer | None = None,
         lock: Callable[[], AbstractContextManager[None]] = nullcontext,
     ) -> None:
-        """``lock`` keeps other processes from the buffer; its OSError makes a claim fail."""
+        """``lock`` keeps other processes from the buffer during a call."""
         self._now_us = now_us
         self._buffer = memoryview(buffer if buffer is not None else bytearray(TABLE_BYTES))  # type: ignore[arg-type]
         self._lock = lock
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import fcntl
 import random
 import socket
 import subprocess
@@ -26,7 +27,7 @@
 from standins import until
 
 from onyxpass.core.request_ids import REMEMBERED_US, SLOTS, RequestIdTable
-from onyxpass.hot_restart.shared_request_ids import open_shared_table
+from onyxpass.hot_restart.shared_request_ids import FILE_NAME, open_shared_table
 
 SEEDS = range(6860, 6866)
 
@@ -135,3 +136,11 @@
     claimed = [int(process.communicate(timeout=60)[0]) for process in processes]
     assert sum(claimed) == 2000, claimed
     assert not open_shared_table(tmp_path, lambda: 1).claim("r7")
+
+
+def test_a_process_that_stops_with_the_lock_does_not_stop_the_other_one(tmp_path: Path) -> None:
+    """Guards against an event loop that waits for a lock whose holder is suspended."""
+    table = open_shared_table(tmp_path, lambda: 1)
+    with (tmp_path / FILE_NAME).open() as other:
+        fcntl.flock(other, fcntl.LOCK_EX)
+        assert table.claim("a") and not table.claim("a")
