--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -20,6 +20,7 @@
 from onyxpass.core.clock import Clock
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.loop_turn import StepFlow
+from onyxpass.core.memory_budget import Standing
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.net.endpoint_watcher import EndpointListError, JsonObjectSplitter, parse_endpoint_list
 from onyxpass.net.http import HttpConnection, HttpError, read_body
@@ -228,7 +229,9 @@
     front = RpcFront(core, None, Address("127.0.0.1", 0), 9)  # type: ignore[arg-type]
     call_params = {**params, "class": "light", "prompt": "x"} if valid else params
     try:
-        client = front._generate(1, call_params, Connection(None, None, {}, None))  # type: ignore[arg-type]
+        account = core.memory_budget.open(lambda: None, lambda: Standing.PROTECTED)
+        connection = Connection(None, None, {}, account, account)  # type: ignore[arg-type]
+        client = front._generate(1, call_params, connection)
     except rpc.RpcError as error:
         assert error.code in (rpc.INVALID_PARAMS, rpc.INVALID_REQUEST)
     else:
