--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -231,10 +231,11 @@
     try:
         account = core.memory_budget.open(lambda: None, lambda: Standing.PROTECTED)
         connection = Connection(None, None, {}, account, account)  # type: ignore[arg-type]
-        client = front._generate(1, call_params, connection)
+        front._generate(1, call_params, connection)
     except rpc.RpcError as error:
         assert error.code in (rpc.INVALID_PARAMS, rpc.INVALID_REQUEST)
     else:
+        client = connection.clients[1]
         assert client.request is not None
         client.has_disconnected = lambda: False  # type: ignore[method-assign]
         core.receive(client.request.arrival)
