End a stream whose framing is unsound: only content counts as progress

The limit on a chunk's bytes began anew with each part that was forwarded, and size lines, extensions, trailers, comments and blank lines counted as bytes that come. Ruled out: a server that was silent from the start (the times differ by the lengths of usual answers), the client's connection, a migration, a signal. Why it works: what a chunk or length states is checked before it is read, at every HTTP connection. How long a part may take is decided in response_deadline.py, without I/O, by content alone. Requests: 408 before, 413 now.

--- a/onyxpass/net/byte_blocks.py
+++ b/onyxpass/net/byte_blocks.py
@@ -25,6 +25,10 @@
             self._blocks[-1] += view[:room]
             view = view[room:]
 
+    def first_byte(self) -> bytes:
+        """Return the first byte; none if there is none."""
+        return bytes(self._blocks[0][:1]) if self._blocks else b""
+
     def content(self) -> bytes:
         """Return all parts as one."""
         return b"".join(self._blocks)
--- a/onyxpass/net/endpoint_watcher.py
+++ b/onyxpass/net/endpoint_watcher.py
@@ -301,6 +301,7 @@
         async with wheel.timeout(round(CONNECT_TIMEOUT_MS * 1000)):
             streams = await asyncio.open_connection(self.discovery.host, self.discovery.port)
         wire = HttpConnection(h11.CLIENT, *streams)
+        wire.limit_chunks(MAX_LIST_BYTES)
         try:
             if self.seq is None:
                 await self._fetch_list(wire)
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -14,7 +14,7 @@
 from onyxpass.core.memory_budget import MemoryAccount, MemoryBudget, Standing
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.net.byte_blocks import ByteBlocks
-from onyxpass.net.line_limit import TOO_MANY_LINES_STATUS, LineLimit
+from onyxpass.net.framing_limits import TOO_MANY_LINES_STATUS, FramingLimits
 from onyxpass.net.step_cost import STEP_NS, input_cost_ns
 from onyxpass.net.tcp import acknowledged
 
@@ -39,6 +39,7 @@
 
 
 OUT_OF_MEMORY_STATUS = 503
+TOO_LARGE_STATUS = 413  # Content Too Large
 WAKE_UP_BYTE = b"\0"  # wakes a task that waits for input; never parsed
 
 
@@ -119,7 +120,7 @@
         self.reader: asyncio.StreamReader = reader
         self.writer: asyncio.StreamWriter = writer
         self.h11 = h11.Connection(role, max_incomplete_event_size=HEAD_LIMIT)
-        self._line_limit = LineLimit(self.h11)
+        self._framing = FramingLimits(self.h11, BODY_LIMIT)
         self._next_step_cost_ns = STEP_NS
         self._step_flow = StepFlow(
             StepPriority.NEW_REQUEST if role is h11.SERVER else StepPriority.OPEN_REQUEST
@@ -178,6 +179,10 @@
             self._end_exchange, lambda: self._memory_standing
         )
 
+    def limit_chunks(self, max_bytes: int) -> None:
+        """Set the largest chunk that is accepted, in bytes, if it is not that of usual bodies."""
+        self._framing.max_chunk_bytes = max_bytes
+
     def begin_exchange(self, on_evicted: Callable[[], None]) -> None:
         """Charge what arrives to an exchange, until the next cycle.
 
@@ -249,8 +254,10 @@
 
     def poll(self) -> h11.Event | type[h11.PAUSED] | None:
         """Return the next event from bytes already received; None if more bytes are needed."""
-        if self._line_limit.is_exceeded():
+        if self._framing.has_too_many_lines():
             raise HttpError("too many header lines", TOO_MANY_LINES_STATUS)
+        if self._framing.chunk_is_too_large():
+            raise HttpError("a chunk exceeds the size limit", TOO_LARGE_STATUS)
         try:
             event = self.h11.next_event()
         except h11.RemoteProtocolError as error:
@@ -262,7 +269,7 @@
             self.unparsed_bytes -= len(event.data)
         elif isinstance(event, h11.Request):
             self._charge_fields(len(event.headers))
-        self._line_limit.parsed(event)  # type: ignore[arg-type]
+        self._framing.parsed(event)  # type: ignore[arg-type]
         return event  # type: ignore[return-value]
 
     def _charge_fields(self, count: int) -> None:
@@ -273,7 +280,7 @@
     def start_next_cycle(self) -> None:
         """Prepare for the next message once both sides have ended the present one."""
         self.h11.start_next_cycle()
-        self._line_limit.begin_message()
+        self._framing.begin_message()
         self.settle_memory()
 
     async def read_more(self) -> None:
@@ -296,7 +303,7 @@
         except (h11.RemoteProtocolError, RuntimeError) as error:
             raise HttpError(str(error)) from error
         self.unparsed_bytes += len(data)
-        head_lines = self._line_limit.received(data)
+        head_lines = self._framing.received(data)
         self._next_step_cost_ns += input_cost_ns(len(data), head_lines)
 
     @property
@@ -429,7 +436,7 @@
             event = await wire.next_event()
             if isinstance(event, h11.Data):
                 if body.size + len(event.data) > max_bytes:
-                    raise HttpError("body too large", 413)
+                    raise HttpError("body too large", TOO_LARGE_STATUS)
                 body.append(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return body.take()
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -32,6 +32,7 @@
     Part,
     ResponseReader,
     WaitInterrupted,
+    contains_data,
     is_framed,
 )
 from onyxpass.scheduling.contract import (
@@ -421,7 +422,6 @@
                 part = await self._next_part(
                     incoming,
                     STREAM_STALL_TIMEOUT_US if attempt.committed else FIRST_EVENT_TIMEOUT_US,
-                    events.has_partial_event,
                 )
             except WaitInterrupted:
                 continue
@@ -431,7 +431,8 @@
                 incoming.settle(events.partial_bytes + len(complete) + client.unsent_bytes)
                 if not complete:
                     continue
-                incoming.event_completed()
+                if is_progress(attempt, events, complete):
+                    incoming.event_completed()
                 if not self.core.outcomes.stream_event_received(attempt):
                     raise HttpError("the request does not accept this stream any more")
                 # bounded, so that a client that reads nothing does not occupy the replica for ever
@@ -448,12 +449,10 @@
             else:
                 raise HttpError("connection closed within the stream")
 
-    async def _next_part(
-        self, incoming: ResponseReader, silence_us: int, within_event: bool
-    ) -> Part:
+    async def _next_part(self, incoming: ResponseReader, silence_us: int) -> Part:
         self.streams.add(incoming)
         try:
-            return await incoming.next(silence_us, within_event)
+            return await incoming.next(silence_us)
         finally:
             self.streams.discard(incoming)
 
@@ -501,6 +500,16 @@
                 self._return_connection(wire)
 
 
+def is_progress(attempt: Attempt, events: EventSplitter, complete: bytes) -> bool:
+    """Return whether events bring a stream further: its first ones, and those with data up to its end.
+
+    Prevents comments, or events after the last one, from keeping a stream open for ever.
+    """
+    if not attempt.committed:
+        return True
+    return contains_data(complete) and not events.ended_before_latest
+
+
 def max_idle_us(idle_us: int) -> int:
     """Return how long an idle connection is reusable if the replica closes it after ``idle_us``."""
     return max(0, idle_us - IDLE_MARGIN_US)
--- a/onyxpass/net/response_reader.py
+++ b/onyxpass/net/response_reader.py
@@ -12,19 +12,18 @@
 from onyxpass.core.timer_wheel import Timeout, TimerWheel
 from onyxpass.net.byte_blocks import ByteBlocks
 from onyxpass.net.http import BODY_LIMIT, HttpConnection, HttpError, buffered_bytes, header
+from onyxpass.net.response_deadline import ResponseDeadline, Wait
 
 MAX_EVENT_BYTES = BODY_LIMIT  # maximum size of one event, and of one chunk
 TAIL_BYTES = 512  # last bytes of the stream that are searched for the usage
 USAGE_PATTERN = re.compile(rb'"completion_tokens"\s*:\s*([0-9]{1,9})')
-# Maximum silence within a head, chunk or event that has begun; while a stream is forwarded, only
-# once the time of the event is used up.
-PART_SILENCE_US = 1_000_000
-MAX_EVENT_TIME_US = 30_000_000  # from the first byte of an event to its last
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 END_OVERLAP = 2  # bytes of the end of an event that may have come with an earlier part
 # part of a response: its head, a complete chunk, or its end
 Part = h11.Event | type[h11.PAUSED] | bytes
 EVENT_FIELDS = (b"data", b"event", b"id", b"retry", b"")  # the empty name marks a comment
+DATA_LINE_PATTERN = re.compile(rb"(?:\A|[\r\n])data[:\r\n]")
+COMMENT_MARK = b":"
 LAST_EVENT_DATA = "[DONE]"
 
 
@@ -57,9 +56,8 @@
         self._within_chunk = False  # a part of an incomplete chunk was returned
         self._last_chunk_end = b""  # last two bytes of the last complete chunk
         self._size = 0
-        self._last_read_us = 0  # when bytes came last
-        self._complete_us = 0  # when the last head or event was complete
-        self._began_us = 0  # when the present head, chunk or event began; 0: none has
+        self._in_body = False
+        self._deadline = ResponseDeadline()
         self._lookahead: h11.Event | type[h11.PAUSED] | None = None
 
     @property
@@ -103,15 +101,14 @@
             self._wait.expire()
 
     def event_completed(self) -> None:
-        """Record that an event is complete; the time of the next one counts from here."""
-        self._complete_us, self._began_us = self.wheel.clock.now_us(), 0
+        """Record that an event with data is complete; the time of the next one counts from here."""
+        self._deadline.part_completed(self.wheel.clock.now_us())
 
-    async def next(self, silence_us: int | None = None, within_event: bool = False) -> Part:
+    async def next(self, silence_us: int | None = None) -> Part:
         """Return the next part.
 
-        ``silence_us`` limits a wait without any byte of the part. A part that has begun, or an event
-        (``within_event``), goes on while its bytes come; in a stream that is forwarded it has that
-        time from the last complete event in any case.
+        ``silence_us`` limits a wait in which nothing has begun; ``ResponseDeadline`` decides how
+        long what has begun may take.
         """
         while True:
             if self.wire.out_of_memory:
@@ -121,17 +118,24 @@
             if event is None:
                 event = self.wire.poll()
             if event is None:
-                await self._read_more(silence_us, within_event)
+                await self._read_more(silence_us)
             elif isinstance(event, h11.Data):
+                self._deadline.content_received(self.wheel.clock.now_us())
                 if (part := self._add_data(event)) is not None:
                     return part
             else:
                 self.event_completed()
                 self.begun = True
                 if isinstance(event, h11.Response):
-                    self.chunked = is_chunked(event)
+                    self._begin_body(event)
                 return event
 
+    def _begin_body(self, head: h11.Response) -> None:
+        self.chunked, self._in_body = is_chunked(head), True
+        length = header(head, b"content-length")
+        if length is not None and int(length) > MAX_EVENT_BYTES:
+            raise HttpError("a body exceeds the size limit")
+
     def _add_data(self, event: h11.Data) -> bytes | None:
         self._parts.append(bytes(event.data))
         self._size += len(event.data)
@@ -148,22 +152,33 @@
         self._last_chunk_end = part[-2:]
         return part
 
-    async def _read_more(self, silence_us: int | None, within_event: bool) -> None:
+    async def _read_more(self, silence_us: int | None) -> None:
         """Read more bytes; HttpError if none come for too long."""
-        begun = self._chunk_begun or within_event
+        wait = self._next_wait(silence_us)
         if self._interrupted and not self._chunk_begun:
             self._interrupted = False
             raise WaitInterrupted
-        if not begun and silence_us is None:  # the timer of the attempt ends the wait
+        if not wait.begun and silence_us is None:  # the timer of the attempt ends the wait
             await self.wire.read_more()
         else:
-            await self._read_in_time(silence_us, begun)
-        self._last_read_us = self.wheel.clock.now_us()
+            await self._read_in_time(wait)
+        if not self._in_body:
+            self._deadline.content_received(self.wheel.clock.now_us())
         self.begun = self.begun or self.wire.pending
 
-    async def _read_in_time(self, silence_us: int | None, begun: bool) -> None:
+    def _next_wait(self, silence_us: int | None) -> Wait:
+        wait = Wait(silence_us or 0, begun=self._chunk_begun, forwarding=self.forwarding)
+        if (events := self.events) is not None:
+            wait.begun = wait.begun or events.has_partial_event
+            wait.within_event = events.has_partial_event and not events.partial_is_comment
+            within_body = self._within_chunk or not self.chunked
+            wait.within_body_after_end = events.has_last_event and within_body
+        return wait
+
+    async def _read_in_time(self, wait: Wait) -> None:
         can_interrupt = not self._chunk_begun
-        timeout = self.wheel.timeout(self._time_left_us(silence_us or 0, begun))
+        now_us = self.wheel.clock.now_us()
+        timeout = self.wheel.timeout(self._deadline.due_us(wait, now_us) - now_us)
         try:
             async with timeout:
                 self._wait = timeout if can_interrupt else None
@@ -173,22 +188,13 @@
                 self._interrupted = False
                 raise WaitInterrupted from None
             raise HttpError(
-                "incomplete head or chunk timed out" if begun else "no data within the time limit"
+                "incomplete head or chunk timed out"
+                if wait.begun
+                else "no data within the time limit"
             ) from None
         finally:
             self._wait = None
 
-    def _time_left_us(self, silence_us: int, begun: bool) -> int:
-        """Return how long the next bytes may take, so that a slow server is not cut off."""
-        if not begun:
-            return silence_us
-        now_us = self.wheel.clock.now_us()
-        self._began_us = self._began_us or now_us
-        due_us = (self._last_read_us or now_us) + PART_SILENCE_US
-        if self.forwarding:
-            due_us = max(due_us, self._complete_us + silence_us)
-        return min(due_us, self._began_us + MAX_EVENT_TIME_US) - now_us
-
 
 class EventSplitter:
     """Splits a body into complete server-sent events, unchanged; the first one is validated."""
@@ -206,6 +212,8 @@
         self._opened = partial is not None
         # Whether the event that ends every complete answer has come.
         self.has_last_event = has_last_event
+        # Whether it had come before the events returned last.
+        self.ended_before_latest = has_last_event
         self.tail = b""  # last bytes of the events returned so far
 
     def feed(self, data: bytes) -> bytes:
@@ -225,6 +233,7 @@
         if not complete and self.partial_bytes > MAX_EVENT_BYTES:
             raise HttpError("an event exceeds the size limit")
         if complete:
+            self.ended_before_latest = self.has_last_event
             self.has_last_event = self.has_last_event or contains_last_event(complete)
             is_long = len(complete) >= TAIL_BYTES
             self.tail = complete if is_long else (self.tail + complete)[-TAIL_BYTES:]
@@ -270,6 +279,11 @@
         """Whether an event is partly received."""
         return self._partial.size > 0
 
+    @property
+    def partial_is_comment(self) -> bool:
+        """Whether the event that is partly received begins as a comment."""
+        return self._partial.first_byte() == COMMENT_MARK
+
 
 def split_event_lines(text: str) -> list[str]:
     """Return the lines of events, of which an empty one ends each event."""
@@ -292,6 +306,11 @@
     return False
 
 
+def contains_data(events: bytes) -> bool:
+    """Return whether one of these complete events carries data, and is not only a comment."""
+    return DATA_LINE_PATTERN.search(events) is not None
+
+
 def has_data_event(text: bytes, is_first: bool = True) -> bool:
     """Return whether one of these complete events carries data.
 
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -15,8 +15,8 @@
 from fault_injection import ChildProcess, open_connection, servers_and_config
 from test_endless_input import CLASS_TIME_MS, Play, chunk
 
+from onyxpass.net.framing_limits import MAX_LINES
 from onyxpass.net.http import BODY_LIMIT
-from onyxpass.net.line_limit import MAX_LINES
 
 MEGABYTE = 1_000_000
 LEAST_MEMORY_MB = 32
--- a/tests/test_costly_input.py
+++ b/tests/test_costly_input.py
@@ -34,8 +34,8 @@
     step_waits,
 )
 from onyxpass.net.connections import ClientConnection
+from onyxpass.net.framing_limits import MAX_LINES
 from onyxpass.net.http import HttpConnection, HttpError, read_body
-from onyxpass.net.line_limit import MAX_LINES
 
 STEP_US = 1_000
 MANY_STEPS = 200
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -39,7 +39,7 @@
     dialer,
     front,
     poll_schedule,
-    response_reader,
+    response_deadline,
 )
 from onyxpass.net import replica as net_replica
 from onyxpass.net.client import HttpClient
@@ -664,7 +664,7 @@
 def test_a_stream_corrupted_before_its_first_event_may_have_run(
     monkeypatch: pytest.MonkeyPatch, text: bytes
 ) -> None:
-    monkeypatch.setattr(response_reader, "PART_SILENCE_US", 100_000)
+    monkeypatch.setattr(response_deadline, "PART_SILENCE_US", 100_000)
 
     async def scenario() -> None:
         async with running_cluster(
@@ -687,7 +687,7 @@
 def test_a_stream_corrupted_later_is_aborted_soon(
     monkeypatch: pytest.MonkeyPatch, text: bytes
 ) -> None:
-    monkeypatch.setattr(response_reader, "PART_SILENCE_US", 100_000)
+    monkeypatch.setattr(response_deadline, "PART_SILENCE_US", 100_000)
     monkeypatch.setattr(net_replica, "STREAM_STALL_TIMEOUT_US", 100_000)
 
     async def scenario() -> None:
--- a/tests/test_stream_migration.py
+++ b/tests/test_stream_migration.py
@@ -15,8 +15,8 @@
 
 from onyxpass.core.timer_wheel import TimerWheel
 from onyxpass.net import stream_migration
+from onyxpass.net.framing_limits import MAX_LINES
 from onyxpass.net.http import HttpConnection
-from onyxpass.net.line_limit import MAX_LINES
 from onyxpass.net.response_reader import ResponseReader
 from onyxpass.scheduling import contract
 from onyxpass.scheduling.contract import AttemptStatus
--- a/tests/test_unsound_framing.py
+++ b/tests/test_unsound_framing.py
@@ -6,12 +6,15 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable, Sequence
 
-from cluster import EVENTS, HEAD, PREFILLED, Replica, respond_with, running_cluster
+import pytest
+from cluster import EVENTS, HEAD, PREFILLED, STREAM, Cluster, Replica, respond_with, running_cluster
 from fault_injection import run_async
 from test_endless_input import chunk
 from test_slow_streams import (
+    CLASS_TIME_MS,
     EVENT,
     LAST_CHUNK,
     MAX_CLIENT_WAIT_S,
@@ -25,6 +28,7 @@
 SEED = 7130
 EVENT_PAUSE_S = 0.04  # of a healthy stream
 ENDLESS_S = 9.0  # longer than a client may wait
+SOON_S = 1.0
 Pieces = Sequence[tuple[float, bytes | None]]
 Draw = Callable[[random.Random], Pieces]
 
@@ -128,6 +132,72 @@
     run_async(scenario())
 
 
+OPENINGS: dict[str, bytes] = {
+    "a chunk of gigabytes": HEAD + b"c0000000\r\n" + EVENTS[0],
+    "a size line of digits": HEAD + b"1a00000",
+    "a length of gigabytes": HEAD.replace(
+        b"Transfer-Encoding: chunked", b"Content-Length: 3221225472"
+    )
+    + EVENTS[0],
+}
+
+
+@pytest.mark.parametrize("role", ["reader", "writer"])
+@pytest.mark.parametrize("kind", OPENINGS)
+def test_an_answer_that_opens_with_an_impossible_size_gives_way_to_another_server(
+    kind: str, role: str
+) -> None:
+    """Guards against an attempt that waits, for as long as it may, for what can't come."""
+
+    async def scenario() -> None:
+        opening = OPENINGS[kind]
+        if role == "reader":
+            opening = opening.replace(b"200 OK", b"202 Accepted")
+
+        async def answer(
+            self: Replica, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _: bytes
+        ) -> None:
+            writer.write(opening)
+            while not writer.is_closing():
+                writer.write(b" ")
+                await writer.drain()
+                await asyncio.sleep(EVENT_PAUSE_S)
+
+        readers = [Replica(answer, PREFILLED) if role == "reader" else Replica(PREFILLED)]
+        writers = [Replica(answer, STREAM) if role == "writer" else Replica(STREAM)]
+        async with running_cluster(readers, writers) as w:
+            began_s = time.monotonic()
+            received = await w.request("a1", ms=CLASS_TIME_MS)
+            assert received.startswith(b"HTTP/1.1 200") and received.endswith(LAST_CHUNK)
+            assert time.monotonic() - began_s <= SOON_S
+
+    run_async(scenario())
+
+
+async def rejection(cluster: Cluster, text: bytes) -> tuple[bytes, float]:
+    """Send an unfinished request; return the status line of its answer, and how long it took."""
+    began_s = time.monotonic()
+    reader, writer = await cluster.send(text)
+    status = await reader.readline()
+    writer.transport.abort()
+    return status, time.monotonic() - began_s
+
+
+@pytest.mark.parametrize("size", [BODY_LIMIT + 1, 3 * 2**30, 2**79])
+def test_a_request_is_rejected_as_soon_as_it_states_an_impossible_size(size: int) -> None:
+    async def scenario() -> None:
+        head = (
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        async with running_cluster([Replica(PREFILLED)], [Replica(STREAM)]) as w:
+            for text in (head + b"%x\r\n{" % size, head + chunk(b"{") + b"%x" % size):
+                status, took_s = await rejection(w, text)
+                assert b" 413 " in status
+                assert took_s <= SOON_S
+
+    run_async(scenario())
+
+
 def test_the_largest_chunk_that_a_body_can_have_is_accepted() -> None:
     async def scenario() -> None:
         event = b'data: {"a":"%b"}\n\n'
