--- a/onyxpass/core/final_answers.py
+++ b/onyxpass/core/final_answers.py
@@ -8,7 +8,7 @@
 import structlog
 
 from onyxpass.core.context import DispatcherContext, enforce
-from onyxpass.core.reasons import Reason
+from onyxpass.core.reasons import DisconnectReason, Reason
 from onyxpass.core.requests import Request
 from onyxpass.invariants import Rule
 from onyxpass.scheduling import contract
@@ -93,11 +93,13 @@
         log.warning("overdue", id=request.id)
         self.fail_and_stop(request, "no answer in time", AttemptStatus.TIMED_OUT)
 
-    def client_disconnected(self, request: Request) -> None:
+    def client_disconnected(
+        self, request: Request, why: DisconnectReason = DisconnectReason.CLOSED
+    ) -> None:
         """Finish a request whose client has left and stop its attempt in flight."""
         if request.finished:
             return
-        log.info("client_gone", id=request.id, committed=request.committed is not None)
+        log.info("client_gone", id=request.id, committed=request.committed is not None, why=why)
         context = self._context
         context.registry.finish(request)
         context.invariants.record_client_disconnect(request.id, context.clock.now_us())
--- a/onyxpass/core/reasons.py
+++ b/onyxpass/core/reasons.py
@@ -23,6 +23,13 @@
     ATTEMPTS_FAILED = "its attempts failed"
 
 
+class DisconnectReason(StrEnum):
+    """Why the client of an open request counts as gone."""
+
+    CLOSED = "its connection has ended"
+    EXTRA_BYTES = "bytes behind its open request"
+
+
 class CloseReason(StrEnum):
     """Why a client's connection has ended; counted, and logged every few seconds."""
 
--- a/onyxpass/net/framing_limits.py
+++ b/onyxpass/net/framing_limits.py
@@ -26,6 +26,7 @@
 
     def __init__(self, connection: h11.Connection, max_chunk_bytes: int) -> None:
         self.max_chunk_bytes = max_chunk_bytes
+        self.stated_bytes = 0  # the size that the latest chunk stated
         self._connection = connection
         # Of the message whose body is being received: whether it is chunked; None before its body.
         # The head itself is not kept, which may be large.
@@ -78,7 +79,7 @@
         buffered = self._buffered()
         if (stated := STATED_SIZE_PATTERN.match(buffered)) is None:
             return False
-        size = int(stated[1], 16)
+        size = self.stated_bytes = int(stated[1], 16)
         # Prevents taking the name of a trailer for a size.
         self._in_trailers = size == 0 and b"\n" in buffered[stated.end() :]
         return size > self.max_chunk_bytes
--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -13,7 +13,7 @@
 
 from onyxpass.config.platform_file import Address
 from onyxpass.core.dispatcher import RequestDispatcher
-from onyxpass.core.reasons import CloseReason
+from onyxpass.core.reasons import CloseReason, DisconnectReason
 from onyxpass.core.requests import Request
 from onyxpass.net.bad_request_limiter import BadRequestLimiter
 from onyxpass.net.client import HttpClient
@@ -506,8 +506,11 @@
                 if watch.done():
                     wire.receive(watch.result())
                 return
-            self.core.answers.client_disconnected(request)
-            if watch.result() and not client.stream_begun:
+            sent_more = bool(watch.result())
+            self.core.answers.client_disconnected(
+                request, DisconnectReason.EXTRA_BYTES if sent_more else DisconnectReason.CLOSED
+            )
+            if sent_more and not client.stream_begun:
                 raise HttpError("bytes behind an open request", 400)
             client.broken = True
             client.done.set()
--- a/tests/test_reasons.py
+++ b/tests/test_reasons.py
@@ -19,7 +19,7 @@
     until,
 )
 
-from onyxpass.core.reasons import CloseReason, Reason
+from onyxpass.core.reasons import CloseReason, DisconnectReason, Reason
 
 CUT_STREAM = break_connection(
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -27,6 +27,12 @@
 )
 
 
+OVERSIZED_CHUNK = break_connection(
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"c0000000\r\n"
+)
+
+
 async def wait_for_close(w: Cluster, reason: CloseReason) -> None:
     await until(lambda: w.dispatcher.front.connections.closed[reason] == 1)
     assert w.dispatcher.front.connections.closed.total() == 1
@@ -80,6 +86,35 @@
 
 
 def test_the_reasons_of_each_enum_have_distinct_values() -> None:
-    for reasons in (Reason, CloseReason):
+    for reasons in (Reason, CloseReason, DisconnectReason):
         assert len({reason.value for reason in reasons}) == len(reasons)
     assert not Reason.NONE, "NONE is falsy"
+
+
+@pytest.mark.parametrize("reason", DisconnectReason)
+def test_a_client_that_is_gone_is_logged_with_the_reason(
+    logged: list[Any], reason: DisconnectReason
+) -> None:
+    async def scenario() -> None:
+        async with running_cluster([Replica(never_answer)], [Replica(STREAM)]) as w:
+            _, writer = await w.send(chat_request("a1"))
+            await until(lambda: w.readers[0].heads)
+            if reason is DisconnectReason.EXTRA_BYTES:
+                writer.write(b"POST")
+            else:
+                writer.close()
+            await until(lambda: any(line["event"] == "client_gone" for line in logged))
+            writer.close()
+
+    run_async(scenario)
+    assert [line["why"] for line in logged if line["event"] == "client_gone"] == [reason]
+
+
+def test_an_impossible_size_of_a_chunk_is_logged(logged: list[Any]) -> None:
+    async def scenario() -> None:
+        async with running_cluster([Replica(PREFILLED)], [Replica(OVERSIZED_CHUNK)]) as w:
+            await w.request("a1", "once")
+
+    run_async(scenario)
+    (why,) = (line["why"] for line in logged if line["event"] == "attempt")
+    assert "3,221,225,472 bytes" in why
