Failing test: sound chunks in reads of their own are taken for sizes of gigabytes

The test plays sound servers, readers, clients and a sound discovery against one real process: chunks and writes that end anywhere, with content of hexadecimal digits and many short lines.

--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -60,13 +60,17 @@
 
 @contextlib.asynccontextmanager
 async def servers_and_config(
-    folder: Path, readers: Sequence[Replica], writers: Sequence[Replica], **keys: object
+    folder: Path,
+    readers: Sequence[Replica],
+    writers: Sequence[Replica],
+    discovery: Discovery | None = None,
+    **keys: object,
 ) -> AsyncIterator[tuple[Path, Discovery]]:
     """Start these servers and a discovery server, and write the file of a dispatcher for them.
 
     ``keys`` are keys of that file.
     """
-    discovery = Discovery()
+    discovery = discovery or Discovery()
     for kind, replicas in (("r", readers), ("w", writers)):
         for number, replica in enumerate(replicas):
             await replica.start()
