--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import socket
 import sys
 import tempfile
 from collections.abc import AsyncIterator, Coroutine, Mapping, Sequence
@@ -167,3 +168,14 @@
         await self.child.wait()
         await self._reading
         self.child._transport.close()  # type: ignore[attr-defined]
+
+
+async def start_with_socket(
+    path: Path, inherited: socket.socket, **environment: str
+) -> ChildProcess:
+    """Start a dispatcher that inherits its clients' socket; ``environment`` adds variables."""
+    descriptor = inherited.fileno()
+    environment["ROUTER_PASSED_SOCKET"] = str(descriptor)
+    return await ChildProcess.start(
+        "serve", "--config", str(path), environment=environment, pass_fds=(descriptor,)
+    )
--- a/tests/hot_restart/test_inherited_listener.py
+++ b/tests/hot_restart/test_inherited_listener.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from cluster import PREFILLED, STREAM, Replica, chat_request
-from fault_injection import ChildProcess, open_connection, run_async, servers_and_config
+from fault_injection import open_connection, run_async, servers_and_config, start_with_socket
 
 WAITED_S = 1.5
 WAIT_MS = 5_000
@@ -16,15 +16,6 @@
 SLACK_MS = 150
 
 
-async def start_with_socket(path: Path, inherited: socket.socket) -> ChildProcess:
-    """Start a dispatcher that inherits its clients' socket."""
-    descriptor = inherited.fileno()
-    environment = {"ROUTER_PASSED_SOCKET": str(descriptor)}
-    return await ChildProcess.start(
-        "serve", "--config", str(path), environment=environment, pass_fds=(descriptor,)
-    )
-
-
 def test_a_request_that_waited_for_the_next_process_tells_the_time_left(tmp_path: Path) -> None:
     async def scenario() -> None:
         reader, writer = Replica(PREFILLED), Replica(STREAM)
--- a/tests/test_sound_framing.py
+++ b/tests/test_sound_framing.py
@@ -8,11 +8,20 @@
 import contextlib
 import json
 import random
+import socket
 from pathlib import Path
 
 from cluster import EVENTS, HEAD, Discovery, Replica
-from fault_injection import ChildProcess, open_connection, run_async, servers_and_config
-from sound_framing import LAST_CHUNK, digits, write_in_parts
+from fault_injection import (
+    ChildProcess,
+    open_connection,
+    run_async,
+    servers_and_config,
+    start_with_socket,
+)
+from sound_framing import LAST_CHUNK, cut, digits, write_in_parts
+from standins import until
+from test_endless_input import chunk
 
 from onyxpass.net.framing_limits import MAX_LINES
 
@@ -115,3 +124,51 @@
     """Guards against streams, requests and lists that are ended for a size that nobody stated."""
     wrong = {seed: run_async(play(tmp_path, seed)) for seed in SEEDS}
     assert not any(wrong.values()), wrong
+
+
+class SlowServer(SoundServer):
+    """Writes each size line, each content and each line end apart."""
+
+    @staticmethod
+    async def answer(
+        self: Replica, _: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+    ) -> None:
+        assert isinstance(self, SlowServer)
+        writer.write(HEAD)
+        for content in cut(self.random_source, self.draw_body(), 200):
+            for part in (b"%x\r\n" % len(content), content, b"\r\n"):
+                writer.write(part)
+                await asyncio.sleep(self.random_source.uniform(0.0, 0.05))
+        writer.write(LAST_CHUNK)
+
+
+def test_streams_that_migrate_at_any_moment_are_complete(tmp_path: Path) -> None:
+    """Guards against a stream that is handed over behind a size line, and is then read as unsound."""
+
+    async def scenario() -> None:
+        servers = [SlowServer(7420)]
+        async with servers_and_config(tmp_path, [SoundReader(7420)], servers) as (path, _):
+            with socket.create_server(("127.0.0.1", 0)) as listening:
+                port = listening.getsockname()[1]
+                environment = {"TMPDIR": str(tmp_path)}
+                old = await start_with_socket(path, listening, **environment)
+                await old.wait_for_event("list", form="full")
+
+                async def request(number: int) -> bytes:
+                    async with open_connection(port) as (reader, writer):
+                        writer.write(REQUEST_HEAD % number + chunk(b"{}") + LAST_CHUNK)
+                        return await reader.read()
+
+                requests = [asyncio.create_task(request(number)) for number in range(REQUESTS)]
+                await until(lambda: len(servers[0].heads) == REQUESTS)
+                new = await start_with_socket(path, listening, **environment)
+                await new.wait_for_event("list", form="full")
+                assert await old.terminate() == 0
+                answers = await asyncio.gather(*requests)
+                assert await new.terminate() == 0
+            incomplete = sum(not answer.endswith(LAST_CHUNK) for answer in answers)
+            assert old.events("stream_migrated")
+            reasons = [line.get("why") for line in new.events("attempt")]
+            assert not incomplete, (incomplete, reasons)
+
+    run_async(scenario())
