Migrate a stream only where the next byte begins a size line

Cause: "between two chunks" was worked out from the last two bytes received and what h11 held; both look the same behind a size line that h11 has taken. The next process then read content as a size line. Ruled out: streams that arrive in whole chunks (all tests so far), the message between the processes (unchanged). Why it works: the position in the framing is followed from the first byte, and tells this place from all others. Test changed: a chunk whose content ends in a line end was expected not to migrate because it could not be told from an incomplete one; it can be told now, and the incomplete one still does not.

--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -129,7 +129,6 @@
         # number of the server's exclusions and inclusions when this connection was opened
         self.generation = 0
         self.read_count = 0
-        self.last_two_bytes = b""
         self.timed_protocol: TimedProtocol | None = None  # set if arrival times are recorded
         self.memory: MemoryAccount | None = None  # set if the process bounds what it holds
         self.partial_body = ByteBlocks()  # of the message that is being read
@@ -294,7 +293,6 @@
         self.received_since_ns = (
             self.timed_protocol.take_since() if self.timed_protocol is not None else None
         )
-        self.last_two_bytes = (self.last_two_bytes + data[-2:])[-2:]
         self.receive(data)
 
     def receive(self, data: bytes) -> None:
@@ -307,6 +305,12 @@
         head_lines = self._framing.received(data)
         self._next_step_cost_ns += input_cost_ns(len(data), head_lines)
 
+    @property
+    def is_between_chunks(self) -> bool:
+        """Whether the next byte to come is the first one of a chunk of the present body."""
+        body = self._framing.chunked_body
+        return body is not None and body.is_between_chunks
+
     @property
     def pending(self) -> bool:
         """Whether h11 holds received bytes that are not part of a returned event."""
--- a/onyxpass/net/response_reader.py
+++ b/onyxpass/net/response_reader.py
@@ -54,7 +54,6 @@
         self.forwarding = False
         self._parts: list[bytes] = []
         self._within_chunk = False  # a part of an incomplete chunk was returned
-        self._last_chunk_end = b""  # last two bytes of the last complete chunk
         self._size = 0
         self._in_body = False
         self._deadline = ResponseDeadline()
@@ -62,13 +61,8 @@
 
     @property
     def at_chunk_boundary(self) -> bool:
-        """Whether all bytes received form complete chunks.
-
-        The line end after the last chunk must have been received as well.
-        """
-        # not decidable if the chunk's own data ends in CRLF
-        ended = self.wire.last_two_bytes == b"\r\n" != self._last_chunk_end
-        return self.chunked and ended and not (self._lookahead or self._chunk_begun)
+        """Whether all bytes received form complete chunks, each with its line end."""
+        return self.wire.is_between_chunks and not (self._lookahead or self._chunk_begun)
 
     @property
     def _chunk_begun(self) -> bool:
@@ -149,7 +143,6 @@
         self._lookahead = self.wire.poll()
         part = b"".join(self._parts)
         self._parts, self._size = [], 0
-        self._last_chunk_end = part[-2:]
         return part
 
     async def _read_more(self, silence_us: int | None) -> None:
--- a/tests/test_stream_migration.py
+++ b/tests/test_stream_migration.py
@@ -143,8 +143,9 @@
         ([b"3\r\nab\n\r\n5"], False),
         ([b"3\r\nab\n\r\n5\r\nx"], False),
         ([b"4\r\na\n\r\n"], False),  # the data ends like a chunk, but is incomplete
-        ([b"4\r\na\n\r\n\r\n"], False),  # complete, but indistinguishable from the one above
+        ([b"4\r\na\n\r\n\r\n"], True),  # complete, unlike the one above
         ([b"3\r\nab\n\r\n0\r\n\r\n"], False),
+        ([b"3\r\nab\n\r\n", b"5\r\n"], False),  # a size line, which h11 has taken
     ],
 )
 def test_a_stream_migrates_only_between_complete_chunks(parts: list[bytes], between: bool) -> None:
