Forward the chunks that came before an oversized one in the same read

Why it works: the position also tells up to where content has come; the check waits until h11 has returned all of that.

--- a/onyxpass/net/chunked_body.py
+++ b/onyxpass/net/chunked_body.py
@@ -32,6 +32,8 @@
         self.part = Part.SIZE_LINE  # to which the next byte belongs
         self.chunk_bytes = 0  # the size of the present chunk, as far as its digits have come
         self.trailer_lines = 0
+        self.received_bytes = 0  # of the body
+        self.content_end_bytes = 0  # up to the end of the content that came last
         self._line_is_empty = True  # no byte of the present line has come, but for its line end
         self._size_is_complete = False  # a byte that is no digit has followed
         self._remaining_bytes = 0  # of the present part, if its size is known
@@ -57,6 +59,7 @@
                     at = self._follow_trailer(data, at)
                 case _:
                     at = self._skip(data, at)
+        self.received_bytes += len(data)
 
     def _follow_size_line(self, data: bytes, at: int) -> int:
         """Follow a size line to its end, or as far as it has come; return where that is."""
@@ -85,7 +88,8 @@
         skipped = min(self._remaining_bytes, len(data) - at)
         self._remaining_bytes -= skipped
         if not self._remaining_bytes:
-            within_content = self.part is Part.CONTENT
+            if within_content := self.part is Part.CONTENT:
+                self.content_end_bytes = self.received_bytes + at + skipped
             self.part = Part.CONTENT_END if within_content else Part.SIZE_LINE
             self._remaining_bytes = LINE_END_BYTES if within_content else 0
         return at + skipped
--- a/onyxpass/net/framing_limits.py
+++ b/onyxpass/net/framing_limits.py
@@ -67,14 +67,22 @@
                 self.chunked_body.received(self._buffered())
 
     def has_oversized_chunk(self) -> bool:
-        """Return whether a chunk states a size over the limit, as far as its digits have come."""
-        return self.chunked_body is not None and self.chunked_body.exceeds_limit
+        """Return whether the next chunk states a size over the limit, as far as its digits have come."""
+        body = self.chunked_body
+        return body is not None and body.exceeds_limit and self._has_returned_content(body)
 
     def has_too_many_lines(self) -> bool:
         """Return whether the next head, or the next trailers, have too many lines to be parsed."""
         if not self._in_body:
             return self._head_lines > MAX_LINES
-        return self.chunked_body is not None and self.chunked_body.trailer_lines > MAX_LINES
+        body = self.chunked_body
+        if body is None or body.trailer_lines <= MAX_LINES:
+            return False
+        return self._has_returned_content(body)
+
+    def _has_returned_content(self, body: ChunkedBody) -> bool:
+        """Return whether h11 has returned all chunks that have come complete."""
+        return body.received_bytes - len(self._buffered()) >= body.content_end_bytes
 
     def _buffered(self) -> bytes:
         return bytes(self._connection.trailing_data[0])
