Let a stream go on when its client sends the next request early

Cause: bytes behind an open request end it, as a guard against wrong lengths and floods. Within a stream there is no answer to give any more, and the guard cut the stream. Ruled out: the server's part (its events still came), the client's own close (its connection was open). The kernel is asked every 50 ms whether the client has left meanwhile. Before the stream begins nothing changes.

--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable, Coroutine
 from typing import NamedTuple
@@ -20,7 +21,6 @@
 from onyxpass.net.connections import ClientConnection, ClientConnections, Stage
 from onyxpass.net.http import (
     CLIENT_CLOSE_TIMEOUT_US,
-    READ_BYTES,
     HttpConnection,
     HttpError,
     drain_input,
@@ -45,6 +45,7 @@
 ACCEPTS_PER_TURN = 16
 DELIVERY_GRACE_US = 1_000_000  # after a response was written, until it is assumed delivered
 CAPACITY_POLL_US = 20_000  # between two checks for a free slot
+HANG_UP_POLL_US = 50_000  # between two checks whether a client that sent more has left
 # maximum time, at shutdown, of retries to accept the queued connections while accept fails
 FINAL_ACCEPT_TIMEOUT_US = 1_500_000
 # new connections arrive for up to 0.4 s after SIGTERM, if the socket is not inherited
@@ -496,21 +497,16 @@
     ) -> None:
         """Wait for the final answer, and watch for a client that disconnects meanwhile."""
         connection.request, connection.answered = request, False
-        watch = asyncio.create_task(self._read_past_request(wire))
+        watch = asyncio.create_task(self._watch_client(wire, client))
         done = asyncio.create_task(client.done.wait())
         try:
             await asyncio.wait((watch, done), return_when=asyncio.FIRST_COMPLETED)
             connection.answered = True  # or the client has left and is owed no answer
             if client.done.is_set():
-                # keeps a next request that arrived together with the end of this answer
-                if watch.done():
-                    wire.receive(watch.result())
                 return
-            sent_more = bool(watch.result())
-            self.core.answers.client_disconnected(
-                request, DisconnectReason.EXTRA_BYTES if sent_more else DisconnectReason.CLOSED
-            )
-            if sent_more and not client.stream_begun:
+            reason = watch.result()
+            self.core.answers.client_disconnected(request, reason)
+            if reason is DisconnectReason.EXTRA_BYTES:
                 raise HttpError("bytes behind an open request", 400)
             client.broken = True
             client.done.set()
@@ -520,16 +516,21 @@
                 task.cancel()
             await asyncio.gather(watch, done, return_exceptions=True)
 
-    async def _read_past_request(self, wire: HttpConnection) -> bytes:
-        """Wait while a request is open; return the bytes received, empty if the client has closed.
+    async def _watch_client(self, wire: HttpConnection, client: HttpClient) -> DisconnectReason:
+        """Return why the client of an open request counts as gone, once it does.
 
-        A connection has one open request at a time. Bytes received before its answer end it,
-        because its length was wrong or the client floods the connection.
+        A connection has one open request at a time. Bytes received before its stream begins end it,
+        because its length was wrong or the client floods the connection. Once its stream has begun
+        they are the client's next request, which waits for the end of the stream; more than its
+        first bytes stay in the kernel.
         """
-        try:
-            return await wire.reader.read(READ_BYTES)
-        except OSError:
-            return b""
+        with contextlib.suppress(HttpError):
+            await wire.read_more()
+        if wire.pending and not client.stream_begun:
+            return DisconnectReason.EXTRA_BYTES
+        while wire.pending and not wire.hung_up:
+            await self.wheel.sleep(HANG_UP_POLL_US)
+        return DisconnectReason.CLOSED
 
     async def stop(self) -> None:
         """Accept connections for a grace period; return once all requests are answered.
