--- a/onyxpass/net/chunked_body.py
+++ b/onyxpass/net/chunked_body.py
@@ -11,8 +11,8 @@
 LINE_END_BYTES = len(b"\r\n")
 
 
-class Part(Enum):
-    """Part of a chunked body (RFC 9112, section 7.1)."""
+class FramingPart(Enum):
+    """FramingPart of a chunked body (RFC 9112, section 7.1)."""
 
     SIZE_LINE = "size line"  # of a chunk, with its extensions
     CONTENT = "content"
@@ -29,7 +29,7 @@
 
     def __init__(self, max_chunk_bytes: int) -> None:
         self.max_chunk_bytes = max_chunk_bytes
-        self.part = Part.SIZE_LINE  # to which the next byte belongs
+        self.part = FramingPart.SIZE_LINE  # to which the next byte belongs
         self.chunk_bytes = 0  # the size of the present chunk, as far as its digits have come
         self.trailer_lines = 0
         self.received_bytes = 0  # of the body
@@ -46,16 +46,16 @@
     @property
     def is_between_chunks(self) -> bool:
         """Whether the next byte is the first one of a size line."""
-        return self.part is Part.SIZE_LINE and self._line_is_empty
+        return self.part is FramingPart.SIZE_LINE and self._line_is_empty
 
     def received(self, data: bytes) -> None:
         """Follow the next bytes."""
         at = 0
-        while at < len(data) and self.part is not Part.END and not self.exceeds_limit:
+        while at < len(data) and self.part is not FramingPart.END and not self.exceeds_limit:
             match self.part:
-                case Part.SIZE_LINE:
+                case FramingPart.SIZE_LINE:
                     at = self._follow_size_line(data, at)
-                case Part.TRAILERS:
+                case FramingPart.TRAILERS:
                     at = self._follow_trailer(data, at)
                 case _:
                     at = self._skip(data, at)
@@ -70,7 +70,7 @@
             return len(data)
         self._line_is_empty, self._size_is_complete = True, False
         self._remaining_bytes = self.chunk_bytes
-        self.part = Part.CONTENT if self.chunk_bytes else Part.TRAILERS
+        self.part = FramingPart.CONTENT if self.chunk_bytes else FramingPart.TRAILERS
         return end + 1
 
     def _read_digits(self, data: bytes, at: int) -> None:
@@ -88,9 +88,9 @@
         skipped = min(self._remaining_bytes, len(data) - at)
         self._remaining_bytes -= skipped
         if not self._remaining_bytes:
-            if within_content := self.part is Part.CONTENT:
+            if within_content := self.part is FramingPart.CONTENT:
                 self.content_end_bytes = self.received_bytes + at + skipped
-            self.part = Part.CONTENT_END if within_content else Part.SIZE_LINE
+            self.part = FramingPart.CONTENT_END if within_content else FramingPart.SIZE_LINE
             self._remaining_bytes = LINE_END_BYTES if within_content else 0
         return at + skipped
 
@@ -102,7 +102,7 @@
         if end < 0:
             return len(data)
         if self._line_is_empty:
-            self.part = Part.END
+            self.part = FramingPart.END
         else:
             self.trailer_lines += 1
         self._line_is_empty = True
--- a/onyxpass/net/replica.py
+++ b/onyxpass/net/replica.py
@@ -16,6 +16,7 @@
 from onyxpass.core.requests import Attempt
 from onyxpass.net.connection_budget import ConnectionBudget, IdleConnection
 from onyxpass.net.dialer import ResourceShortageError, connect
+from onyxpass.net.event_stream import EventSplitter, contains_data
 from onyxpass.net.http import (
     BODY_LIMIT,
     HOP_BY_HOP,
@@ -28,11 +29,9 @@
 )
 from onyxpass.net.response_reader import (
     CorruptResponseError,
-    EventSplitter,
     Part,
     ResponseReader,
     WaitInterrupted,
-    contains_data,
     is_framed,
 )
 from onyxpass.scheduling.contract import (
--- a/onyxpass/net/stream_migration.py
+++ b/onyxpass/net/stream_migration.py
@@ -21,12 +21,13 @@
 from onyxpass.core.dispatcher import RequestDispatcher
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.net.client import HttpClient
+from onyxpass.net.event_stream import EventSplitter
 from onyxpass.net.front import Front
 from onyxpass.net.http import HttpConnection
 from onyxpass.net.listen import Listener
 from onyxpass.net.replica import AdoptedStream
 from onyxpass.net.replicas import Replicas
-from onyxpass.net.response_reader import EventSplitter, ResponseReader
+from onyxpass.net.response_reader import ResponseReader
 from onyxpass.net.unix import short_socket_path
 from onyxpass.scheduling import contract
 
--- a/tests/test_endless_input.py
+++ b/tests/test_endless_input.py
@@ -25,10 +25,11 @@
 from onyxpass.core.clock import Clock
 from onyxpass.core.loop_turn import MAX_TURN_US, StepFlow
 from onyxpass.core.timer_wheel import TimerWheel
-from onyxpass.net import http_client, response_reader
+from onyxpass.net import event_stream, http_client
 from onyxpass.net.endpoint_watcher import JsonObjectSplitter
+from onyxpass.net.event_stream import EventSplitter, has_data_event
 from onyxpass.net.http import HttpConnection, HttpError, read_body
-from onyxpass.net.response_reader import EventSplitter, ResponseReader, has_data_event
+from onyxpass.net.response_reader import ResponseReader
 from onyxpass.toolcalls import rpc
 
 REPORT = b": X-Server-Load: ?\n\n"  # a comment line of a stream
@@ -163,7 +164,7 @@
         validated += len(text)
         return has_data_event(text, is_first)
 
-    monkeypatch.setattr(response_reader, "has_data_event", count)
+    monkeypatch.setattr(event_stream, "has_data_event", count)
     splitter, event = EventSplitter(), b'data: {"a":1}\n\n'
     for _ in range(ENDLESS_PIECES):
         assert not splitter.feed(REPORT)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -22,12 +22,13 @@
 from onyxpass.core.loop_turn import StepFlow
 from onyxpass.core.memory_budget import Standing
 from onyxpass.core.timer_wheel import TimerWheel
-from onyxpass.net.chunked_body import ChunkedBody, Part
+from onyxpass.net.chunked_body import ChunkedBody, FramingPart
 from onyxpass.net.endpoint_watcher import EndpointListError, JsonObjectSplitter, parse_endpoint_list
+from onyxpass.net.event_stream import EventSplitter
 from onyxpass.net.http import HttpConnection, HttpError, read_body
 from onyxpass.net.replica import cached_tokens
 from onyxpass.net.request_parser import MAX_PARSED_VALUES, BadRequest, check_body, read_arrival
-from onyxpass.net.response_reader import EventSplitter, ResponseReader
+from onyxpass.net.response_reader import ResponseReader
 from onyxpass.scheduling import contract
 from onyxpass.toolcalls import rpc
 from onyxpass.toolcalls.front import Connection, RpcFront
@@ -132,7 +133,7 @@
         position.received(part)
         end += len(part)
         assert position.is_between_chunks == (end in boundaries)
-    assert position.part is Part.END and not position.exceeds_limit
+    assert position.part is FramingPart.END and not position.exceeds_limit
     assert position.trailer_lines == trailers.count(b"\n")
     position = ChunkedBody(max_chunk_bytes=40)
     for part in split_at(body + b"029" + b"f" * 6000, positions):
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -35,9 +35,10 @@
 from onyxpass.core.requests import Attempt, Request
 from onyxpass.net.client import HttpClient
 from onyxpass.net.connections import ClientConnection
+from onyxpass.net.event_stream import EventSplitter
 from onyxpass.net.http import HttpConnection
 from onyxpass.net.replica import Payload
-from onyxpass.net.response_reader import EventSplitter, ResponseReader
+from onyxpass.net.response_reader import ResponseReader
 from onyxpass.toolcalls import front, replicas
 
 SEED = 7120
--- a/tests/test_stream_completeness.py
+++ b/tests/test_stream_completeness.py
@@ -10,7 +10,7 @@
 import pytest
 from cluster import HEAD, PREFILLED, Replica, respond_with, run_async, running_cluster
 
-from onyxpass.net.response_reader import EventSplitter
+from onyxpass.net.event_stream import EventSplitter
 
 SEEDS = range(6800, 6812)
 LAST_CHUNK = b"0\r\n\r\n"
--- a/tests/test_worth.py
+++ b/tests/test_worth.py
@@ -15,7 +15,7 @@
 from onyxpass.config import toml_config
 from onyxpass.config.platform_file import ConfigError
 from onyxpass.core.answer_value import Assessment, Timeliness, assess, mean_token_us
-from onyxpass.net.response_reader import EventSplitter
+from onyxpass.net.event_stream import EventSplitter
 from onyxpass.optional_dependencies import EXTRAS
 from onyxpass.scheduling import attempt_timeouts, contract
 from onyxpass.scheduling.contract import AttemptStatus
