--- a/tests/test_early_requests.py
+++ b/tests/test_early_requests.py
@@ -1,9 +1,11 @@
 """Clients that send their next request while the stream before it still comes."""
 
 import asyncio
+import contextlib
 import random
 import time
 
+import pytest
 from cluster import EVENTS, HEAD, PREFILLED, Cluster, Replica, chat_request, running_cluster
 from fault_injection import run_async
 from sound_framing import LAST_CHUNK
@@ -84,3 +86,47 @@
         assert len(server.heads) == 1
 
     run_async(scenario())
+
+
+def test_a_stream_goes_on_when_its_client_ends_its_sending() -> None:
+    """Guards against a sound stream that is cut off for a client that still reads it."""
+
+    async def scenario() -> None:
+        random_source = random.Random(SEED + 1)
+
+        async def read_half_closed(cluster: Cluster, number: int) -> bytes:
+            reader, writer = await cluster.send(chat_request(f"a{number}", ms=CLASS_TIME_MS))
+            received = await reader.readuntil(EVENTS[0])
+            await asyncio.sleep(random_source.uniform(0.0, 0.8 * STREAM_EVENTS * EVENT_PAUSE_S))
+            writer.write_eof()
+            with contextlib.suppress(ConnectionError):
+                received += await reader.read()
+            writer.close()
+            return received
+
+        async with running_cluster([Replica(PREFILLED)], [Replica(stream_at_usual_pace)]) as w:
+            answers = await asyncio.gather(*(read_half_closed(w, n) for n in range(STREAMS)))
+        cut = sum(not answer.endswith(LAST_CHUNK) for answer in answers)
+        assert not cut, cut
+
+    run_async(scenario())
+
+
+@pytest.mark.parametrize("early", [b"", chat_request("b1")])
+def test_a_client_that_closes_within_its_stream_ends_its_attempt(early: bytes) -> None:
+    """Guards against an attempt that goes on for a client that has closed its connection."""
+
+    async def scenario() -> None:
+        server = Replica(stream_at_usual_pace)
+        async with running_cluster([Replica(PREFILLED)], [server]) as w:
+            reader, writer = await w.send(chat_request("a1", ms=CLASS_TIME_MS))
+            await reader.readuntil(EVENTS[0])
+            writer.write(early)
+            await writer.drain()
+            writer.close()
+            left_s = time.monotonic()
+            await until(lambda: not w.dispatcher.core.registry.by_number)
+            assert time.monotonic() - left_s <= MAX_STOP_S
+        assert len(server.heads) == 1
+
+    run_async(scenario())
