Let a stream go on when its client ends its sending and goes on reading

Cause: the end of a client's sending was taken for a close of its connection. Only the second means that it has gone. Ruled out: a reset or a close; both break the connection as soon as the next events are written. Why it works: within a stream only a broken connection counts as gone. Before the stream nothing changes, since no attempt may begin for a client that may have closed.

--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -45,7 +45,7 @@
 ACCEPTS_PER_TURN = 16
 DELIVERY_GRACE_US = 1_000_000  # after a response was written, until it is assumed delivered
 CAPACITY_POLL_US = 20_000  # between two checks for a free slot
-HANG_UP_POLL_US = 50_000  # between two checks whether a client that sent more has left
+BROKEN_POLL_US = 50_000  # between two checks whether the connection of a stream is broken
 # maximum time, at shutdown, of retries to accept the queued connections while accept fails
 FINAL_ACCEPT_TIMEOUT_US = 1_500_000
 # new connections arrive for up to 0.4 s after SIGTERM, if the socket is not inherited
@@ -522,14 +522,15 @@
         A connection has one open request at a time. Bytes received before its stream begins end it,
         because its length was wrong or the client floods the connection. Once its stream has begun
         they are the client's next request, which waits for the end of the stream; more than its
-        first bytes stay in the kernel.
+        first bytes stay in the kernel. A client that ends its sending then may still read: whether
+        it has closed shows when the stream's next events are not taken.
         """
         with contextlib.suppress(HttpError):
             await wire.read_more()
         if wire.pending and not client.stream_begun:
             return DisconnectReason.EXTRA_BYTES
-        while wire.pending and not wire.hung_up:
-            await self.wheel.sleep(HANG_UP_POLL_US)
+        while client.stream_begun and not wire.is_broken:
+            await self.wheel.sleep(BROKEN_POLL_US)
         return DisconnectReason.CLOSED
 
     async def stop(self) -> None:
--- a/onyxpass/net/http.py
+++ b/onyxpass/net/http.py
@@ -372,6 +372,11 @@
     def hung_up(self) -> bool:
         return hung_up(self.reader, self.writer)
 
+    @property
+    def is_broken(self) -> bool:
+        """Whether the peer takes nothing any more, because it has reset or both sides have ended."""
+        return self.writer.is_closing() or bool(poll_socket(self.writer, 0))
+
     def abort(self) -> None:
         """Close at once; data that is not yet written is discarded."""
         self.writer.transport.abort()
