--- a/onyxpass/net/chunked_body.py
+++ b/onyxpass/net/chunked_body.py
@@ -12,7 +12,7 @@
 
 
 class FramingPart(Enum):
-    """FramingPart of a chunked body (RFC 9112, section 7.1)."""
+    """Part of a chunked body (RFC 9112, section 7.1)."""
 
     SIZE_LINE = "size line"  # of a chunk, with its extensions
     CONTENT = "content"
