End a stream for bytes of its client again: keeping them exceeds the memory

What callers would have seen: a process killed for its memory under a crowd that sends on behind its open streams. Cause: keeps such bytes, tens of KB for each client, in an account that is never evicted. Why this and no repair: the bytes have to stay in the kernel, and the time of the next request has to count from when they came. A client that only ends its sending keeps its stream.

--- a/onyxpass/net/front.py
+++ b/onyxpass/net/front.py
@@ -506,7 +506,7 @@
                 return
             reason = watch.result()
             self.core.answers.client_disconnected(request, reason)
-            if reason is DisconnectReason.EXTRA_BYTES:
+            if reason is DisconnectReason.EXTRA_BYTES and not client.stream_begun:
                 raise HttpError("bytes behind an open request", 400)
             client.broken = True
             client.done.set()
@@ -519,15 +519,14 @@
     async def _watch_client(self, wire: HttpConnection, client: HttpClient) -> DisconnectReason:
         """Return why the client of an open request counts as gone, once it does.
 
-        A connection has one open request at a time. Bytes received before its stream begins end it,
-        because its length was wrong or the client floods the connection. Once its stream has begun
-        they are the client's next request, which waits for the end of the stream; more than its
-        first bytes stay in the kernel. A client that ends its sending then may still read: whether
-        it has closed shows when the stream's next events are not taken.
+        A connection has one open request at a time. Bytes received before its answer end it,
+        because its length was wrong or the client floods the connection. A client that ends its
+        sending within its stream may still read: whether it has closed shows when the stream's next
+        events are not taken.
         """
         with contextlib.suppress(HttpError):
             await wire.read_more()
-        if wire.pending and not client.stream_begun:
+        if wire.pending:
             return DisconnectReason.EXTRA_BYTES
         while client.stream_begun and not wire.is_broken:
             await self.wheel.sleep(BROKEN_POLL_US)
