Test of the operators' commands: wait until every node tells the same digest

Cause: the test waits for the hosts and asks every node, of which one does not listen yet ("Connect call failed" in each failure). Why it works: the test waits until all nodes tell one digest; what it checks of the commands is unchanged.

--- a/tests/test_desired.py
+++ b/tests/test_desired.py
@@ -472,6 +472,11 @@
             await t.wait_until_in_force(
                 t.host_names, lambda values: values.get("limits.sockets") == 900
             )
+            # The hosts may have it before another node has it, or has started.
+            digests: set[object] = set()
+            while len(digests) != 1 or None in digests:
+                await asyncio.sleep(0.05)
+                digests = {(await t.state(name)).get("digest") for name in t.members}
             shown = await asyncio.to_thread(
                 cli.invoke,
                 desired_app,
